--- /dev/null
+++ b/cli/src/main/kotlin/io/sequoiawheel/cli/Placeholder.kt
@@ -0,0 +1,3 @@
+package io.sequoiawheel.cli
+
+internal object Placeholder
--- /dev/null
+++ b/daemon/src/main/kotlin/io/sequoiawheel/daemon/Placeholder.kt
@@ -0,0 +1,3 @@
+package io.sequoiawheel.daemon
+
+internal object Placeholder
--- /dev/null
+++ b/experiment/src/main/kotlin/io/sequoiawheel/experiment/Experiments.kt
@@ -0,0 +1,10 @@
+package io.sequoiawheel.experiment
+
+/** All experiments, in the order of the command line's help. */
+object Experiments {
+    /** Every experiment; each name occurs once. */
+    val all: List<Experiment> = listOf()
+
+    /** Returns the experiment with this [name], or null. */
+    fun named(name: String): Experiment? = all.firstOrNull { it.name == name }
+}
--- /dev/null
+++ b/peer/src/main/kotlin/io/sequoiawheel/peer/Placeholder.kt
@@ -0,0 +1,3 @@
+package io.sequoiawheel.peer
+
+internal object Placeholder
--- /dev/null
+++ b/standin/src/main/kotlin/io/sequoiawheel/standin/Placeholder.kt
@@ -0,0 +1,3 @@
+package io.sequoiawheel.standin
+
+internal object Placeholder
