Add stream relay, resume handles and request runners

The daemon needs the decisions of one request before it can serve callers: token order, stall detection, resume, restart only while nothing was delivered, and calls under claims. Runners work over gateway, placement, retry and claim interfaces so that the same code runs in virtual time.

--- /dev/null
+++ b/core/src/main/kotlin/io/sequoiawheel/core/serving/Claims.kt
@@ -0,0 +1,55 @@
+package io.sequoiawheel.core.serving
+
+import arrow.core.Either
+import io.sequoiawheel.core.model.Failure
+import io.sequoiawheel.core.model.ServiceName
+import io.sequoiawheel.core.model.WorkspaceName
+
+/** Permission to run non-idempotent calls, shared by all entry instances. Implementations are thread-safe. */
+interface Claims {
+    /**
+     * Claims [identity] for a body with [requestDigest]. Fails with `CLAIM_STORE_UNAVAILABLE`, `IN_PROGRESS`,
+     * `OUTCOME_UNKNOWN` or `IDEMPOTENCY_KEY_REUSED`; the call must not be dispatched then.
+     */
+    suspend fun claim(
+        identity: Identity,
+        requestDigest: String,
+    ): Either<Failure, Decision>
+
+    /** Records [answer] as the outcome of a granted claim. */
+    suspend fun complete(
+        granted: Decision.Granted,
+        answer: RecordedAnswer,
+    )
+
+    /** Gives a granted claim back after the backend server proved that nothing ran. */
+    suspend fun release(granted: Decision.Granted)
+
+    /** Returns the recorded answer, or `OUTCOME_NOT_FOUND`, `IN_PROGRESS`, `OUTCOME_UNKNOWN`. */
+    suspend fun outcome(identity: Identity): Either<Failure, RecordedAnswer>
+
+    /** What a key identifies. */
+    data class Identity(
+        val service: ServiceName,
+        val workspace: WorkspaceName,
+        val call: String,
+        val key: String,
+    )
+
+    /** An answer as it is recorded; [body] is JSON text. */
+    data class RecordedAnswer(
+        val status: Int,
+        val body: String,
+    )
+
+    /** The answer to a claim. */
+    sealed interface Decision {
+        /** The caller of [claim] and nobody else may dispatch. */
+        interface Granted : Decision
+
+        /** The call ran before with this answer. */
+        data class Recorded(
+            val answer: RecordedAnswer,
+        ) : Decision
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/io/sequoiawheel/core/serving/GenerationStream.kt
@@ -0,0 +1,185 @@
+package io.sequoiawheel.core.serving
+
+import io.sequoiawheel.core.model.Clock
+import io.sequoiawheel.core.model.Instance
+import io.sequoiawheel.core.model.RequestId
+import io.sequoiawheel.core.stream.StallDetector
+import io.sequoiawheel.core.stream.TokenRelay
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.async
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.flow.Flow
+import kotlinx.coroutines.flow.transformWhile
+import kotlinx.coroutines.launch
+
+/**
+ * Reads one generation from one replica to its end. Broken and silent connections are replaced by a resume from the
+ * next offset at the same replica. Tokens go from the connection to the sink without a buffer in between, so that a
+ * slow caller stops the reading of its own connection and nothing else.
+ */
+internal class GenerationStream(
+    private val engines: EngineGateway,
+    private val clock: Clock,
+    private val replica: Instance,
+    private val generation: RequestId,
+    private val firstOffset: Int,
+    private val silenceLimitMillis: Long,
+    private val sink: GenerationSink,
+    private val onFirstToken: (elapsedMillis: Long) -> Unit = {},
+) {
+    private val relay = TokenRelay(generation, firstOffset)
+    private val detector = StallDetector()
+
+    /** Since when the engine is waited for; [CALLER_TURN] while the sink takes a token. */
+    @Volatile
+    private var waitingSince = CALLER_TURN
+    private var progressMillis = clock.nowMillis()
+    private var patience = 1L
+
+    /** Tokens of the generation that the sink took, including those before the first offset. */
+    val tokens: Int get() = relay.nextOffset
+
+    /** Time beyond the expected gaps so far. */
+    val stalledMillis: Long get() = detector.stalledMillis
+
+    /** Reads [connection], then resumed ones, until the generation ends or cannot be continued. */
+    suspend fun run(connection: Flow<EngineEvent>): End {
+        var end = read(connection)
+        if (end is End.Refused) return end
+        var failures = 0
+        while (end is End.Broken) {
+            val silentMillis = clock.nowMillis() - progressMillis
+            if (end.progressed || end.silent) failures = 0
+            if (!end.silent) failures++
+            if (failures > MAXIMUM_FAILED_RESUMES) return End.Lost("the connection was lost and not restored")
+            if (silentMillis > silenceLimitMillis) return End.Lost("the engine sent nothing for $silentMillis ms")
+            if (failures > 1) delay(RESUME_DELAY_MILLIS shl failures)
+            end = read(engines.resume(replica, generation, relay.nextOffset)).afterResume()
+        }
+        return end
+    }
+
+    // A resume that is refused says nothing about the generation, only about the connection.
+    private fun End.afterResume(): End = if (this is End.Refused) End.Broken(progressed = false) else this
+
+    private suspend fun read(connection: Flow<EngineEvent>): End =
+        coroutineScope {
+            val offsetBefore = relay.nextOffset
+            waitingSince = clock.nowMillis()
+            val reader = async { collect(connection, offsetBefore) }
+            val watchdog =
+                launch {
+                    awaitSilence()
+                    reader.cancel(SilenceException())
+                }
+            try {
+                reader.await()
+            } catch (silence: SilenceException) {
+                silentEnd(offsetBefore)
+            } finally {
+                watchdog.cancel()
+            }
+        }
+
+    private fun silentEnd(offsetBefore: Int): End {
+        val progressed = relay.nextOffset > offsetBefore
+        patience = if (progressed) 1 else (patience * 2).coerceAtMost(MAXIMUM_PATIENCE)
+        return End.Broken(progressed, silent = true)
+    }
+
+    /** Returns once the engine has been silent for the timeout. One timer runs per timeout, not per token. */
+    private suspend fun awaitSilence() {
+        while (true) {
+            val timeout = detector.timeoutMillis * patience
+            val since = waitingSince
+            val left = if (since == CALLER_TURN) timeout else since + timeout - clock.nowMillis()
+            if (left <= 0) return
+            delay(left)
+        }
+    }
+
+    private suspend fun collect(
+        connection: Flow<EngineEvent>,
+        offsetBefore: Int,
+    ): End {
+        var step = TokenRelay.Step.GAP
+        return try {
+            connection
+                .transformWhile<EngineEvent, Unit> { event ->
+                    step = handle(event)
+                    step == TokenRelay.Step.RELEASE || step == TokenRelay.Step.DUPLICATE
+                }.collect {}
+            if (step == TokenRelay.Step.COMPLETE) End.Complete else End.Broken(relay.nextOffset > offsetBefore)
+        } catch (error: DispatchException) {
+            endOf(error, relay.nextOffset > offsetBefore)
+        }
+    }
+
+    private fun endOf(
+        error: DispatchException,
+        progressed: Boolean,
+    ): End =
+        when (error.outcome) {
+            DispatchException.Outcome.NOT_RUN -> End.Refused(error)
+            DispatchException.Outcome.GONE -> End.Gone
+            DispatchException.Outcome.UNKNOWN -> End.Broken(progressed)
+        }
+
+    private suspend fun handle(event: EngineEvent): TokenRelay.Step {
+        val step = relay.accept(event)
+        if (step == TokenRelay.Step.RELEASE && event is EngineEvent.Token) deliver(event)
+        return step
+    }
+
+    private suspend fun deliver(token: EngineEvent.Token) {
+        val arrival = clock.nowMillis()
+        detector.onToken(arrival)
+        if (token.offset == firstOffset) onFirstToken(arrival - progressMillis)
+        waitingSince = CALLER_TURN
+        sink.onToken(token.offset, token.text)
+        val delivered = clock.nowMillis()
+        if (delivered - arrival > CALLER_DELAY_MILLIS) detector.skipGap()
+        progressMillis = delivered
+        waitingSince = delivered
+    }
+
+    /** How the reading of a generation ended. */
+    sealed interface End {
+        /** Every token was delivered. */
+        data object Complete : End
+
+        /** The replica never took the generation. */
+        data class Refused(
+            val error: DispatchException,
+        ) : End
+
+        /** The replica does not know the generation any more. */
+        data object Gone : End
+
+        /** The replica cannot be reached or stays silent. */
+        data class Lost(
+            val reason: String,
+        ) : End
+
+        /** A connection ended early; never returned from [run]. */
+        data class Broken(
+            val progressed: Boolean,
+            val silent: Boolean = false,
+        ) : End
+    }
+
+    private class SilenceException : CancellationException("the engine fell silent")
+
+    private companion object {
+        const val CALLER_TURN = Long.MIN_VALUE
+
+        // Five attempts over about 1.5 s bridge the restart of a switch port, but not that of a process.
+        const val MAXIMUM_FAILED_RESUMES = 5
+        const val RESUME_DELAY_MILLIS = 25L
+
+        // An engine that preempted a generation is silent although the connection is sound.
+        const val MAXIMUM_PATIENCE = 8L
+        const val CALLER_DELAY_MILLIS = 5L
+    }
+}
