--- /dev/null
+++ b/cli/src/main/kotlin/io/sequoiawheel/cli/DocumentCommand.kt
@@ -0,0 +1,22 @@
+package io.sequoiawheel.cli
+
+import picocli.CommandLine
+import picocli.CommandLine.Command
+import picocli.CommandLine.Model.CommandSpec
+import picocli.CommandLine.Spec
+
+/** Everything that operators do with service documents. */
+@Command(
+    name = "document",
+    mixinStandardHelpOptions = true,
+    description = ["Check, write, read and watch service documents, their status and their audit trail."],
+    subcommands = [
+        DocumentCheckCommand::class,
+    ],
+)
+class DocumentCommand : Runnable {
+    @Spec
+    private lateinit var spec: CommandSpec
+
+    override fun run(): Unit = throw CommandLine.ParameterException(spec.commandLine(), "a subcommand is required")
+}
--- a/cli/src/main/kotlin/io/sequoiawheel/cli/Placeholder.kt
+++ /dev/null
@@ -1,3 +0,0 @@
-package io.sequoiawheel.cli
-
-internal object Placeholder
--- /dev/null
+++ b/cli/src/main/kotlin/io/sequoiawheel/cli/TextTable.kt
@@ -0,0 +1,22 @@
+package io.sequoiawheel.cli
+
+/** Formats rows as left-aligned columns separated by two spaces. */
+object TextTable {
+    private const val GAP = "  "
+
+    /** Returns the lines of a table with [header]; every row must have as many cells as the header. */
+    fun format(
+        header: List<String>,
+        rows: List<List<String>>,
+    ): String {
+        require(rows.all { it.size == header.size }) { "every row needs ${header.size} cells" }
+        val all = listOf(header) + rows
+        val widths = header.indices.map { column -> all.maxOf { it[column].length } }
+        return all.joinToString("\n") { row -> formatRow(row, widths) }
+    }
+
+    private fun formatRow(
+        row: List<String>,
+        widths: List<Int>,
+    ): String = row.mapIndexed { column, cell -> cell.padEnd(widths[column]) }.joinToString(GAP).trimEnd()
+}
--- /dev/null
+++ b/cli/src/test/kotlin/io/sequoiawheel/cli/CommandLineTest.kt
@@ -0,0 +1,47 @@
+package io.sequoiawheel.cli
+
+import io.sequoiawheel.core.model.ResultCode
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.io.TempDir
+import java.io.PrintWriter
+import java.io.StringWriter
+import java.nio.file.Files
+import java.nio.file.Path
+
+class CommandLineTest {
+    private val out = StringWriter()
+    private val err = StringWriter()
+
+    private fun run(vararg arguments: String): Int =
+        CommandLineFactory
+            .create()
+            .setOut(PrintWriter(out, true))
+            .setErr(PrintWriter(err, true))
+            .execute(*arguments)
+
+    /** Guards against a page that lags behind the codes that the program sends. */
+    @Test
+    fun `the page of result codes is the generated one`() {
+        val page = Files.readString(Path.of("..", "docs", "result-codes.md"))
+        assertEquals(ResultCodeTable.markdown().trim(), page.trim())
+    }
+
+    @Test
+    fun `a missing command prints the usage and ends with the code of usage errors`() {
+        assertEquals(ResultCode.USAGE.exitCode, run())
+        assertTrue(err.toString().contains("Usage: sequoiawheel"))
+    }
+
+    /** Guards against a rejected document that ends with success or hides its fault. */
+    @Test
+    fun `an invalid document is refused with the path of its fault`(
+        @TempDir directory: Path,
+    ) {
+        val file = directory.resolve("document.json")
+        Files.writeString(file, """{"service":"writers","kind":"modelEngine","author":"asha"}""")
+        assertEquals(ResultCode.DOCUMENT_REJECTED.exitCode, run("document", "check", file.toString()))
+        assertTrue(err.toString().contains("$.models"))
+    }
+}
