Add the model engine without I/O

Cause: experiments and the HTTP stand-in need one model of an engine whose memory fills while it decodes. Change: EngineModel with continuous batching, block memory with preemption, prefix cache with late and lossy events, cold start, lagging load report, absolute orders and a resume window, advanced by its caller through step(). Conclusion: ready to be wrapped by a server and driven in virtual time.

--- /dev/null
+++ b/standin/src/main/kotlin/io/sequoiawheel/standin/engine/internal/Warmth.kt
@@ -0,0 +1,36 @@
+package io.sequoiawheel.standin.engine.internal
+
+import io.sequoiawheel.standin.engine.EngineSettings
+import kotlin.math.pow
+
+/** How warm the engine is, and whether its batch is too large for that. */
+internal class Warmth(
+    private val settings: EngineSettings.Cold,
+    private val maximumConcurrent: Int,
+    startsCold: Boolean,
+) {
+    private var steps = if (startsCold) 0 else settings.warmingSteps
+    private var overloadedSteps = 0
+
+    val isCold: Boolean get() = steps < settings.warmingSteps
+
+    private val progress: Double get() = steps.toDouble() / settings.warmingSteps
+
+    /** Factor of the step duration. */
+    val slowdown: Double get() = if (isCold) 1 + (settings.slowdown - 1) * (1 - progress) else 1.0
+
+    fun turnCold() {
+        steps = 0
+        overloadedSteps = 0
+    }
+
+    /** Records a step with a batch of [concurrent]; returns true if the engine fails. */
+    fun recordStep(concurrent: Int): Boolean {
+        if (!isCold) return false
+        val growth = maximumConcurrent.toDouble() / settings.safeConcurrent
+        val safe = settings.safeConcurrent * growth.pow(progress)
+        if (concurrent > safe) overloadedSteps++ else overloadedSteps = 0
+        steps++
+        return overloadedSteps > settings.toleratedSteps
+    }
+}
