Serve callers over HTTP with a filter chain

The entry daemon had no program. It now reads strict JSON settings, serves the callers' interface of the design with a chain of filters, relays server-sent events from engines, and shuts down gracefully. Placement is least outstanding, documents and instances are polled, and non-idempotent calls are refused until claims are connected.

--- a/core/src/main/kotlin/io/sequoiawheel/core/serving/GenerationRunner.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/serving/GenerationRunner.kt
@@ -152,6 +152,11 @@
                 // The caller's connection is gone; it may come back within the resume window.
                 abandon()
                 throw error
+            } catch (error: CallerLeftException) {
+                throw error
+            } catch (error: Exception) {
+                cancelAtEngine()
+                throw error
             }
         }
 
--- /dev/null
+++ b/daemon/src/main/kotlin/io/sequoiawheel/daemon/EntryDaemon.kt
@@ -0,0 +1,175 @@
+package io.sequoiawheel.daemon
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import io.github.oshai.kotlinlogging.KotlinLogging
+import io.micrometer.prometheusmetrics.PrometheusConfig
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
+import io.sequoiawheel.core.membership.MembershipTable
+import io.sequoiawheel.core.model.Clock
+import io.sequoiawheel.core.model.Failure
+import io.sequoiawheel.core.model.Instance
+import io.sequoiawheel.core.model.RequestId
+import io.sequoiawheel.core.model.ResultCode
+import io.sequoiawheel.core.serving.CallRunner
+import io.sequoiawheel.core.serving.GenerationRunner
+import io.sequoiawheel.core.stream.ResumeHandle
+import io.sequoiawheel.core.stream.ResumeHandleCodec
+import io.sequoiawheel.daemon.control.OutstandingPlacement
+import io.sequoiawheel.daemon.control.PolledDocuments
+import io.sequoiawheel.daemon.control.PolledMembership
+import io.sequoiawheel.daemon.control.ServiceRetries
+import io.sequoiawheel.daemon.control.UnavailableClaims
+import io.sequoiawheel.daemon.gateway.BackendClient
+import io.sequoiawheel.daemon.gateway.HttpEngineGateway
+import io.sequoiawheel.daemon.gateway.HttpPlainGateway
+import io.sequoiawheel.daemon.http.AccountFilter
+import io.sequoiawheel.daemon.http.CallHandler
+import io.sequoiawheel.daemon.http.CallerServer
+import io.sequoiawheel.daemon.http.ConcurrencyFilter
+import io.sequoiawheel.daemon.http.DaemonMetrics
+import io.sequoiawheel.daemon.http.DeadlineFilter
+import io.sequoiawheel.daemon.http.Gate
+import io.sequoiawheel.daemon.http.GenerationHandler
+import io.sequoiawheel.daemon.http.HeaderLimitFilter
+import io.sequoiawheel.daemon.http.RequestReader
+import io.sequoiawheel.daemon.http.RespondFilter
+import io.sequoiawheel.daemon.http.ResumeHandler
+import io.sequoiawheel.daemon.http.ServiceFilter
+import io.sequoiawheel.daemon.http.WorkspaceFilter
+import io.sequoiawheel.daemon.http.before
+import io.sequoiawheel.daemon.settings.DaemonSettings
+import io.sequoiawheel.platform.HttpInstanceList
+import io.sequoiawheel.platform.HttpObjectApi
+import io.sequoiawheel.platform.PlatformTransport
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.launch
+import org.apache.commons.rng.UniformRandomProvider
+import org.apache.commons.rng.simple.RandomSource
+import org.apache.commons.rng.simple.ThreadLocalRandomSource
+import java.util.Base64
+import java.util.UUID
+
+/**
+ * One entry instance: the callers' interface and the controllers behind it. Started once; [leave] shuts it down
+ * gracefully, [close] at once.
+ */
+class EntryDaemon(
+    private val settings: DaemonSettings,
+) : AutoCloseable {
+    private val clock = Clock { System.nanoTime() / NANOS_PER_MILLI }
+    private val random = UniformRandomProvider { ThreadLocalRandomSource.current(GENERATOR).nextLong() }
+    private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
+    private val registry = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
+    private val metrics = DaemonMetrics(registry)
+    private val transport = PlatformTransport(settings.platform, clock)
+    private val instances = HttpInstanceList(settings.platform.instanceList, transport)
+    private val backends = BackendClient()
+    private val engines = HttpEngineGateway(backends)
+    private val membership = MembershipTable(self(settings.listen.port))
+    private val documents = PolledDocuments(HttpObjectApi(settings.platform.objectApi, transport))
+    private val placement = OutstandingPlacement(membership)
+    private val retries = ServiceRetries(clock, random)
+    private val generations = GenerationRunner(engines, placement, retries, clock, scope, ::uniqueId)
+    private val calls =
+        CallRunner(HttpPlainGateway(backends), placement, retries, UnavailableClaims, clock, ::uniqueId)
+    private val gate = Gate()
+    private val server = CallerServer(settings, clock, chains(), registry, ::obstacle)
+
+    /** The port that callers connect to, once [start] has succeeded. */
+    var port: Int = settings.listen.port
+        private set
+
+    /** Starts to serve, or fails with `BIND_FAILED`. */
+    suspend fun start(): Either<Failure, Unit> {
+        try {
+            port = server.start()
+        } catch (error: Exception) {
+            val address = "${settings.listen.host}:${settings.listen.port}"
+            return Failure(ResultCode.BIND_FAILED, "cannot listen on $address: ${error.message}").left()
+        }
+        metrics.gauge("sequoiawheel.requests.in.progress") { gate.requests }
+        instances.register(self(port))
+        scope.launch { documents.run() }
+        scope.launch { PolledMembership(instances, membership, settings.instanceId, clock).run() }
+        logger.info { "entry instance ${settings.instanceId} listens on ${settings.listen.host}:$port" }
+        return Unit.right()
+    }
+
+    /** Refuses new requests, finishes every request in progress however long it takes, and closes. */
+    suspend fun leave() {
+        gate.leave()
+        instances.register(self(port).copy(state = Instance.State.LEAVING))
+        gate.awaitEmpty()
+        generations.abandoned.awaitEmpty()
+        server.stop()
+        instances.remove(settings.instanceId)
+        close()
+    }
+
+    /** Stops at once; requests in progress break off. */
+    override fun close() {
+        scope.cancel()
+        server.stopNow()
+        backends.close()
+        transport.close()
+    }
+
+    private fun self(port: Int) =
+        Instance(
+            id = settings.instanceId,
+            role = Instance.Role.ENTRY,
+            zone = settings.zone,
+            region = settings.region,
+            address = "${settings.listen.host}:$port",
+            peerAddress = "${settings.peer.host}:${settings.peer.port}",
+        )
+
+    private fun uniqueId(requestId: RequestId) = RequestId("${requestId.value}.${UUID.randomUUID()}")
+
+    private fun obstacle(): String? =
+        when {
+            gate.isLeaving -> "leaving"
+            !documents.isKnown -> "no configuration"
+            else -> null
+        }
+
+    private fun chains(): CallerServer.Chains {
+        val handles = ResumeHandleCodec(Base64.getDecoder().decode(settings.resumeKey))
+        val reader = RequestReader(settings.limits.bodyBytes)
+        val concurrency = ConcurrencyFilter(settings.limits.requests)
+        val common =
+            listOf(
+                gate,
+                RespondFilter,
+                AccountFilter(metrics, clock),
+                HeaderLimitFilter(settings.limits.headerBytes),
+                WorkspaceFilter,
+                DeadlineFilter(clock),
+            )
+        val toService = common + ServiceFilter(documents)
+        val generation =
+            GenerationHandler(generations, handles, reader, clock, settings.limits.wholeAnswerBytes)
+        val resume = ResumeHandler(generations, handles, documents, ::findReplica)
+        val call = CallHandler(calls, reader, clock)
+        return CallerServer.Chains(
+            generation = (toService + concurrency).before(generation::handle),
+            resume = common.before(resume::handle),
+            call = (toService + concurrency).before(call::run),
+            outcome = toService.before(call::outcome),
+        )
+    }
+
+    private fun findReplica(handle: ResumeHandle): Instance? =
+        membership.replicas(handle.service).firstOrNull { it.id == handle.replica }
+
+    private companion object {
+        const val NANOS_PER_MILLI = 1_000_000L
+        val GENERATOR: RandomSource = RandomSource.XO_SHI_RO_256_PP
+        val logger = KotlinLogging.logger {}
+    }
+}
--- a/daemon/src/main/kotlin/io/sequoiawheel/daemon/Placeholder.kt
+++ /dev/null
@@ -1,3 +0,0 @@
-package io.sequoiawheel.daemon
-
-internal object Placeholder
--- /dev/null
+++ b/daemon/src/main/kotlin/io/sequoiawheel/daemon/http/Documents.kt
@@ -0,0 +1,13 @@
+package io.sequoiawheel.daemon.http
+
+import io.sequoiawheel.core.model.ServiceDocument
+import io.sequoiawheel.core.model.ServiceName
+
+/** The accepted documents that are in force at this instance. Implementations are thread-safe. */
+internal interface Documents {
+    /** Whether any configuration has been learned. */
+    val isKnown: Boolean
+
+    /** Returns the document of [service], or null if there is none or it was deleted. */
+    fun find(service: ServiceName): ServiceDocument?
+}
