--- a/standin/src/main/kotlin/io/sequoiawheel/standin/Placeholder.kt
+++ /dev/null
@@ -1,3 +0,0 @@
-package io.sequoiawheel.standin
-
-internal object Placeholder
--- /dev/null
+++ b/standin/src/main/kotlin/io/sequoiawheel/standin/plain/AnswerFault.kt
@@ -0,0 +1,32 @@
+package io.sequoiawheel.standin.plain
+
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+
+/** What goes wrong with one call of a plain service. */
+@Serializable
+enum class AnswerFault {
+    /** The call is refused with proof that it did not run. */
+    @SerialName("refused")
+    REFUSED,
+
+    /** The call runs and is answered with status 500. */
+    @SerialName("failed")
+    FAILED,
+
+    /** The call runs and its answer is delayed. */
+    @SerialName("late")
+    LATE,
+
+    /** The call runs and is answered with the answer of another call. */
+    @SerialName("crossed")
+    CROSSED,
+
+    /** The call runs and the connection ends without an answer. */
+    @SerialName("lost")
+    LOST,
+
+    /** The call runs and its answer names another request. */
+    @SerialName("mismatched")
+    MISMATCHED,
+}
--- /dev/null
+++ b/standin/src/main/kotlin/io/sequoiawheel/standin/plain/PlainServiceServer.kt
@@ -0,0 +1,76 @@
+package io.sequoiawheel.standin.plain
+
+import io.ktor.http.HttpStatusCode
+import io.ktor.server.application.ApplicationCall
+import io.ktor.server.request.header
+import io.ktor.server.request.receiveText
+import io.ktor.server.routing.Routing
+import io.ktor.server.routing.get
+import io.ktor.server.routing.post
+import io.sequoiawheel.core.model.LoadReport
+import io.sequoiawheel.core.model.RequestId
+import io.sequoiawheel.standin.server.FaultOrder
+import io.sequoiawheel.standin.server.StandInServer
+import kotlinx.coroutines.delay
+import org.apache.commons.rng.simple.RandomSource
+
+/**
+ * A plain service over HTTP: `POST /calls/{call}` and `GET /load`. A refusal carries `X-Not-Run` with the request id.
+ *
+ * @param seed seed of the durations
+ */
+class PlainServiceServer(
+    settings: PlainServiceSettings,
+    seed: Long,
+    port: Int = 0,
+) : StandInServer(port) {
+    /** The service itself; its record of runs outlives a restart of the server. */
+    val model = PlainServiceModel(settings, RandomSource.XO_RO_SHI_RO_128_PP.create(seed))
+
+    override fun onStart() = model.restart(clock.nowMillis())
+
+    override fun Routing.routes() {
+        post("/calls/{call}") { serve(call) }
+        get("/load") { answer(call, json.encodeToString(LoadReport.serializer(), model.load(clock.nowMillis()))) }
+    }
+
+    override fun order(faults: FaultOrder): String? {
+        if (faults.copy(plain = null).hasModelPart) return UNKNOWN_PART
+        faults.plain?.let { model.order(it, clock.nowMillis()) }
+        return null
+    }
+
+    private suspend fun serve(call: ApplicationCall) {
+        val requestId = RequestId(call.request.header("X-Request-Id").orEmpty())
+        val name = call.parameters["call"].orEmpty()
+        when (val reply = model.begin(requestId, name, call.receiveText(), clock.nowMillis())) {
+            is PlainReply.Started -> complete(call, reply.run)
+            is PlainReply.Refused -> refuse(call, requestId, HttpStatusCode.ServiceUnavailable)
+            else -> refuse(call, requestId, HttpStatusCode.NotFound)
+        }
+    }
+
+    private suspend fun complete(
+        call: ApplicationCall,
+        run: PlainRun,
+    ) {
+        val cutsBefore = link.cutCount.value
+        delay(run.durationMillis)
+        when (val reply = model.finish(run)) {
+            is PlainReply.Answer -> {
+                delay(reply.delayMillis)
+                if (link.cutCount.value != cutsBefore) return breakConnection(call)
+                val status = HttpStatusCode.fromValue(reply.status)
+                answer(call, reply.body, status, mapOf("X-Request-Id" to reply.requestId.value))
+            }
+
+            else -> breakConnection(call)
+        }
+    }
+
+    private suspend fun refuse(
+        call: ApplicationCall,
+        requestId: RequestId,
+        status: HttpStatusCode,
+    ) = answer(call, "{}", status, mapOf("X-Request-Id" to requestId.value, "X-Not-Run" to requestId.value))
+}
