--- a/cli/src/main/kotlin/io/sequoiawheel/cli/DocumentCommand.kt
+++ b/cli/src/main/kotlin/io/sequoiawheel/cli/DocumentCommand.kt
@@ -12,6 +12,8 @@
     description = ["Check, write, read and watch service documents, their status and their audit trail."],
     subcommands = [
         DocumentCheckCommand::class,
+        DocumentGetCommand::class,
+        DocumentPutCommand::class,
     ],
 )
 class DocumentCommand : Runnable {
