Run non-idempotent calls under claims

Calls were refused as long as no claim store was connected. The runner now claims before dispatch, runs a claimed call to its end even if the caller leaves, and settles the claim after the answer: outcome, release after a proof of not run, or unknown.

--- a/core/src/main/kotlin/io/sequoiawheel/core/serving/CallRunner.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/serving/CallRunner.kt
@@ -1,10 +1,19 @@
 package io.sequoiawheel.core.serving
 
+import arrow.core.Either
 import arrow.core.getOrElse
+import arrow.core.left
 import io.sequoiawheel.core.model.Clock
 import io.sequoiawheel.core.model.Failure
 import io.sequoiawheel.core.model.RequestId
 import io.sequoiawheel.core.model.ResultCode
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.NonCancellable
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.joinAll
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withContext
 import org.apache.commons.codec.digest.DigestUtils
 
 /**
@@ -12,6 +21,7 @@
  * dispatched under a claim, and dispatched again only after the backend server proved that they did not run. Every
  * function returns an outcome; only the cancellation of the calling coroutine is thrown. Thread-safe.
  *
+ * @param scope where claims are settled after the answer
  * @param dispatchIds makes identities that are unique in the deployment, so that an answer cannot be taken for that of
  *   another request which its caller gave the same id
  */
@@ -21,8 +31,11 @@
     private val retries: Retries,
     private val claims: Claims,
     private val clock: Clock,
+    private val scope: CoroutineScope,
     private val dispatchIds: (RequestId) -> RequestId,
 ) {
+    private val settling = SupervisorJob(scope.coroutineContext[Job])
+
     /** Runs [call] to its end. */
     suspend fun run(call: CallDemand): CallOutcome {
         retries.onFirstAttempt(call.demand.document)
@@ -34,17 +47,31 @@
     suspend fun outcome(identity: Claims.Identity): CallOutcome =
         claims.outcome(identity).fold({ CallOutcome(it) }, { CallOutcome(null, it, recorded = true) })
 
+    /** Waits until the outcome of every call that ended is settled, or kept for background attempts. */
+    suspend fun awaitSettled() = settling.children.toList().joinAll()
+
+    // Once claimed, a call runs to its end even if its caller leaves: the caller can then still ask for the outcome.
     private suspend fun runClaimed(
         call: CallDemand,
         attempts: CallAttempts,
-    ): CallOutcome {
-        val identity = identityOf(call) ?: return CallOutcome(Failure(ResultCode.IDEMPOTENCY_KEY_REQUIRED))
-        val decision =
-            claims.claim(identity, DigestUtils.sha256Hex(call.body)).getOrElse { return CallOutcome(it) }
-        return when (decision) {
-            is Claims.Decision.Recorded -> CallOutcome(null, decision.answer, recorded = true)
-            is Claims.Decision.Granted -> runGranted(decision, attempts)
+    ): CallOutcome =
+        withContext(NonCancellable) {
+            when (val decision = claim(call).getOrElse { return@withContext CallOutcome(it) }) {
+                is Claims.Decision.Recorded -> CallOutcome(null, decision.answer, recorded = true)
+                is Claims.Decision.Granted -> runGranted(decision, attempts)
+            }
         }
+
+    private suspend fun claim(call: CallDemand): Either<Failure, Claims.Decision> {
+        val identity = identityOf(call) ?: return Failure(ResultCode.IDEMPOTENCY_KEY_REQUIRED).left()
+        val remaining = call.demand.deadlineMillis - clock.nowMillis()
+        if (remaining <= 0) return Failure(ResultCode.DEADLINE_BEFORE_DISPATCH).left()
+        return claims.claim(
+            identity = identity,
+            requestDigest = DigestUtils.sha256Hex(call.body),
+            retentionMillis = call.demand.document.claimRetentionMillis,
+            timeoutMillis = minOf(remaining, CLAIM_TIMEOUT_MILLIS),
+        )
     }
 
     private suspend fun runGranted(
@@ -52,17 +79,30 @@
         attempts: CallAttempts,
     ): CallOutcome {
         val outcome = attempts.runOnce()
-        val answer = outcome.answer
-        if (answer != null) {
-            claims.complete(granted, answer)
-        } else if (attempts.provenNotRun) {
-            claims.release(granted)
-        }
+        // The answer does not wait for the record; a key that is used meanwhile finds the claim in progress.
+        scope.launch(settling) { settle(granted, outcome.answer, attempts.provenNotRun) }
         return outcome
     }
 
+    private suspend fun settle(
+        granted: Claims.Decision.Granted,
+        answer: Claims.RecordedAnswer?,
+        provenNotRun: Boolean,
+    ) {
+        when {
+            answer != null -> claims.complete(granted, answer)
+            provenNotRun -> claims.release(granted)
+            else -> claims.loseOutcome(granted)
+        }
+    }
+
     private fun identityOf(call: CallDemand): Claims.Identity? {
         val key = call.idempotencyKey ?: return null
         return Claims.Identity(call.demand.document.service, call.demand.workspace, call.call.name, key)
     }
+
+    private companion object {
+        // A claim takes one write of a few milliseconds; three attempts with read-back fit well into this.
+        const val CLAIM_TIMEOUT_MILLIS = 5_000L
+    }
 }
--- a/core/src/main/kotlin/io/sequoiawheel/core/serving/Claims.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/serving/Claims.kt
@@ -8,12 +8,16 @@
 /** Permission to run non-idempotent calls, shared by all entry instances. Implementations are thread-safe. */
 interface Claims {
     /**
-     * Claims [identity] for a body with [requestDigest]. Fails with `CLAIM_STORE_UNAVAILABLE`, `IN_PROGRESS`,
-     * `OUTCOME_UNKNOWN` or `IDEMPOTENCY_KEY_REUSED`; the call must not be dispatched then.
+     * Claims [identity] for a body with [requestDigest] within [timeoutMillis]. Fails with `CLAIM_STORE_UNAVAILABLE`,
+     * `IN_PROGRESS`, `OUTCOME_UNKNOWN` or `IDEMPOTENCY_KEY_REUSED`; the call must not be dispatched then.
+     *
+     * @param retentionMillis how long the outcome can be asked for
      */
     suspend fun claim(
         identity: Identity,
         requestDigest: String,
+        retentionMillis: Long,
+        timeoutMillis: Long,
     ): Either<Failure, Decision>
 
     /** Records [answer] as the outcome of a granted claim. */
@@ -22,6 +26,9 @@
         answer: RecordedAnswer,
     )
 
+    /** Records that the outcome of a granted claim will never be known. */
+    suspend fun loseOutcome(granted: Decision.Granted)
+
     /** Gives a granted claim back after the backend server proved that nothing ran. */
     suspend fun release(granted: Decision.Granted)
 
--- a/daemon/src/main/kotlin/io/sequoiawheel/daemon/EntryDaemon.kt
+++ b/daemon/src/main/kotlin/io/sequoiawheel/daemon/EntryDaemon.kt
@@ -6,10 +6,12 @@
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.micrometer.prometheusmetrics.PrometheusConfig
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
+import io.sequoiawheel.core.claim.ClaimRegistry
 import io.sequoiawheel.core.membership.MembershipTable
 import io.sequoiawheel.core.model.Clock
 import io.sequoiawheel.core.model.Failure
 import io.sequoiawheel.core.model.Instance
+import io.sequoiawheel.core.model.InstanceId
 import io.sequoiawheel.core.model.RequestId
 import io.sequoiawheel.core.model.ResultCode
 import io.sequoiawheel.core.serving.CallRunner
@@ -19,8 +21,8 @@
 import io.sequoiawheel.daemon.control.OutstandingPlacement
 import io.sequoiawheel.daemon.control.PolledDocuments
 import io.sequoiawheel.daemon.control.PolledMembership
+import io.sequoiawheel.daemon.control.RegistryClaims
 import io.sequoiawheel.daemon.control.ServiceRetries
-import io.sequoiawheel.daemon.control.UnavailableClaims
 import io.sequoiawheel.daemon.gateway.BackendClient
 import io.sequoiawheel.daemon.gateway.HttpEngineGateway
 import io.sequoiawheel.daemon.gateway.HttpPlainGateway
@@ -67,16 +69,33 @@
     private val registry = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
     private val metrics = DaemonMetrics(registry)
     private val transport = PlatformTransport(settings.platform, clock)
+    private val objects = HttpObjectApi(settings.platform.objectApi, transport)
     private val instances = HttpInstanceList(settings.platform.instanceList, transport)
     private val backends = BackendClient()
     private val engines = HttpEngineGateway(backends)
     private val membership = MembershipTable(self(settings.listen.port))
-    private val documents = PolledDocuments(HttpObjectApi(settings.platform.objectApi, transport))
+    private val documents = PolledDocuments(objects)
     private val placement = OutstandingPlacement(membership)
     private val retries = ServiceRetries(clock, random)
     private val generations = GenerationRunner(engines, placement, retries, clock, scope, ::uniqueId)
+    private val claims =
+        ClaimRegistry(
+            api = objects,
+            instance = settings.instanceId,
+            wallClock = { System.currentTimeMillis() },
+            isLive = ::isKnownEntry,
+            newClaimId = { UUID.randomUUID().toString() },
+        )
     private val calls =
-        CallRunner(HttpPlainGateway(backends), placement, retries, UnavailableClaims, clock, ::uniqueId)
+        CallRunner(
+            HttpPlainGateway(backends),
+            placement,
+            retries,
+            RegistryClaims(claims),
+            clock,
+            scope,
+            ::uniqueId,
+        )
     private val gate = Gate()
     private val server = CallerServer(settings, clock, chains(), registry, ::obstacle)
 
@@ -95,6 +114,7 @@
         metrics.gauge("sequoiawheel.requests.in.progress") { gate.requests }
         instances.register(self(port))
         scope.launch { documents.run() }
+        scope.launch { claims.runBackground() }
         scope.launch { PolledMembership(instances, membership, settings.instanceId, clock).run() }
         logger.info { "entry instance ${settings.instanceId} listens on ${settings.listen.host}:$port" }
         return Unit.right()
@@ -106,6 +126,7 @@
         instances.register(self(port).copy(state = Instance.State.LEAVING))
         gate.awaitEmpty()
         generations.abandoned.awaitEmpty()
+        calls.awaitSettled()
         server.stop()
         instances.remove(settings.instanceId)
         close()
@@ -164,6 +185,9 @@
         )
     }
 
+    private fun isKnownEntry(id: InstanceId): Boolean =
+        id == settings.instanceId || membership.listed().any { it.id == id && it.role == Instance.Role.ENTRY }
+
     private fun findReplica(handle: ResumeHandle): Instance? =
         membership.replicas(handle.service).firstOrNull { it.id == handle.replica }
 
