--- /dev/null
+++ b/core/src/test/kotlin/io/sequoiawheel/core/admission/LengthEstimatorTest.kt
@@ -0,0 +1,48 @@
+package io.sequoiawheel.core.admission
+
+import io.sequoiawheel.core.model.ServiceName
+import io.sequoiawheel.core.model.WorkspaceName
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+
+class LengthEstimatorTest {
+    private val estimator = LengthEstimator(maximumGroups = 100, windowSamples = 50)
+
+    private fun key(
+        workspace: String,
+        kind: String = "letter",
+    ) = LengthKey(ServiceName("writers"), WorkspaceName(workspace), kind)
+
+    /** Guards against estimates of one workspace that spill into a workspace with its own history. */
+    @Test
+    fun `a workspace with samples has its own estimate and others fall back to the kind`() {
+        repeat(30) { estimator.record(key("short"), 100) }
+        repeat(60) { estimator.record(key("long"), 1_000) }
+        assertEquals(100.0, estimator.quantile(key("short"), 0, 0.5).toDouble(), 10.0)
+        assertEquals(1_000.0, estimator.quantile(key("unknown"), 0, 0.5).toDouble(), 100.0)
+    }
+
+    /** Guards against a remaining length of zero or less for a generation that outlives its prediction. */
+    @Test
+    fun `the estimate stays above what is produced`() {
+        repeat(40) { estimator.record(key("a"), 100 + it * 10) }
+        assertTrue(estimator.quantile(key("a"), 300, 0.5) in 320..480)
+        assertTrue(estimator.quantile(key("a"), 5_000, 0.5) > 5_000)
+    }
+
+    /** Guards against an estimator that never follows a change of the traffic. */
+    @Test
+    fun `old lengths are forgotten`() {
+        repeat(200) { estimator.record(key("a"), 2_000) }
+        repeat(101) { estimator.record(key("a"), 50) }
+        assertEquals(50.0, estimator.quantile(key("a"), 0, 0.9).toDouble(), 5.0)
+    }
+
+    /** Guards against memory that grows with every workspace ever seen. */
+    @Test
+    fun `histories are bounded`() {
+        repeat(4_200) { estimator.record(key("w$it"), 100) }
+        assertEquals(100, estimator.groups)
+    }
+}
--- /dev/null
+++ b/core/src/test/kotlin/io/sequoiawheel/core/admission/MemoryPredictorTest.kt
@@ -0,0 +1,35 @@
+package io.sequoiawheel.core.admission
+
+import org.apache.commons.rng.simple.RandomSource
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+
+class MemoryPredictorTest {
+    /** Guards against a shortcut in the sum over ends that misses the true peak. */
+    @Test
+    fun `the peak equals that of a step by step simulation`() {
+        val random = RandomSource.XO_RO_SHI_RO_128_PP.create(11)
+        repeat(50) {
+            val running = List(1 + random.nextInt(20)) { RunningEstimate(random.nextInt(500), random.nextInt(300)) }
+            val simulated =
+                (0..300).maxOf { step ->
+                    running.filter { it.remainingTokens >= step }.sumOf { it.heldTokens + step }
+                }
+            assertEquals(simulated.toLong(), MemoryPredictor.peakTokens(running))
+        }
+    }
+
+    /** Guards against a factor that ignores preemptions, or takes a restart's reset counter for one. */
+    @Test
+    fun `the safety factor decreases on a preemption and recovers slowly`() {
+        val factor = SafetyFactor(maximum = 0.9, recoveryPerSecond = 0.01)
+        factor.report("a-1", 3, 0)
+        assertEquals(0.9, factor.value(0))
+        factor.report("a-1", 5, 1_000)
+        assertEquals(0.81, factor.value(1_000), 1e-9)
+        factor.report("a-2", 6, 7_000)
+        assertEquals(0.87, factor.value(7_000), 1e-9)
+        assertTrue(factor.value(60_000) == 0.9)
+    }
+}
