Connect configuration and membership controllers over gRPC

Every daemon polled documents and instances itself. Now two watchers a zone follow the platform and relay news down the zone's tree; digests are compared with the parent and with other zones, and the root writes what is in force. The build passes; no test runs several daemons yet.

--- a/daemon/src/main/kotlin/io/sequoiawheel/daemon/EntryDaemon.kt
+++ b/daemon/src/main/kotlin/io/sequoiawheel/daemon/EntryDaemon.kt
@@ -7,7 +7,6 @@
 import io.micrometer.prometheusmetrics.PrometheusConfig
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
 import io.sequoiawheel.core.claim.ClaimRegistry
-import io.sequoiawheel.core.membership.MembershipTable
 import io.sequoiawheel.core.model.Clock
 import io.sequoiawheel.core.model.Failure
 import io.sequoiawheel.core.model.Instance
@@ -18,9 +17,8 @@
 import io.sequoiawheel.core.serving.GenerationRunner
 import io.sequoiawheel.core.stream.ResumeHandle
 import io.sequoiawheel.core.stream.ResumeHandleCodec
+import io.sequoiawheel.daemon.control.ControlPlane
 import io.sequoiawheel.daemon.control.OutstandingPlacement
-import io.sequoiawheel.daemon.control.PolledDocuments
-import io.sequoiawheel.daemon.control.PolledMembership
 import io.sequoiawheel.daemon.control.RegistryClaims
 import io.sequoiawheel.daemon.control.ServiceRetries
 import io.sequoiawheel.daemon.gateway.BackendClient
@@ -49,6 +47,7 @@
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import org.apache.commons.rng.UniformRandomProvider
 import org.apache.commons.rng.simple.RandomSource
@@ -73,8 +72,9 @@
     private val instances = HttpInstanceList(settings.platform.instanceList, transport)
     private val backends = BackendClient()
     private val engines = HttpEngineGateway(backends)
-    private val membership = MembershipTable(self(settings.listen.port))
-    private val documents = PolledDocuments(objects)
+    private val control = ControlPlane(self(settings.peer.port), objects, instances, scope, clock, random)
+    private val membership = control.membership
+    private val documents = control.configuration
     private val placement = OutstandingPlacement(membership)
     private val retries = ServiceRetries(clock, random)
     private val generations = GenerationRunner(engines, placement, retries, clock, scope, ::uniqueId)
@@ -106,16 +106,16 @@
     /** Starts to serve, or fails with `BIND_FAILED`. */
     suspend fun start(): Either<Failure, Unit> {
         try {
+            control.bind()
             port = server.start()
         } catch (error: Exception) {
-            val address = "${settings.listen.host}:${settings.listen.port}"
-            return Failure(ResultCode.BIND_FAILED, "cannot listen on $address: ${error.message}").left()
+            val addresses = "${self().peerAddress} and ${self().address}"
+            return Failure(ResultCode.BIND_FAILED, "cannot listen on $addresses: ${error.message}").left()
         }
         metrics.gauge("sequoiawheel.requests.in.progress") { gate.requests }
-        instances.register(self(port))
-        scope.launch { documents.run() }
+        control.start()
+        scope.launch { keepRegistered() }
         scope.launch { claims.runBackground() }
-        scope.launch { PolledMembership(instances, membership, settings.instanceId, clock).run() }
         logger.info { "entry instance ${settings.instanceId} listens on ${settings.listen.host}:$port" }
         return Unit.right()
     }
@@ -123,7 +123,8 @@
     /** Refuses new requests, finishes every request in progress however long it takes, and closes. */
     suspend fun leave() {
         gate.leave()
-        instances.register(self(port).copy(state = Instance.State.LEAVING))
+        membership.markLeaving(settings.instanceId)
+        instances.register(self().copy(state = Instance.State.LEAVING))
         gate.awaitEmpty()
         generations.abandoned.awaitEmpty()
         calls.awaitSettled()
@@ -136,18 +137,28 @@
     override fun close() {
         scope.cancel()
         server.stopNow()
+        control.close()
         backends.close()
         transport.close()
     }
 
-    private fun self(port: Int) =
+    // The platform's list may be told again after an outage of its own.
+    private suspend fun keepRegistered() {
+        while (true) {
+            val state = if (gate.isLeaving) Instance.State.LEAVING else Instance.State.LIVE
+            instances.register(self().copy(state = state))
+            delay(REGISTER_INTERVAL_MILLIS)
+        }
+    }
+
+    private fun self(peerPort: Int = control.port) =
         Instance(
             id = settings.instanceId,
             role = Instance.Role.ENTRY,
             zone = settings.zone,
             region = settings.region,
             address = "${settings.listen.host}:$port",
-            peerAddress = "${settings.peer.host}:${settings.peer.port}",
+            peerAddress = "${settings.peer.host}:$peerPort",
         )
 
     private fun uniqueId(requestId: RequestId) = RequestId("${requestId.value}.${UUID.randomUUID()}")
@@ -193,6 +204,7 @@
 
     private companion object {
         const val NANOS_PER_MILLI = 1_000_000L
+        const val REGISTER_INTERVAL_MILLIS = 2_000L
         val GENERATOR: RandomSource = RandomSource.XO_SHI_RO_256_PP
         val logger = KotlinLogging.logger {}
     }
--- /dev/null
+++ b/daemon/src/main/kotlin/io/sequoiawheel/daemon/control/PeerEndpoint.kt
@@ -0,0 +1,28 @@
+package io.sequoiawheel.daemon.control
+
+import io.sequoiawheel.core.membership.MembershipTable
+import io.sequoiawheel.core.model.Clock
+import io.sequoiawheel.core.model.InstanceId
+import io.sequoiawheel.peer.generated.CompareRequest
+import io.sequoiawheel.peer.generated.CompareResponse
+import io.sequoiawheel.peer.generated.PeerGrpcKt
+import io.sequoiawheel.peer.generated.RelayRequest
+import io.sequoiawheel.peer.generated.RelayResponse
+
+/** Answers the calls of other entry instances. */
+internal class PeerEndpoint(
+    private val table: MembershipTable,
+    private val configuration: ConfigurationController,
+    private val membership: MembershipController,
+    private val comparison: ComparisonController,
+    private val clock: Clock,
+) : PeerGrpcKt.PeerCoroutineImplBase() {
+    override suspend fun relay(request: RelayRequest): RelayResponse {
+        table.heardFrom(InstanceId(request.sender), clock.nowMillis())
+        if (request.hasMembership()) PeerMessages.fromMessage(request.membership)?.let { membership.take(it) }
+        configuration.take(PeerMessages.fromMessages(request.acceptedList))
+        return RelayResponse.getDefaultInstance()
+    }
+
+    override suspend fun compare(request: CompareRequest): CompareResponse = comparison.answer(request)
+}
--- a/peer/src/main/kotlin/io/sequoiawheel/peer/Placeholder.kt
+++ /dev/null
@@ -1,3 +0,0 @@
-package io.sequoiawheel.peer
-
-internal object Placeholder
