--- /dev/null
+++ b/core/src/main/kotlin/io/sequoiawheel/core/order/OrderController.kt
@@ -0,0 +1,64 @@
+package io.sequoiawheel.core.order
+
+import io.sequoiawheel.core.model.Instance
+import io.sequoiawheel.core.model.ServiceDocument
+import io.sequoiawheel.core.platform.WeightStore
+import kotlinx.coroutines.delay
+
+/**
+ * Reconciles the replicas of services with their documents while this instance holds the lease.
+ *
+ * @param documents the services in force now
+ * @param replicas the replicas of a service as the membership knows them
+ * @param models the models that a replica's load report names, or null if it cannot be read
+ * @param inUse whether requests for a model of a service arrived recently
+ * @param mayAct whether this instance holds the lease now
+ */
+class OrderController(
+    private val engines: EngineOrders,
+    private val issuer: OrderIssuer,
+    private val weights: WeightBudget,
+    private val weightStore: WeightStore,
+    private val documents: () -> List<ServiceDocument>,
+    private val replicas: (ServiceDocument) -> List<Instance>,
+    private val models: suspend (Instance) -> Set<String>?,
+    private val inUse: (ServiceDocument, String) -> Boolean,
+    private val mayAct: () -> Boolean,
+) {
+    /** Reconciles every [intervalMillis] until cancelled. */
+    suspend fun run(intervalMillis: Long = DEFAULT_INTERVAL_MILLIS) {
+        while (true) {
+            if (mayAct()) documents().filter { it.kind == ServiceDocument.Kind.MODEL_ENGINE }.forEach { reconcile(it) }
+            delay(intervalMillis)
+        }
+    }
+
+    /** Makes one pass over the replicas of [document]; returns how many orders were confirmed. */
+    suspend fun reconcile(document: ServiceDocument): Int {
+        val known = replicas(document)
+        val reachable = known.mapNotNull { read(it) }
+        // A replica that cannot be read does not count as warm, so it never justifies unloading another one.
+        val steps = OrderPlanner.plan(document, reachable) { inUse(document, it) }
+        return steps.count { step -> mayAct() && perform(step, document) }
+    }
+
+    private suspend fun read(replica: Instance): ReplicaOrders? {
+        val held = engines.read(replica).getOrNull() ?: return null
+        return ReplicaOrders(replica, models(replica) ?: return null, held)
+    }
+
+    private suspend fun perform(
+        step: OrderPlanner.Step,
+        document: ServiceDocument,
+    ): Boolean {
+        if (step.needsWeights) {
+            if (weights.take() > 0) return false
+            if (weightStore.requestLoad(step.order.target).isLeft()) return false
+        }
+        return issuer.issue(step.replica, step.order, document.fencing).isRight()
+    }
+
+    private companion object {
+        const val DEFAULT_INTERVAL_MILLIS = 2_000L
+    }
+}
