--- a/daemon/src/main/kotlin/io/sequoiawheel/daemon/EntryDaemon.kt
+++ b/daemon/src/main/kotlin/io/sequoiawheel/daemon/EntryDaemon.kt
@@ -21,6 +21,7 @@
 import io.sequoiawheel.daemon.control.OutstandingPlacement
 import io.sequoiawheel.daemon.control.RegistryClaims
 import io.sequoiawheel.daemon.control.ServiceRetries
+import io.sequoiawheel.daemon.control.supervise
 import io.sequoiawheel.daemon.gateway.BackendClient
 import io.sequoiawheel.daemon.gateway.HttpEngineGateway
 import io.sequoiawheel.daemon.gateway.HttpPlainGateway
@@ -48,7 +49,6 @@
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.launch
 import org.apache.commons.rng.UniformRandomProvider
 import org.apache.commons.rng.simple.RandomSource
 import org.apache.commons.rng.simple.ThreadLocalRandomSource
@@ -72,6 +72,10 @@
     private val instances = HttpInstanceList(settings.platform.instanceList, transport)
     private val backends = BackendClient()
     private val engines = HttpEngineGateway(backends)
+
+    /** The port that callers connect to, once [start] has succeeded. */
+    var port: Int = settings.listen.port
+        private set
     private val control = ControlPlane(self(settings.peer.port), objects, instances, scope, clock, random)
     private val membership = control.membership
     private val documents = control.configuration
@@ -99,10 +103,6 @@
     private val gate = Gate()
     private val server = CallerServer(settings, clock, chains(), registry, ::obstacle)
 
-    /** The port that callers connect to, once [start] has succeeded. */
-    var port: Int = settings.listen.port
-        private set
-
     /** Starts to serve, or fails with `BIND_FAILED`. */
     suspend fun start(): Either<Failure, Unit> {
         try {
@@ -114,8 +114,8 @@
         }
         metrics.gauge("sequoiawheel.requests.in.progress") { gate.requests }
         control.start()
-        scope.launch { keepRegistered() }
-        scope.launch { claims.runBackground() }
+        scope.supervise("registration") { keepRegistered() }
+        scope.supervise("claims") { claims.runBackground() }
         logger.info { "entry instance ${settings.instanceId} listens on ${settings.listen.host}:$port" }
         return Unit.right()
     }
@@ -123,7 +123,7 @@
     /** Refuses new requests, finishes every request in progress however long it takes, and closes. */
     suspend fun leave() {
         gate.leave()
-        membership.markLeaving(settings.instanceId)
+        control.leave()
         instances.register(self().copy(state = Instance.State.LEAVING))
         gate.awaitEmpty()
         generations.abandoned.awaitEmpty()
--- a/daemon/src/main/kotlin/io/sequoiawheel/daemon/control/ControlPlane.kt
+++ b/daemon/src/main/kotlin/io/sequoiawheel/daemon/control/ControlPlane.kt
@@ -55,6 +55,7 @@
             clock = clock,
             random = random,
         )
+    private val leaseholder = LeaseholderPlane(self.id, objects, tree, clock)
     private val endpoint = PeerEndpoint(membership, configuration, members, comparison, clock)
     private val server = PeerServer(hostOf(self), portOf(self), endpoint)
 
@@ -70,10 +71,17 @@
         configuration.relay = { relay.send(it) }
         members.relay = { relay.send(it) }
         scope.launch { learn() }
-        scope.launch { members.run() }
-        scope.launch { configuration.run() }
-        scope.launch { comparison.run() }
-        scope.launch { retirePeers() }
+        scope.supervise("membership") { members.run() }
+        scope.supervise("configuration") { configuration.run() }
+        scope.supervise("comparison") { comparison.run() }
+        leaseholder.start(scope)
+        scope.supervise("peer retirement") { retirePeers() }
+    }
+
+    /** Gives up what other instances should take over soon. */
+    suspend fun leave() {
+        membership.markLeaving(self.id)
+        leaseholder.resign()
     }
 
     override fun close() {
--- /dev/null
+++ b/daemon/src/main/kotlin/io/sequoiawheel/daemon/control/LeaseholderPlane.kt
@@ -0,0 +1,59 @@
+package io.sequoiawheel.daemon.control
+
+import io.sequoiawheel.core.claim.ClaimExpiry
+import io.sequoiawheel.core.configuration.DocumentAcceptor
+import io.sequoiawheel.core.lease.Lease
+import io.sequoiawheel.core.lease.LeasePolicy
+import io.sequoiawheel.core.model.Clock
+import io.sequoiawheel.core.model.InstanceId
+import io.sequoiawheel.core.platform.ObjectApi
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+
+/**
+ * The duties that one instance of the deployment has at a time: accepting documents and deleting expired claims under
+ * the lease `acceptor`, and orders to engines under the lease `orders`.
+ */
+internal class LeaseholderPlane(
+    self: InstanceId,
+    private val objects: ObjectApi,
+    private val tree: ZoneTree,
+    private val clock: Clock,
+) {
+    private val policy = LeasePolicy()
+    private val wallClock = Clock { System.currentTimeMillis() }
+    private val acceptorLease = Lease(objects, "acceptor", self, clock, policy)
+    private val acceptor = DocumentAcceptor(objects, self, wallClock, acceptorLease::mayAct)
+    private val expiry = ClaimExpiry(objects, wallClock)
+
+    /** The lease under which orders are sent. */
+    val ordersLease = Lease(objects, "orders", self, clock, policy)
+
+    /** The term of the leases in milliseconds. */
+    val termMillis: Long get() = policy.termMillis
+
+    fun start(scope: CoroutineScope) {
+        scope.supervise("acceptor lease") { LeaseDuty(acceptorLease, tree, policy).run() }
+        scope.supervise("orders lease") { LeaseDuty(ordersLease, tree, policy).run() }
+        scope.supervise("acceptor") { acceptor.run() }
+        scope.supervise("claim expiry") { expireClaims() }
+    }
+
+    /** Gives the leases up, so that another instance can take over before their terms end. */
+    suspend fun resign() {
+        acceptorLease.resign()
+        ordersLease.resign()
+    }
+
+    private suspend fun expireClaims() {
+        while (true) {
+            delay(EXPIRY_INTERVAL_MILLIS)
+            if (acceptorLease.mayAct()) expiry.sweep(acceptorLease::mayAct)
+        }
+    }
+
+    private companion object {
+        // Claims are kept for days; a listing of them is the largest read of the system.
+        const val EXPIRY_INTERVAL_MILLIS = 600_000L
+    }
+}
