--- a/cli/src/main/kotlin/io/sequoiawheel/cli/Main.kt
+++ b/cli/src/main/kotlin/io/sequoiawheel/cli/Main.kt
@@ -7,7 +7,6 @@
 import kotlin.system.exitProcess
 
 /** Runs the command line and ends the process with its exit code. */
-@Suppress("SpreadOperator") // picocli takes a vararg; the array is copied once
 fun main(arguments: Array<String>) {
     exitProcess(CommandLineFactory.create().execute(*arguments))
 }
--- a/daemon/src/main/kotlin/io/sequoiawheel/daemon/gateway/BackendClient.kt
+++ b/daemon/src/main/kotlin/io/sequoiawheel/daemon/gateway/BackendClient.kt
@@ -59,11 +59,15 @@
         ): T =
             try {
                 block()
-            } catch (error: Exception) {
-                if (error is DispatchException || handingOn()) throw error
+            } catch (error: DispatchException) {
+                throw error
+            } catch (error: CancellationException) {
+                if (handingOn()) throw error
                 // The client also cancels a request whose connection broke.
-                if (error is CancellationException) currentCoroutineContext().ensureActive()
-                throw if (isConnectFailure(error)) notConnected(error) else lost(error)
+                currentCoroutineContext().ensureActive()
+                throw failureOf(error)
+            } catch (error: Exception) {
+                throw if (handingOn()) error else failureOf(error)
             }
 
         /** Returns the failure for a status other than success. [id] must be named by the server's proof. */
@@ -78,6 +82,9 @@
             return DispatchException(outcome, message, retryAfterMillis = retryAfter)
         }
 
+        private fun failureOf(error: Exception): DispatchException =
+            if (isConnectFailure(error)) notConnected(error) else lost(error)
+
         private fun isConnectFailure(error: Exception): Boolean =
             error is ConnectException ||
                 error is ConnectTimeoutException ||
