--- a/standin/src/main/kotlin/io/sequoiawheel/standin/engine/EngineSettings.kt
+++ b/standin/src/main/kotlin/io/sequoiawheel/standin/engine/EngineSettings.kt
@@ -4,6 +4,8 @@
  */
 package io.sequoiawheel.standin.engine
 
+import kotlinx.serialization.Serializable
+
 /**
  * Sizes and speeds of one engine.
  *
@@ -20,6 +22,7 @@
  * @property resumeWindowMillis how long a finished generation stays readable
  * @property models models that are loaded at the start
  */
+@Serializable
 data class EngineSettings(
     val name: String = "engine",
     val memoryTokens: Int = 65_536,
@@ -47,6 +50,7 @@
      * @property toleratedSteps steps above the safe batch before the engine fails
      * @property restartMillis time from a failure until the engine accepts requests again
      */
+    @Serializable
     data class Cold(
         val slowdown: Double = 4.0,
         val safeConcurrent: Int = 4,
@@ -63,6 +67,7 @@
      * @property gapProbability probability that an event is lost after it got its number
      * @property keptEvents events that can still be read
      */
+    @Serializable
     data class Cache(
         val blocks: Int = 2_048,
         val delayMillis: Long = 300,
@@ -71,12 +76,14 @@
     )
 
     /** The load report shows the state of [lagMillis] ago, sampled every [sampleMillis]. */
+    @Serializable
     data class Report(
         val lagMillis: Long = 300,
         val sampleMillis: Long = 50,
     )
 
     /** Whether orders with an old fencing number are rejected, and how long a load takes. */
+    @Serializable
     data class Orders(
         val checksFencing: Boolean = true,
         val loadMillis: Long = 5_000,
--- a/standin/src/main/kotlin/io/sequoiawheel/standin/instances/InstanceListServer.kt
+++ b/standin/src/main/kotlin/io/sequoiawheel/standin/instances/InstanceListServer.kt
@@ -39,7 +39,7 @@
         }
     }
 
-    override fun order(faults: FaultOrder): String? {
+    override suspend fun order(faults: FaultOrder): String? {
         if (faults.copy(instances = null).hasModelPart) return UNKNOWN_PART
         faults.instances?.let(model::order)
         return null
--- a/standin/src/main/kotlin/io/sequoiawheel/standin/plain/PlainServiceServer.kt
+++ b/standin/src/main/kotlin/io/sequoiawheel/standin/plain/PlainServiceServer.kt
@@ -27,14 +27,14 @@
     /** The service itself; its record of runs outlives a restart of the server. */
     val model = PlainServiceModel(settings, RandomSource.XO_RO_SHI_RO_128_PP.create(seed))
 
-    override fun onStart() = model.restart(clock.nowMillis())
+    override suspend fun onStart() = model.restart(clock.nowMillis())
 
     override fun Routing.routes() {
         post("/calls/{call}") { serve(call) }
         get("/load") { answer(call, json.encodeToString(LoadReport.serializer(), model.load(clock.nowMillis()))) }
     }
 
-    override fun order(faults: FaultOrder): String? {
+    override suspend fun order(faults: FaultOrder): String? {
         if (faults.copy(plain = null).hasModelPart) return UNKNOWN_PART
         faults.plain?.let { model.order(it, clock.nowMillis()) }
         return null
@@ -59,12 +59,12 @@
         when (val reply = model.finish(run)) {
             is PlainReply.Answer -> {
                 delay(reply.delayMillis)
-                if (link.cutCount.value != cutsBefore) return breakConnection(call)
+                if (link.cutCount.value != cutsBefore) return breakConnection()
                 val status = HttpStatusCode.fromValue(reply.status)
                 answer(call, reply.body, status, mapOf("X-Request-Id" to reply.requestId.value))
             }
 
-            else -> breakConnection(call)
+            else -> breakConnection()
         }
     }
 
--- a/standin/src/main/kotlin/io/sequoiawheel/standin/server/StandInServer.kt
+++ b/standin/src/main/kotlin/io/sequoiawheel/standin/server/StandInServer.kt
@@ -18,16 +18,18 @@
 import io.ktor.server.request.path
 import io.ktor.server.request.receiveText
 import io.ktor.server.response.header
-import io.ktor.server.response.respond
 import io.ktor.server.response.respondText
 import io.ktor.server.routing.Routing
 import io.ktor.server.routing.put
 import io.ktor.server.routing.routing
 import io.sequoiawheel.core.model.Clock
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.cancel
+import kotlinx.coroutines.currentCoroutineContext
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.sync.Mutex
@@ -129,13 +131,13 @@
     protected abstract fun Routing.routes()
 
     /** Puts the model's part of an order in force. Returns null, or what is wrong with the order. */
-    protected open fun order(faults: FaultOrder): String? = if (faults.hasModelPart) UNKNOWN_PART else null
+    protected open suspend fun order(faults: FaultOrder): String? = if (faults.hasModelPart) UNKNOWN_PART else null
 
     /** Called before the port is bound. */
-    protected open fun onStart() = Unit
+    protected open suspend fun onStart() = Unit
 
     /** Called before the connections end. */
-    protected open fun onStop() = Unit
+    protected open suspend fun onStop() = Unit
 
     /** Sends a JSON answer, or loses it if a lost answer is due. */
     protected suspend fun answer(
@@ -145,13 +147,16 @@
         headers: Map<String, String> = emptyMap(),
     ) {
         link.awaitFlow()
-        if (link.losesAnswer()) return breakConnection(call)
+        if (link.losesAnswer()) return breakConnection()
         headers.forEach { (name, value) -> call.response.header(name, value) }
         call.respondText(body, ContentType.Application.Json, status)
     }
 
-    /** Ends the connection of [call] without a complete answer. */
-    protected suspend fun breakConnection(call: ApplicationCall) = call.respond(BrokenContent())
+    /** Ends the connection of the current call without an answer. */
+    protected suspend fun breakConnection() {
+        currentCoroutineContext().cancel(CancellationException("the connection is cut by order"))
+        awaitCancellation()
+    }
 
     private suspend fun passLink(call: ApplicationCall): Boolean {
         if (call.request.path() == "/faults") return true
@@ -172,7 +177,7 @@
         call.respondText(problem.orEmpty(), status = status)
     }
 
-    private fun accept(faults: FaultOrder): String? {
+    private suspend fun accept(faults: FaultOrder): String? {
         order(faults)?.let { return it }
         faults.link?.let { ordered ->
             logger.info { "link faults of $address: $ordered" }
--- a/standin/src/main/kotlin/io/sequoiawheel/standin/store/StoreFaults.kt
+++ b/standin/src/main/kotlin/io/sequoiawheel/standin/store/StoreFaults.kt
@@ -1,5 +1,7 @@
 package io.sequoiawheel.standin.store
 
+import kotlinx.serialization.Serializable
+
 /**
  * Faults that the object store shows until they are changed. All durations are in milliseconds.
  *
@@ -12,6 +14,7 @@
  * @property lateWriteMillis how late such a write takes effect
  * @property staleMillis age of the state that reads and watches return
  */
+@Serializable
 data class StoreFaults(
     val outage: Boolean = false,
     val failureMillis: Long = 1_000,
