Experiment at-most-once

The claims need proof under concurrent use of one key and faults in twos, against what happens without them.

Adds the experiment: six entry instances in three zones run the serving pipeline of core over the object store model; 29 in 100 calls are sent to two instances; store outages, lost and late answers, stale reads, cut zones and dying claimants overlap in pairs.

--- a/core/src/main/kotlin/io/sequoiawheel/core/claim/ClaimPolicy.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/claim/ClaimPolicy.kt
@@ -9,7 +9,6 @@
  * @property maximumPending pending releases and completions that are kept; beyond it the oldest are dropped, which
  *   leaves claims without outcome and never a second run. 500 answers of 64 KB hold 32 MB of a daemon's 128 MB
  * @property retryAfterMillis hint for callers when the object API does not answer
- * @property readBack whether a lost answer is resolved by reading the object; off only in experiments as a baseline
  */
 data class ClaimPolicy(
     val claimAttempts: Int = 3,
@@ -17,5 +16,4 @@
     val backgroundMillis: Long = 1_000,
     val maximumPending: Int = 500,
     val retryAfterMillis: Long = 2_000,
-    val readBack: Boolean = true,
 )
--- a/core/src/main/kotlin/io/sequoiawheel/core/claim/ClaimRegistry.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/claim/ClaimRegistry.kt
@@ -185,8 +185,6 @@
             foundReleased = false
             val written = api.put(ticket.key.objectKey, ticket.record.encode(), expectedVersion)
             written.getOrNull()?.let { return granted(it) }
-            val isConflict = written.leftOrNull()?.code == ResultCode.DOCUMENT_CONFLICT
-            if (!isConflict && !policy.readBack) return null
             return api.get(ticket.key.objectKey).fold({ null }, { decideFrom(it) })
         }
 
--- a/experiment/src/main/kotlin/io/sequoiawheel/experiment/Experiments.kt
+++ b/experiment/src/main/kotlin/io/sequoiawheel/experiment/Experiments.kt
@@ -1,9 +1,15 @@
 package io.sequoiawheel.experiment
 
+import io.sequoiawheel.experiment.claims.AtMostOnceExperiment
+
 /** All experiments, in the order of the command line's help. */
 object Experiments {
     /** Every experiment; each name occurs once. */
-    val all: List<Experiment> = listOf()
+    val all: List<Experiment> =
+        listOf(
+            io.sequoiawheel.experiment.claims
+                .AtMostOnceExperiment(),
+        )
 
     /** Returns the experiment with this [name], or null. */
     fun named(name: String): Experiment? = all.firstOrNull { it.name == name }
