Host the stand-ins of a whole deployment in one process

Cause: the demo and the command line need platform and backend servers of a deployment from one JSON settings text.

--- /dev/null
+++ b/standin/src/main/kotlin/io/sequoiawheel/standin/deployment/StandInSet.kt
@@ -0,0 +1,146 @@
+package io.sequoiawheel.standin.deployment
+
+import io.sequoiawheel.core.history.HistoryRecorder
+import io.sequoiawheel.core.model.Clock
+import io.sequoiawheel.core.model.Instance
+import io.sequoiawheel.core.model.InstanceId
+import io.sequoiawheel.standin.engine.EngineServer
+import io.sequoiawheel.standin.engine.OutputLengths
+import io.sequoiawheel.standin.instances.InstanceListServer
+import io.sequoiawheel.standin.plain.PlainServiceServer
+import io.sequoiawheel.standin.server.BackendObserver
+import io.sequoiawheel.standin.server.HistoryObserver
+import io.sequoiawheel.standin.server.StandInServer
+import io.sequoiawheel.standin.store.ObjectStoreModel
+import io.sequoiawheel.standin.store.ObjectStoreServer
+import io.sequoiawheel.standin.weight.WeightStoreServer
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.isActive
+import kotlinx.coroutines.launch
+import org.apache.commons.rng.simple.RandomSource
+import java.util.concurrent.ConcurrentHashMap
+
+/**
+ * The running stand-ins of one process. Backend servers register with the instance list, renew their registration while
+ * they run, and get a new instance id with each restart.
+ *
+ * @param history where the backend servers record what they run, or null
+ */
+class StandInSet(
+    private val settings: StandInSettings,
+    private val history: HistoryRecorder? = null,
+) {
+    private val clock = Clock { System.nanoTime() / NANOS_PER_MILLI }
+    private val scope = CoroutineScope(Dispatchers.Default + SupervisorJob())
+    private val leaving = ConcurrentHashMap.newKeySet<InstanceId>()
+    private val lengths = OutputLengths(settings.seed, settings.lengths)
+
+    /** The object store, if this set has one. */
+    val objectStore: ObjectStoreServer? =
+        settings.objectStore?.let { store ->
+            val random = RandomSource.XO_RO_SHI_RO_128_PP.create(settings.seed)
+            ObjectStoreServer(ObjectStoreModel(clock, random, store.budget, scope), store.port)
+        }
+
+    /** The instance list, if this set has one. */
+    val instanceList: InstanceListServer? = settings.instanceList?.let(::InstanceListServer)
+
+    /** The weight store, if this set has one. */
+    val weightStore: WeightStoreServer? = settings.weightStore?.let(::WeightStoreServer)
+
+    /** The model engines by the id in the settings. */
+    val engines: Map<InstanceId, EngineServer> =
+        settings.backends
+            .filter { it.engine != null }
+            .associate { it.id to engineServer(it) }
+
+    /** The plain services by the id in the settings. */
+    val plainServices: Map<InstanceId, PlainServiceServer> =
+        settings.backends
+            .filter { it.plain != null }
+            .associate { it.id to plainServer(it) }
+
+    init {
+        val faults = settings.faults()
+        require(faults.isEmpty()) { faults.joinToString("; ") }
+    }
+
+    /** Starts all stand-ins. Throws if a port is taken. */
+    suspend fun start() {
+        listOfNotNull(objectStore, instanceList, weightStore).forEach { it.start() }
+        settings.backends.forEach { server(it).start() }
+        if (settings.backends.isNotEmpty()) scope.launch { keepRegistered() }
+    }
+
+    /** Marks a backend server as leaving; it goes on serving what it has. */
+    fun leave(id: InstanceId) {
+        leaving += id
+    }
+
+    /** Withdraws the mark of [leave]. */
+    fun rejoin(id: InstanceId) {
+        leaving -= id
+    }
+
+    /** Stops all stand-ins for good. */
+    suspend fun close() {
+        scope.cancel()
+        settings.backends.forEach { server(it).close() }
+        listOfNotNull(weightStore, instanceList, objectStore).forEach { it.close() }
+    }
+
+    private suspend fun keepRegistered() {
+        val registration = Registration(settings.registerAt ?: checkNotNull(instanceList).baseUrl)
+        while (scope.isActive) {
+            settings.backends.filter { server(it).running }.forEach { registration.renew(instanceOf(it)) }
+            delay(settings.heartbeatMillis)
+        }
+    }
+
+    private fun instanceOf(backend: StandInSettings.Backend): Instance {
+        val server = server(backend)
+        val id = if (server.starts <= 1) backend.id else InstanceId("${backend.id.value}-r${server.starts}")
+        return Instance(
+            id = id,
+            role = Instance.Role.BACKEND,
+            zone = backend.zone,
+            region = settings.region,
+            address = server.address,
+            service = backend.service,
+            state = if (backend.id in leaving) Instance.State.LEAVING else Instance.State.LIVE,
+        )
+    }
+
+    private fun server(backend: StandInSettings.Backend): StandInServer =
+        engines[backend.id] ?: plainServices.getValue(backend.id)
+
+    private fun engineServer(backend: StandInSettings.Backend): EngineServer =
+        EngineServer(
+            settings = checkNotNull(backend.engine),
+            lengths = lengths,
+            seed = seedOf(backend),
+            timeScale = settings.timeScale,
+            startsCold = backend.startsCold,
+            port = backend.port,
+            observer = observerOf(backend),
+        )
+
+    private fun plainServer(backend: StandInSettings.Backend): PlainServiceServer =
+        PlainServiceServer(checkNotNull(backend.plain), seedOf(backend), backend.port, observerOf(backend))
+
+    private fun seedOf(backend: StandInSettings.Backend): Long = settings.seed * SEED_FACTOR + backend.id.hashCode()
+
+    private fun observerOf(backend: StandInSettings.Backend): BackendObserver =
+        history?.let { HistoryObserver(it, backend.id, clock) } ?: BackendObserver
+
+    private companion object {
+        const val NANOS_PER_MILLI = 1_000_000L
+
+        /** Keeps the seeds of neighbouring settings apart. */
+        const val SEED_FACTOR = 1_000_003L
+    }
+}
--- a/standin/src/main/kotlin/io/sequoiawheel/standin/engine/EngineDriver.kt
+++ b/standin/src/main/kotlin/io/sequoiawheel/standin/engine/EngineDriver.kt
@@ -3,6 +3,7 @@
 import io.sequoiawheel.core.model.Clock
 import io.sequoiawheel.core.model.LoadReport
 import io.sequoiawheel.core.model.RequestId
+import io.sequoiawheel.standin.server.BackendObserver
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.channels.Channel
@@ -10,6 +11,7 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.flow.MutableStateFlow
 import kotlinx.coroutines.flow.StateFlow
+import kotlinx.coroutines.flow.getAndUpdate
 import kotlinx.coroutines.flow.update
 import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
@@ -29,6 +31,7 @@
     private val clock: Clock,
     private val timeScale: Double,
     private val onCrash: () -> Unit,
+    private val observer: BackendObserver = BackendObserver,
 ) {
     private val mutex = Mutex()
     private val submitted = Channel<Unit>(Channel.CONFLATED)
@@ -91,6 +94,7 @@
     private fun openLog(generation: RequestId) {
         val starts = logs[generation]?.value?.starts ?: 0
         logs[generation] = MutableStateFlow(GenerationLog(generation, starts = starts + 1))
+        observer.onStart(generation)
     }
 
     private suspend fun run() {
@@ -131,12 +135,21 @@
     private fun extend(
         generation: RequestId,
         tokens: Int,
-    ) = logs[generation]?.update { log -> if (log.end == null) log.copy(tokens = tokens) else log }
+    ) {
+        val log = logs[generation] ?: return
+        if (log.value.end != null) return
+        observer.onToken(generation, tokens - 1, EngineModel.tokenText(generation, tokens - 1))
+        log.update { if (it.end == null) it.copy(tokens = tokens) else it }
+    }
 
     private fun end(
         generation: RequestId,
         end: GenerationLog.End,
-    ) = logs[generation]?.update { log -> if (log.end == null) log.copy(end = end) else log }
+    ) {
+        val log = logs[generation] ?: return
+        val before = log.getAndUpdate { if (it.end == null) it.copy(end = end) else it }
+        if (before.end == null) observer.onEnd(generation, null)
+    }
 
     private fun now(): Long = (clock.nowMillis() * timeScale).toLong()
 
--- a/standin/src/main/kotlin/io/sequoiawheel/standin/engine/EngineServer.kt
+++ b/standin/src/main/kotlin/io/sequoiawheel/standin/engine/EngineServer.kt
@@ -15,6 +15,7 @@
 import io.ktor.server.routing.put
 import io.sequoiawheel.core.model.LoadReport
 import io.sequoiawheel.core.model.RequestId
+import io.sequoiawheel.standin.server.BackendObserver
 import io.sequoiawheel.standin.server.FaultOrder
 import io.sequoiawheel.standin.server.StandInServer
 import kotlinx.coroutines.CoroutineScope
@@ -38,6 +39,7 @@
     private val timeScale: Double = 1.0,
     startsCold: Boolean = false,
     port: Int = 0,
+    private val observer: BackendObserver = BackendObserver,
 ) : StandInServer(port) {
     // The server itself keeps the port closed while the engine restarts, so the model needs no down time of its own.
     private val model =
@@ -49,8 +51,13 @@
     @Volatile
     private var hasCrashed = false
 
+    /** How often the engine failed because it received more than it could handle while cold. */
+    @Volatile
+    var overloadCrashes: Int = 0
+        private set
+
     /** Access to the engine without HTTP. */
-    val driver = EngineDriver(model, clock, timeScale, ::crashedByItself)
+    val driver = EngineDriver(model, clock, timeScale, ::crashedByItself, observer)
 
     override suspend fun onStart() {
         hasCrashed = false
@@ -61,6 +68,7 @@
     override suspend fun onStop() {
         scope.cancel()
         if (!hasCrashed) driver.crash()
+        observer.onDeath()
     }
 
     override fun Routing.routes() {
@@ -94,13 +102,14 @@
 
     private suspend fun startGeneration(call: ApplicationCall) {
         val start = decode(EngineWire.Start.serializer(), call.receiveText()) ?: return badRequest(call)
+        observer.onArrival(RequestId(start.id))
         if (refusals.getAndUpdate { maxOf(0, it - 1) } > 0) {
             return refuse(call, start.id, HttpStatusCode.ServiceUnavailable)
         }
         when (driver.submit(toModelRequest(start))) {
             Submission.ACCEPTED -> stream(call, RequestId(start.id), 0)
             Submission.DUPLICATE -> answer(call, "{}", HttpStatusCode.Conflict)
-            Submission.MODEL_NOT_LOADED -> refuse(call, start.id, HttpStatusCode.NotFound)
+            Submission.MODEL_NOT_LOADED -> refuse(call, start.id, HttpStatusCode.ServiceUnavailable)
             Submission.TOO_LARGE -> refuse(call, start.id, HttpStatusCode.PayloadTooLarge)
             Submission.DOWN -> refuse(call, start.id, HttpStatusCode.ServiceUnavailable)
         }
@@ -152,6 +161,7 @@
 
     private fun crashedByItself() {
         hasCrashed = true
+        overloadCrashes++
         die((settings.cold.restartMillis / timeScale).toLong())
     }
 
--- a/standin/src/main/kotlin/io/sequoiawheel/standin/plain/PlainServiceModel.kt
+++ b/standin/src/main/kotlin/io/sequoiawheel/standin/plain/PlainServiceModel.kt
@@ -4,8 +4,6 @@
 import io.sequoiawheel.core.model.RequestId
 import kotlinx.collections.immutable.ImmutableList
 import kotlinx.collections.immutable.toImmutableList
-import kotlinx.serialization.json.JsonPrimitive
-import kotlinx.serialization.json.buildJsonObject
 import org.apache.commons.rng.UniformRandomProvider
 import java.util.concurrent.locks.ReentrantLock
 import kotlin.concurrent.withLock
@@ -79,7 +77,7 @@
     fun finish(run: PlainRun): PlainReply =
         lock.withLock {
             active = (active - 1).coerceAtLeast(0)
-            val whole = PlainReply.Answer(run.requestId, STATUS_OK, answerText(run))
+            val whole = PlainReply.Answer(run.requestId, STATUS_OK, run.answer)
             val foreign = RequestId("other-${run.requestId.value}")
             val reply =
                 when (run.fault) {
@@ -119,13 +117,6 @@
         return fault
     }
 
-    private fun answerText(run: PlainRun): String =
-        buildJsonObject {
-            put("call", JsonPrimitive(run.call))
-            put("requestId", JsonPrimitive(run.requestId.value))
-            put("received", JsonPrimitive(run.body))
-        }.toString()
-
     private class OrderedFault(
         val kind: AnswerFault,
         val call: String?,
--- a/standin/src/main/kotlin/io/sequoiawheel/standin/plain/PlainServiceServer.kt
+++ b/standin/src/main/kotlin/io/sequoiawheel/standin/plain/PlainServiceServer.kt
@@ -9,6 +9,7 @@
 import io.ktor.server.routing.post
 import io.sequoiawheel.core.model.LoadReport
 import io.sequoiawheel.core.model.RequestId
+import io.sequoiawheel.standin.server.BackendObserver
 import io.sequoiawheel.standin.server.FaultOrder
 import io.sequoiawheel.standin.server.StandInServer
 import kotlinx.coroutines.delay
@@ -23,12 +24,15 @@
     settings: PlainServiceSettings,
     seed: Long,
     port: Int = 0,
+    private val observer: BackendObserver = BackendObserver,
 ) : StandInServer(port) {
     /** The service itself; its record of runs outlives a restart of the server. */
     val model = PlainServiceModel(settings, RandomSource.XO_RO_SHI_RO_128_PP.create(seed))
 
     override suspend fun onStart() = model.restart(clock.nowMillis())
 
+    override suspend fun onStop() = observer.onDeath()
+
     override fun Routing.routes() {
         post("/calls/{call}") { serve(call) }
         get("/load") { answer(call, json.encodeToString(LoadReport.serializer(), model.load(clock.nowMillis()))) }
@@ -43,6 +47,7 @@
     private suspend fun serve(call: ApplicationCall) {
         val requestId = RequestId(call.request.header("X-Request-Id").orEmpty())
         val name = call.parameters["call"].orEmpty()
+        observer.onArrival(requestId)
         when (val reply = model.begin(requestId, name, call.receiveText(), clock.nowMillis())) {
             is PlainReply.Started -> complete(call, reply.run)
             is PlainReply.Refused -> refuse(call, requestId, HttpStatusCode.ServiceUnavailable)
@@ -55,8 +60,11 @@
         run: PlainRun,
     ) {
         val cutsBefore = link.cutCount.value
+        observer.onStart(run.requestId)
         delay(run.durationMillis)
-        when (val reply = model.finish(run)) {
+        val reply = model.finish(run)
+        observer.onEnd(run.requestId, run.answer)
+        when (reply) {
             is PlainReply.Answer -> {
                 delay(reply.delayMillis)
                 if (link.cutCount.value != cutsBefore) return breakConnection()
--- a/standin/src/main/kotlin/io/sequoiawheel/standin/server/StandInServer.kt
+++ b/standin/src/main/kotlin/io/sequoiawheel/standin/server/StandInServer.kt
@@ -65,6 +65,11 @@
     var running: Boolean = false
         private set
 
+    /** How often the server has been started. */
+    @Volatile
+    var starts: Int = 0
+        private set
+
     /** `host:port` of the server; valid after [start]. */
     val address: String get() = "$LOOPBACK:$port"
 
@@ -96,6 +101,7 @@
                     .first()
                     .port
             engine = server
+            starts++
             running = true
         }
 
