Test the callers' interface over loopback and fix what it found

Tests with small fakes of platform, engine and plain service found: a resumed stream never started its response, because nothing announced it; and the refusal of a leaving instance was never sent, because the gate enclosed the filter that sends replies. A resume now announces itself with its first token, and a later filter refuses what the gate did not admit. A generation that moves on after a broken connection no longer ends as INTERNAL_ERROR.

--- a/core/src/main/kotlin/io/sequoiawheel/core/serving/GenerationRunner.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/serving/GenerationRunner.kt
@@ -53,12 +53,15 @@
         sink: GenerationSink,
     ): GenerationOutcome {
         val returnRoom = abandoned.reclaim(generation) ?: {}
-        val stream =
-            GenerationStream(engines, clock, replica, generation, offset, document.deadlines.firstTokenMillis, sink)
+        val announcing = AnnouncingSink(replica, generation, sink)
+        val silenceLimit = document.deadlines.firstTokenMillis
+        val stream = GenerationStream(engines, clock, replica, generation, offset, silenceLimit, announcing)
         val end =
             try {
                 withTimeoutOrNull(document.deadlines.totalMillis) {
-                    stream.run(engines.resume(replica, generation, offset))
+                    val end = stream.run(engines.resume(replica, generation, offset))
+                    if (end == GenerationStream.End.Complete) announcing.announce()
+                    end
                 }
             } catch (error: CallerLeftException) {
                 abandoned.add(replica, generation, document.resumeWindowMillis, returnRoom)
--- a/daemon/src/main/kotlin/io/sequoiawheel/daemon/EntryDaemon.kt
+++ b/daemon/src/main/kotlin/io/sequoiawheel/daemon/EntryDaemon.kt
@@ -179,6 +179,7 @@
                 gate,
                 RespondFilter,
                 AccountFilter(metrics, clock),
+                Gate.RefuseLeaving,
                 HeaderLimitFilter(settings.limits.headerBytes),
                 WorkspaceFilter,
                 DeadlineFilter(clock),
--- a/daemon/src/main/kotlin/io/sequoiawheel/daemon/gateway/BackendClient.kt
+++ b/daemon/src/main/kotlin/io/sequoiawheel/daemon/gateway/BackendClient.kt
@@ -65,11 +65,13 @@
                 if (handingOn()) throw error
                 // The client also cancels a request whose connection broke.
                 currentCoroutineContext().ensureActive()
-                throw failureOf(error)
+                throw lost(error)
             } catch (error: Exception) {
-                throw if (handingOn()) error else failureOf(error)
+                throw if (handingOn()) error else translated(error)
             }
 
+        private fun translated(error: Exception) = if (isConnectFailure(error)) notConnected(error) else lost(error)
+
         /** Returns the failure for a status other than success. [id] must be named by the server's proof. */
         fun refusal(
             response: HttpResponse,
@@ -82,9 +84,6 @@
             return DispatchException(outcome, message, retryAfterMillis = retryAfter)
         }
 
-        private fun failureOf(error: Exception): DispatchException =
-            if (isConnectFailure(error)) notConnected(error) else lost(error)
-
         private fun isConnectFailure(error: Exception): Boolean =
             error is ConnectException ||
                 error is ConnectTimeoutException ||
--- a/daemon/src/main/kotlin/io/sequoiawheel/daemon/http/CallHandler.kt
+++ b/daemon/src/main/kotlin/io/sequoiawheel/daemon/http/CallHandler.kt
@@ -1,5 +1,7 @@
 package io.sequoiawheel.daemon.http
 
+import arrow.core.Either
+import arrow.core.flatMap
 import arrow.core.getOrElse
 import io.sequoiawheel.core.model.Clock
 import io.sequoiawheel.core.model.Failure
@@ -24,11 +26,15 @@
         val call = callOf(exchange) ?: return Reply.Refusal(Failure(ResultCode.UNKNOWN_CALL))
         val key = exchange.call.request.headers[KEY_HEADER]
         if (!call.idempotent && (key == null || !keyPattern.matches(key))) return keyRequired()
-        val body = reader.text(exchange.call).getOrElse { return Reply.Refusal(it) }
-        RequestReader.json(body).getOrElse { return Reply.Refusal(it) }
-        return reply(exchange, runner.run(CallDemand(demandOf(exchange, call), call, body, key)))
+        return bodyOf(exchange).fold(
+            { Reply.Refusal(it) },
+            { body -> reply(exchange, runner.run(CallDemand(demandOf(exchange, call), call, body, key))) },
+        )
     }
 
+    private suspend fun bodyOf(exchange: Exchange): Either<Failure, String> =
+        reader.text(exchange.call).flatMap { body -> RequestReader.json(body).map { body } }
+
     /** Returns the recorded outcome of a call. */
     suspend fun outcome(exchange: Exchange): Reply {
         val call = callOf(exchange) ?: return Reply.Refusal(Failure(ResultCode.UNKNOWN_CALL))
--- a/daemon/src/main/kotlin/io/sequoiawheel/daemon/http/DaemonMetrics.kt
+++ b/daemon/src/main/kotlin/io/sequoiawheel/daemon/http/DaemonMetrics.kt
@@ -3,6 +3,7 @@
 import io.micrometer.core.instrument.Counter
 import io.micrometer.core.instrument.Gauge
 import io.micrometer.core.instrument.MeterRegistry
+import io.micrometer.core.instrument.Tag
 import io.micrometer.core.instrument.Timer
 import io.sequoiawheel.core.model.ResultCode
 import java.time.Duration
@@ -22,8 +23,8 @@
         elapsedMillis: Long,
     ) {
         val service = exchange.service?.value ?: NO_SERVICE
-        counter("sequoiawheel.requests", service, "kind", exchange.kind.label, "code", code.number.toString())
-            .increment()
+        val labels = listOf(Tag.of("kind", exchange.kind.label), Tag.of("code", code.number.toString()))
+        counter("sequoiawheel.requests", service, labels).increment()
         timer("sequoiawheel.request", service, exchange).record(elapsedMillis, TimeUnit.MILLISECONDS)
         if (exchange.kind == Exchange.Kind.GENERATION) recordGeneration(exchange, service)
     }
@@ -57,8 +58,8 @@
     private fun counter(
         name: String,
         service: String,
-        vararg labels: String,
-    ): Counter = registry.counter(name, "service", service, *labels)
+        labels: List<Tag> = emptyList(),
+    ): Counter = registry.counter(name, listOf(Tag.of("service", service)) + labels)
 
     private fun timer(
         name: String,
@@ -68,17 +69,16 @@
         Timer
             .builder(name)
             .tags("service", service, "kind", exchange.kind.label)
-            .publishPercentileHistogram(false)
-            .serviceLevelObjectives(*buckets)
+            .publishPercentileHistogram()
+            .minimumExpectedValue(SHORTEST)
+            .maximumExpectedValue(LONGEST)
             .register(registry)
 
     private companion object {
         const val NO_SERVICE = "none"
 
-        /** Bucket bounds in milliseconds, around the targets of 61 ms between tokens and 540 ms to the first. */
-        val buckets =
-            longArrayOf(5, 20, 60, 150, 540, 1_000, 3_000, 10_000, 60_000, 600_000)
-                .map { Duration.ofMillis(it) }
-                .toTypedArray()
+        // The bounds keep the number of buckets of each timer low; the targets of 61 and 540 ms lie well within.
+        val SHORTEST: Duration = Duration.ofMillis(5)
+        val LONGEST: Duration = Duration.ofMinutes(2)
     }
 }
--- a/daemon/src/main/kotlin/io/sequoiawheel/daemon/http/Exchange.kt
+++ b/daemon/src/main/kotlin/io/sequoiawheel/daemon/http/Exchange.kt
@@ -23,6 +23,9 @@
             workspaceOrNull = value
         }
 
+    /** Whether the request came before the instance began to leave. */
+    var isAdmitted = false
+
     lateinit var document: ServiceDocument
     lateinit var policy: ServiceDocument.WorkspacePolicy
 
--- a/daemon/src/main/kotlin/io/sequoiawheel/daemon/http/Filters.kt
+++ b/daemon/src/main/kotlin/io/sequoiawheel/daemon/http/Filters.kt
@@ -1,7 +1,7 @@
 /*
- * The filters of the request path, in their order: the gate of a leaving instance, limits, workspace, service,
- * deadline, and the workspace's limit of concurrent requests. Queueing, claims, the choice of a replica, dispatch and
- * relay follow in the handlers. Accounting encloses all of them.
+ * The filters of the request path, in their order: limits, workspace, deadline, service, and the limit of concurrent
+ * requests. Queueing, claims, the choice of a replica, dispatch and relay follow in the handlers. The gate of a leaving
+ * instance and accounting enclose all of them.
  */
 package io.sequoiawheel.daemon.http
 
--- a/daemon/src/main/kotlin/io/sequoiawheel/daemon/http/Gate.kt
+++ b/daemon/src/main/kotlin/io/sequoiawheel/daemon/http/Gate.kt
@@ -19,15 +19,16 @@
     /** Requests in progress. */
     val requests: Int @Synchronized get() = inside
 
+    /** Counts [exchange] until its reply is sent; [RefuseLeaving] refuses it later if it came too late. */
     override suspend fun handle(
         exchange: Exchange,
         next: suspend (Exchange) -> Reply,
     ): Reply {
-        if (!enter()) return Reply.Refusal(Failure(ResultCode.LEAVING, retryAfterMillis = RETRY_AFTER_MILLIS))
+        exchange.isAdmitted = enter()
         try {
             return next(exchange)
         } finally {
-            exit()
+            if (exchange.isAdmitted) exit()
         }
     }
 
@@ -54,8 +55,17 @@
         if (leaving && inside == 0) empty.complete(Unit)
     }
 
-    private companion object {
+    /** Refuses what came after [leave], within the filters that send and account replies. */
+    internal object RefuseLeaving : RequestFilter {
         // Another instance can serve the request at once; the load balancer chooses it.
-        const val RETRY_AFTER_MILLIS = 0L
+        private const val RETRY_AFTER_MILLIS = 0L
+
+        override suspend fun handle(
+            exchange: Exchange,
+            next: suspend (Exchange) -> Reply,
+        ): Reply {
+            if (exchange.isAdmitted) return next(exchange)
+            return Reply.Refusal(Failure(ResultCode.LEAVING, retryAfterMillis = RETRY_AFTER_MILLIS))
+        }
     }
 }
--- a/daemon/src/main/kotlin/io/sequoiawheel/daemon/http/GenerationHandler.kt
+++ b/daemon/src/main/kotlin/io/sequoiawheel/daemon/http/GenerationHandler.kt
@@ -38,31 +38,43 @@
         body: WireBodies.GenerationBody,
     ): Either<Failure, Demand> {
         val document = exchange.document
-        if (document.kind != ServiceDocument.Kind.MODEL_ENGINE) return Failure(ResultCode.UNKNOWN_MODEL).left()
+        val failure = modelFailure(document, body) ?: sizeFailure(body)
+        if (failure != null) return failure.left()
+        val end = clock.nowMillis() + document.deadlines.totalMillis
+        return priorityOf(exchange).map { priority ->
+            Demand(
+                requestId = exchange.requestId,
+                workspace = exchange.workspace,
+                document = document,
+                requestKind = body.kind,
+                deadlineMillis = minOf(end, exchange.callerDeadlineMillis ?: end),
+                model = body.model,
+                adapter = body.adapter,
+                prompt = body.prompt,
+                promptTokens = body.prompt.length / CHARACTERS_PER_TOKEN + 1,
+                maximumTokens = body.maxTokens,
+                priority = priority,
+            )
+        }
+    }
+
+    private fun modelFailure(
+        document: ServiceDocument,
+        body: WireBodies.GenerationBody,
+    ): Failure? {
         val model = document.models.firstOrNull { it.name == body.model }
         val adapterKnown = body.adapter == null || model?.adapters.orEmpty().any { it.name == body.adapter }
-        if (model == null || !adapterKnown) return Failure(ResultCode.UNKNOWN_MODEL).left()
-        if (body.maxTokens < 1) return RequestReader.invalid("$.maxTokens: must be 1 or more").left()
-        if (body.kind.length > MAXIMUM_KIND_LENGTH) {
-            return RequestReader.invalid("$.kind: must have at most $MAXIMUM_KIND_LENGTH characters").left()
-        }
-        val priority = priorityOf(exchange).getOrElse { return it.left() }
-        val end = clock.nowMillis() + document.deadlines.totalMillis
-        return Demand(
-            requestId = exchange.requestId,
-            workspace = exchange.workspace,
-            document = document,
-            requestKind = body.kind,
-            deadlineMillis = minOf(end, exchange.callerDeadlineMillis ?: end),
-            model = body.model,
-            adapter = body.adapter,
-            prompt = body.prompt,
-            promptTokens = body.prompt.length / CHARACTERS_PER_TOKEN + 1,
-            maximumTokens = body.maxTokens,
-            priority = priority,
-        ).right()
+        return if (model == null || !adapterKnown) Failure(ResultCode.UNKNOWN_MODEL) else null
     }
 
+    private fun sizeFailure(body: WireBodies.GenerationBody): Failure? =
+        when {
+            body.maxTokens < 1 -> RequestReader.invalid("$.maxTokens: must be 1 or more")
+            body.kind.length > MAXIMUM_KIND_LENGTH ->
+                RequestReader.invalid("$.kind: must have at most $MAXIMUM_KIND_LENGTH characters")
+            else -> null
+        }
+
     // A caller may lower its workspace's priority, never raise it.
     private fun priorityOf(exchange: Exchange): Either<Failure, Int> {
         val text = exchange.call.request.headers[PRIORITY_HEADER] ?: return exchange.policy.priority.right()
--- a/daemon/src/main/kotlin/io/sequoiawheel/daemon/http/ResumeHandler.kt
+++ b/daemon/src/main/kotlin/io/sequoiawheel/daemon/http/ResumeHandler.kt
@@ -3,10 +3,14 @@
 import arrow.core.Either
 import arrow.core.getOrElse
 import arrow.core.left
+import arrow.core.raise.either
+import arrow.core.raise.ensure
+import arrow.core.raise.ensureNotNull
 import arrow.core.right
 import io.sequoiawheel.core.model.Failure
 import io.sequoiawheel.core.model.Instance
 import io.sequoiawheel.core.model.ResultCode
+import io.sequoiawheel.core.model.ServiceDocument
 import io.sequoiawheel.core.serving.GenerationRunner
 import io.sequoiawheel.core.stream.ResumeHandle
 import io.sequoiawheel.core.stream.ResumeHandleCodec
@@ -23,22 +27,36 @@
     private val findReplica: (ResumeHandle) -> Instance?,
 ) {
     suspend fun handle(exchange: Exchange): Reply {
-        if (!documents.isKnown) return Reply.Refusal(Failure(ResultCode.NO_CONFIGURATION))
         val text = exchange.call.parameters["handle"].orEmpty()
-        val handle = handles.decode(text, exchange.workspace).getOrElse { return Reply.Refusal(it) }
-        val document =
-            documents.find(handle.service) ?: return Reply.Refusal(Failure(ResultCode.UNKNOWN_SERVICE))
-        exchange.document = document
-        val replica = findReplica(handle) ?: return Reply.Refusal(Failure(ResultCode.RESUME_UNAVAILABLE))
+        val target = targetOf(exchange, text).getOrElse { return Reply.Refusal(it) }
+        exchange.document = target.document
         val offset = nextOffset(exchange).getOrElse { return Reply.Refusal(it) }
         val sink = StreamSink({ _, _ -> GenerationHandler.acceptedEvent(exchange, text) }, onFirstToken = {})
         return StreamResponse.run(exchange, sink) {
             runner
-                .resume(replica, handle.generation, offset, document, sink)
+                .resume(target.replica, target.handle.generation, offset, target.document, sink)
                 .also { GenerationHandler.note(exchange, it) }
         }
     }
 
+    private fun targetOf(
+        exchange: Exchange,
+        text: String,
+    ): Either<Failure, Target> =
+        either {
+            ensure(documents.isKnown) { Failure(ResultCode.NO_CONFIGURATION) }
+            val handle = handles.decode(text, exchange.workspace).bind()
+            val document = ensureNotNull(documents.find(handle.service)) { Failure(ResultCode.UNKNOWN_SERVICE) }
+            val replica = ensureNotNull(findReplica(handle)) { Failure(ResultCode.RESUME_UNAVAILABLE) }
+            Target(handle, document, replica)
+        }
+
+    private class Target(
+        val handle: ResumeHandle,
+        val document: ServiceDocument,
+        val replica: Instance,
+    )
+
     private fun nextOffset(exchange: Exchange): Either<Failure, Int> {
         val text = exchange.call.request.headers[LAST_EVENT_HEADER] ?: return 0.right()
         val last = text.toIntOrNull()?.takeIf { it in 0 until Int.MAX_VALUE }
--- a/daemon/src/main/kotlin/io/sequoiawheel/daemon/http/StreamResponse.kt
+++ b/daemon/src/main/kotlin/io/sequoiawheel/daemon/http/StreamResponse.kt
@@ -8,11 +8,11 @@
 import io.sequoiawheel.core.model.ResultCode
 import io.sequoiawheel.core.serving.CallerLeftException
 import io.sequoiawheel.core.serving.GenerationOutcome
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.Deferred
 import kotlinx.coroutines.async
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.selects.select
-import java.io.IOException
 
 /** Runs a generation and sends it as server-sent events from its first event on. */
 internal object StreamResponse {
@@ -47,7 +47,9 @@
                 sink.attach(this)
                 sendEnd(exchange, sink, outcome.await())
             }
-        } catch (error: IOException) {
+        } catch (error: CancellationException) {
+            throw error
+        } catch (error: Exception) {
             // The caller closed its connection; the outcome says how far the generation came.
             sink.detach(error)
         }
--- /dev/null
+++ b/daemon/src/test/kotlin/io/sequoiawheel/daemon/FakePlainService.kt
@@ -0,0 +1,50 @@
+package io.sequoiawheel.daemon
+
+import io.ktor.http.HttpStatusCode
+import io.ktor.server.application.ApplicationCall
+import io.ktor.server.request.header
+import io.ktor.server.request.receiveText
+import io.ktor.server.response.respondText
+import io.ktor.server.routing.get
+import io.ktor.server.routing.post
+import io.sequoiawheel.core.model.LoadReport
+import kotlinx.coroutines.delay
+import kotlinx.serialization.json.Json
+import java.util.concurrent.atomic.AtomicInteger
+
+/** A plain service that counts what it runs and echoes bodies. */
+class FakePlainService {
+    val runs = AtomicInteger()
+
+    @Volatile
+    var durationMillis = 0L
+
+    /** Answers name another request. */
+    @Volatile
+    var crossesAnswers = false
+
+    @Volatile
+    var refuses = false
+
+    val server =
+        FakeServer {
+            post("/calls/{call}") { run(call) }
+            get("/load") {
+                val load = LoadReport("start", maximumConcurrent = 100)
+                call.respondText(Json.encodeToString(LoadReport.serializer(), load))
+            }
+        }
+
+    private suspend fun run(call: ApplicationCall) {
+        val id = call.request.header("X-Request-Id").orEmpty()
+        if (refuses) {
+            call.response.headers.append("X-Not-Run", id)
+            return call.respondText("{}", status = HttpStatusCode.ServiceUnavailable)
+        }
+        runs.incrementAndGet()
+        val body = call.receiveText()
+        delay(durationMillis)
+        call.response.headers.append("X-Request-Id", if (crossesAnswers) "another" else id)
+        call.respondText("""{"echo":$body}""")
+    }
+}
--- /dev/null
+++ b/daemon/src/test/kotlin/io/sequoiawheel/daemon/GenerationPathTest.kt
@@ -0,0 +1,115 @@
+package io.sequoiawheel.daemon
+
+import io.ktor.client.request.header
+import io.ktor.client.statement.bodyAsText
+import io.ktor.http.HttpMethod
+import io.sequoiawheel.core.model.ResultCode
+import kotlinx.coroutines.async
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withTimeout
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertFalse
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+
+class GenerationPathTest {
+    private fun deployed(
+        daemons: Int = 1,
+        gapMillis: Long = 5,
+        block: suspend Deployment.() -> Unit,
+    ) = runBlocking {
+        withTimeout(60_000) {
+            Deployment(daemons, gapMillis).use {
+                it.start()
+                it.block()
+            }
+        }
+    }
+
+    private fun List<Deployment.Event>.offsets() = filter { it.name == "token" }.map { it.id }
+
+    /** Guards against a stream that loses, repeats or reorders tokens, or ends without `done` (P1, P4). */
+    @Test
+    fun `a stream carries offsets as ids and ends with done`() =
+        deployed {
+            val events = stream(0, HttpMethod.Post, Deployment.GENERATIONS, Deployment.generation(20))
+            assertEquals("accepted", events.first().name)
+            assertEquals((0..19).toList(), events.offsets())
+            assertEquals("20", events.last().field("tokens"))
+            val whole = """{"model":"m","prompt":"p","maxTokens":3,"delivery":"whole"}"""
+            val answer = send(0, HttpMethod.Post, Deployment.GENERATIONS, whole)
+            assertTrue(answer.bodyAsText().contains("\"text\":\"t0 t1 t2 \""), answer.bodyAsText())
+        }
+
+    /** Guards against a silent link that ends a stream although the engine still holds the generation. */
+    @Test
+    fun `a silent engine connection is replaced within the stream`() =
+        deployed {
+            engine.silentAt = 30
+            val events = stream(0, HttpMethod.Post, Deployment.GENERATIONS, Deployment.generation(60))
+            assertEquals((0..59).toList(), events.offsets())
+            assertEquals("done", events.last().name)
+        }
+
+    /** Guards against a resume that needs the instance which started the stream, or repeats tokens (P1). */
+    @Test
+    fun `a stream is resumed at another instance from the next offset`() =
+        deployed(daemons = 2, gapMillis = 10) {
+            val before = stream(0, HttpMethod.Post, Deployment.GENERATIONS, Deployment.generation(40), limit = 10)
+            val handle = before.first().field("resumeHandle")
+            val after =
+                stream(1, HttpMethod.Get, "/v1/generations/$handle", configure = {
+                    header("Last-Event-ID", "9")
+                })
+            assertEquals((0..39).toList(), before.offsets() + after.offsets())
+            assertEquals("done", after.last().name)
+        }
+
+    /** Guards against access to a generation with a changed handle or from another workspace. */
+    @Test
+    fun `foreign and forged handles are refused`() =
+        deployed {
+            val events = stream(0, HttpMethod.Post, Deployment.GENERATIONS, Deployment.generation(2))
+            val handle = events.first().field("resumeHandle")
+            val forged = send(0, HttpMethod.Get, "/v1/generations/${handle.dropLast(4)}AAAA")
+            val foreign =
+                send(0, HttpMethod.Get, "/v1/generations/$handle") {
+                    headers.remove("X-Workspace")
+                    header("X-Workspace", "stranger")
+                }
+            listOf(forged, foreign).forEach { response ->
+                assertEquals(ResultCode.INVALID_RESUME_HANDLE.httpStatus, response.status.value)
+                assertTrue(response.bodyAsText().contains("INVALID_RESUME_HANDLE"))
+            }
+        }
+
+    /** Guards against a shutdown that interrupts a stream or accepts new work (P8). */
+    @Test
+    fun `a leaving instance finishes its streams and refuses new requests`() =
+        deployed(gapMillis = 20) {
+            coroutineScope {
+                val before = engine.started.get()
+                val stream = async { stream(0, HttpMethod.Post, Deployment.GENERATIONS, Deployment.generation(100)) }
+                while (engine.started.get() == before) delay(10)
+                val leaving = async { daemons[0].leave() }
+                delay(200)
+                val refused = send(0, HttpMethod.Post, Deployment.GENERATIONS, Deployment.generation(1))
+                assertTrue(refused.bodyAsText().contains("\"code\":${ResultCode.LEAVING.number}"))
+                assertFalse(leaving.isCompleted)
+                assertEquals((0..99).toList(), stream.await().offsets())
+                leaving.await()
+            }
+        }
+
+    /** Guards against generations that run on, and hold memory, after their callers left. */
+    @Test
+    fun `a generation is cancelled after the resume window`() =
+        deployed(gapMillis = 20) {
+            stream(0, HttpMethod.Post, Deployment.GENERATIONS, Deployment.generation(500), limit = 3)
+            delay(100)
+            assertEquals(0, engine.cancelled.size)
+            withTimeout(5_000) { while (engine.cancelled.isEmpty()) delay(20) }
+        }
+}
