--- a/core/src/main/kotlin/io/sequoiawheel/core/membership/MembershipTable.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/membership/MembershipTable.kt
@@ -93,17 +93,17 @@
     fun mayReceiveWork(instance: InstanceId): Boolean = seen[instance]?.present == true && instance !in leaving
 
     /**
-     * Returns how many entry instances of [zone] may own a share of its replicas: listed, leaving, vanished for less
-     * than the hold period, or heard within it.
+     * Returns the entry instances of [zone] that may hold room at its replicas: listed, leaving, vanished for less than
+     * the hold period, or heard within it.
      */
     @Synchronized
-    fun knownEntries(
+    fun entries(
         zone: ZoneName,
         nowMillis: Long,
-    ): Int {
-        val others = seen.values.filter { it.instance.id != self.id && it.instance.isEntryOf(zone) }
-        val count = others.count { it.present || isHeld(it, nowMillis) }
-        return if (zone == self.zone) count + 1 else count
+    ): Set<InstanceId> {
+        val known = seen.values.filter { it.instance.isEntryOf(zone) && (it.present || isHeld(it, nowMillis)) }
+        val own = if (zone == self.zone) setOf(self.id) else emptySet()
+        return known.mapTo(HashSet()) { it.instance.id } + own
     }
 
     /** Returns since when this instance has been in the list without a break, or null if it is not in the list. */
--- a/core/src/test/kotlin/io/sequoiawheel/core/membership/MembershipTest.kt
+++ b/core/src/test/kotlin/io/sequoiawheel/core/membership/MembershipTest.kt
@@ -60,9 +60,9 @@
         val table = MembershipTable(entry("self"))
         table.apply(update(1, entry("self"), entry("b")), 0)
         table.apply(update(2, entry("self")), 1_000)
-        assertEquals(2, table.knownEntries(zone, 9_999))
-        assertEquals(1, table.knownEntries(zone, 10_000))
+        assertEquals(2, table.entries(zone, 9_999).size)
+        assertEquals(1, table.entries(zone, 10_000).size)
         table.heardFrom(InstanceId("b"), 9_000)
-        assertEquals(2, table.knownEntries(zone, 18_000))
+        assertEquals(2, table.entries(zone, 18_000).size)
     }
 }
