Place requests through queues, length estimates and grants

Requests now wait in the fair queue with their estimated length and get room from the ledger of the replica's granting instance, or from the instance's own credit while that is unreachable. Granting instances poll the load and feed ramp and safety factor.

ReplicaState gains the memory capacity, without which a chooser cannot tell engines from plain services. Prefix matches are not indexed yet, and a generation that outlives its prediction is extended by half.

--- a/core/src/main/kotlin/io/sequoiawheel/core/grant/GrantLedger.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/grant/GrantLedger.kt
@@ -231,6 +231,7 @@
             ageMillis = if (report == null) 0 else nowMillis - reportMillis,
             models = last.models,
             preemptions = last.preemptions,
+            capacityTokens = last.memoryCapacityTokens,
         )
     }
 
--- a/core/src/main/kotlin/io/sequoiawheel/core/routing/ReplicaState.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/routing/ReplicaState.kt
@@ -9,6 +9,7 @@
  * @property freeTokens predicted free tokens after every reservation known at the granting instance; may be negative
  * @property freeRequests requests that may still be added under the ramp or the concurrency limit
  * @property stepMillis recent mean duration of one decoding step
+ * @property capacityTokens tokens that the replica's memory can hold; zero for plain services and while unknown
  * @property ageMillis age of the load report behind these figures
  */
 data class ReplicaState(
@@ -23,4 +24,5 @@
     val ageMillis: Long = 0,
     val models: List<String> = emptyList(),
     val preemptions: Long = 0,
+    val capacityTokens: Long = 0,
 )
--- a/daemon/src/main/kotlin/io/sequoiawheel/daemon/EntryDaemon.kt
+++ b/daemon/src/main/kotlin/io/sequoiawheel/daemon/EntryDaemon.kt
@@ -11,14 +11,15 @@
 import io.sequoiawheel.core.model.Failure
 import io.sequoiawheel.core.model.Instance
 import io.sequoiawheel.core.model.InstanceId
+import io.sequoiawheel.core.model.LoadReport
 import io.sequoiawheel.core.model.RequestId
 import io.sequoiawheel.core.model.ResultCode
+import io.sequoiawheel.core.model.ServiceDocument
 import io.sequoiawheel.core.serving.CallRunner
 import io.sequoiawheel.core.serving.GenerationRunner
 import io.sequoiawheel.core.stream.ResumeHandle
 import io.sequoiawheel.core.stream.ResumeHandleCodec
 import io.sequoiawheel.daemon.control.ControlPlane
-import io.sequoiawheel.daemon.control.OutstandingPlacement
 import io.sequoiawheel.daemon.control.RegistryClaims
 import io.sequoiawheel.daemon.control.ServiceRetries
 import io.sequoiawheel.daemon.control.supervise
@@ -72,14 +73,15 @@
     private val instances = HttpInstanceList(settings.platform.instanceList, transport)
     private val backends = BackendClient()
     private val engines = HttpEngineGateway(backends)
+    private val services = HttpPlainGateway(backends)
 
     /** The port that callers connect to, once [start] has succeeded. */
     var port: Int = settings.listen.port
         private set
-    private val control = ControlPlane(self(settings.peer.port), objects, instances, scope, clock, random)
+    private val control = ControlPlane(self(settings.peer.port), objects, instances, scope, clock, random, ::readLoad)
     private val membership = control.membership
     private val documents = control.configuration
-    private val placement = OutstandingPlacement(membership)
+    private val placement = control.placement
     private val retries = ServiceRetries(clock, random)
     private val generations = GenerationRunner(engines, placement, retries, clock, scope, ::uniqueId)
     private val claims =
@@ -92,7 +94,7 @@
         )
     private val calls =
         CallRunner(
-            HttpPlainGateway(backends),
+            services,
             placement,
             retries,
             RegistryClaims(claims),
@@ -113,6 +115,8 @@
             return Failure(ResultCode.BIND_FAILED, "cannot listen on $addresses: ${error.message}").left()
         }
         metrics.gauge("sequoiawheel.requests.in.progress") { gate.requests }
+        metrics.gauge("sequoiawheel.requests.waiting") { placement.waiting }
+        metrics.gauge("sequoiawheel.claims.pending") { claims.pendingCount }
         control.start()
         scope.supervise("registration") { keepRegistered() }
         scope.supervise("claims") { claims.runBackground() }
@@ -200,6 +204,14 @@
     private fun isKnownEntry(id: InstanceId): Boolean =
         id == settings.instanceId || membership.listed().any { it.id == id && it.role == Instance.Role.ENTRY }
 
+    private suspend fun readLoad(
+        replica: Instance,
+        document: ServiceDocument,
+    ): LoadReport? {
+        val isEngine = document.kind == ServiceDocument.Kind.MODEL_ENGINE
+        return (if (isEngine) engines.load(replica) else services.load(replica)).getOrNull()
+    }
+
     private fun findReplica(handle: ResumeHandle): Instance? =
         membership.replicas(handle.service).firstOrNull { it.id == handle.replica }
 
--- a/daemon/src/main/kotlin/io/sequoiawheel/daemon/control/ControlPlane.kt
+++ b/daemon/src/main/kotlin/io/sequoiawheel/daemon/control/ControlPlane.kt
@@ -6,8 +6,11 @@
 import io.sequoiawheel.core.membership.MembershipTable
 import io.sequoiawheel.core.model.Clock
 import io.sequoiawheel.core.model.Instance
+import io.sequoiawheel.core.model.LoadReport
+import io.sequoiawheel.core.model.ServiceDocument
 import io.sequoiawheel.core.platform.InstanceList
 import io.sequoiawheel.core.platform.ObjectApi
+import io.sequoiawheel.daemon.placement.GrantPlane
 import io.sequoiawheel.peer.PeerClients
 import io.sequoiawheel.peer.PeerServer
 import io.sequoiawheel.platform.FullJitterBackoff
@@ -28,6 +31,7 @@
     private val scope: CoroutineScope,
     private val clock: Clock,
     random: UniformRandomProvider,
+    readLoad: suspend (Instance, ServiceDocument) -> LoadReport?,
 ) : AutoCloseable {
     private val clients = PeerClients()
     private val calls = PeerCalls(clients)
@@ -56,7 +60,11 @@
             random = random,
         )
     private val leaseholder = LeaseholderPlane(self.id, objects, tree, clock)
-    private val endpoint = PeerEndpoint(membership, configuration, members, comparison, clock)
+    private val grants = GrantPlane(self, membership, configuration, calls, clock, scope, random, readLoad)
+
+    /** Where requests get room. */
+    val placement = grants.placement
+    private val endpoint = PeerEndpoint(membership, configuration, members, comparison, grants, clock)
     private val server = PeerServer(hostOf(self), portOf(self), endpoint)
 
     /** The port of the gRPC interface; valid after [bind]. */
@@ -75,6 +83,7 @@
         scope.supervise("configuration") { configuration.run() }
         scope.supervise("comparison") { comparison.run() }
         leaseholder.start(scope)
+        grants.start()
         scope.supervise("peer retirement") { retirePeers() }
     }
 
--- a/daemon/src/main/kotlin/io/sequoiawheel/daemon/control/PeerEndpoint.kt
+++ b/daemon/src/main/kotlin/io/sequoiawheel/daemon/control/PeerEndpoint.kt
@@ -3,11 +3,18 @@
 import io.sequoiawheel.core.membership.MembershipTable
 import io.sequoiawheel.core.model.Clock
 import io.sequoiawheel.core.model.InstanceId
+import io.sequoiawheel.daemon.placement.GrantPlane
 import io.sequoiawheel.peer.generated.CompareRequest
 import io.sequoiawheel.peer.generated.CompareResponse
+import io.sequoiawheel.peer.generated.HeartbeatRequest
+import io.sequoiawheel.peer.generated.HeartbeatResponse
 import io.sequoiawheel.peer.generated.PeerGrpcKt
 import io.sequoiawheel.peer.generated.RelayRequest
 import io.sequoiawheel.peer.generated.RelayResponse
+import io.sequoiawheel.peer.generated.ReleaseRequest
+import io.sequoiawheel.peer.generated.ReleaseResponse
+import io.sequoiawheel.peer.generated.ReserveRequest
+import io.sequoiawheel.peer.generated.ReserveResponse
 
 /** Answers the calls of other entry instances. */
 internal class PeerEndpoint(
@@ -15,6 +22,7 @@
     private val configuration: ConfigurationController,
     private val membership: MembershipController,
     private val comparison: ComparisonController,
+    private val grants: GrantPlane,
     private val clock: Clock,
 ) : PeerGrpcKt.PeerCoroutineImplBase() {
     override suspend fun relay(request: RelayRequest): RelayResponse {
@@ -24,5 +32,20 @@
         return RelayResponse.getDefaultInstance()
     }
 
+    override suspend fun reserve(request: ReserveRequest): ReserveResponse {
+        table.heardFrom(InstanceId(request.instance), clock.nowMillis())
+        return grants.reserve(request)
+    }
+
+    override suspend fun release(request: ReleaseRequest): ReleaseResponse {
+        grants.release(request)
+        return ReleaseResponse.getDefaultInstance()
+    }
+
+    override suspend fun heartbeat(request: HeartbeatRequest): HeartbeatResponse {
+        table.heardFrom(InstanceId(request.instance), clock.nowMillis())
+        return grants.heartbeat(request)
+    }
+
     override suspend fun compare(request: CompareRequest): CompareResponse = comparison.answer(request)
 }
--- /dev/null
+++ b/daemon/src/main/kotlin/io/sequoiawheel/daemon/placement/GrantPlane.kt
@@ -0,0 +1,85 @@
+package io.sequoiawheel.daemon.placement
+
+import io.sequoiawheel.core.admission.LengthEstimator
+import io.sequoiawheel.core.grant.ReserveResult
+import io.sequoiawheel.core.membership.MembershipTable
+import io.sequoiawheel.core.model.Clock
+import io.sequoiawheel.core.model.Instance
+import io.sequoiawheel.core.model.InstanceId
+import io.sequoiawheel.core.model.LoadReport
+import io.sequoiawheel.core.model.RequestId
+import io.sequoiawheel.core.model.ServiceDocument
+import io.sequoiawheel.core.routing.ReplicaChooser
+import io.sequoiawheel.daemon.control.PeerCalls
+import io.sequoiawheel.daemon.control.supervise
+import io.sequoiawheel.daemon.http.Documents
+import io.sequoiawheel.peer.generated.HeartbeatRequest
+import io.sequoiawheel.peer.generated.HeartbeatResponse
+import io.sequoiawheel.peer.generated.ReleaseRequest
+import io.sequoiawheel.peer.generated.ReserveRequest
+import io.sequoiawheel.peer.generated.ReserveResponse
+import kotlinx.coroutines.CoroutineScope
+import org.apache.commons.rng.UniformRandomProvider
+
+/** Placement by grants: the ledgers of this instance, its clients of others' ledgers, and the queues before them. */
+internal class GrantPlane(
+    self: Instance,
+    membership: MembershipTable,
+    documents: Documents,
+    calls: PeerCalls,
+    private val clock: Clock,
+    private val scope: CoroutineScope,
+    random: UniformRandomProvider,
+    readLoad: suspend (Instance, ServiceDocument) -> LoadReport?,
+) {
+    private val board = GrantBoard(self, membership, documents, clock, readLoad)
+    private val peers = GrantPeers(self, membership, calls)
+    private val rooms = GrantRooms(self, membership, board, peers, clock)
+
+    /** The queues of this instance. */
+    val placement = QueuedPlacement(self.zone, rooms, LengthEstimator(), ReplicaChooser(random), clock, scope)
+    private val heartbeats =
+        GrantHeartbeats(self, membership, board, rooms, peers, clock, placement::signal)
+
+    fun start() {
+        scope.supervise("load") { board.run() }
+        scope.supervise("heartbeats") { heartbeats.run() }
+        scope.supervise("releases") { peers.run() }
+    }
+
+    /** Answers a peer's request for room. */
+    fun reserve(request: ReserveRequest): ReserveResponse {
+        val ledger = board.ledger(InstanceId(request.replica))
+        val reservation = GrantMessages.fromMessage(request.reservation)
+        val result = ledger?.reserve(InstanceId(request.instance), reservation, clock.nowMillis())
+        return ReserveResponse
+            .newBuilder()
+            .setGranted(result == ReserveResult.GRANTED)
+            .setNotResponsible(result == null || result == ReserveResult.NOT_RESPONSIBLE)
+            .build()
+    }
+
+    /** Takes a peer's releases and first-token times. */
+    fun release(request: ReleaseRequest) {
+        val sender = InstanceId(request.instance)
+        request.finishedList.forEach {
+            board.ledger(InstanceId(it.replica))?.release(sender, RequestId(it.requestId))
+        }
+        request.firstTokensList.forEach {
+            board.ledger(InstanceId(it.replica))?.firstToken(it.millis.toLong(), clock.nowMillis())
+        }
+        placement.signal()
+    }
+
+    /** Answers a peer's heartbeat; replicas without a ledger here are left out. */
+    fun heartbeat(request: HeartbeatRequest): HeartbeatResponse {
+        val sender = InstanceId(request.instance)
+        val response = HeartbeatResponse.newBuilder()
+        request.replicasList.forEach { registration ->
+            val ledger = board.ledger(InstanceId(registration.replica)) ?: return@forEach
+            val heartbeat = GrantMessages.fromMessage(sender, registration)
+            response.addReplies(GrantMessages.toMessage(ledger.heartbeat(heartbeat, clock.nowMillis())))
+        }
+        return response.build()
+    }
+}
