Run the daemon, the stand-ins and the document commands as processes

Cause: the parts had no program that runs them, and nothing proved that SIGTERM leaves a stream alone.

Change: the commands daemon, stand-ins, document status, audit and watch. A daemon is ready only once it knows an instance list.

Found by the test: /ready answered 200 before any backend server was known, so the first requests were refused.

--- a/cli/src/main/kotlin/io/sequoiawheel/cli/DocumentCommand.kt
+++ b/cli/src/main/kotlin/io/sequoiawheel/cli/DocumentCommand.kt
@@ -11,9 +11,12 @@
     mixinStandardHelpOptions = true,
     description = ["Check, write, read and watch service documents, their status and their audit trail."],
     subcommands = [
+        DocumentAuditCommand::class,
         DocumentCheckCommand::class,
         DocumentGetCommand::class,
         DocumentPutCommand::class,
+        DocumentStatusCommand::class,
+        DocumentWatchCommand::class,
     ],
 )
 class DocumentCommand : Runnable {
--- a/cli/src/main/kotlin/io/sequoiawheel/cli/RootCommand.kt
+++ b/cli/src/main/kotlin/io/sequoiawheel/cli/RootCommand.kt
@@ -25,8 +25,10 @@
     subcommands = [
         CodesCommand::class,
         CompletionCommand::class,
+        DaemonCommand::class,
         DocumentCommand::class,
         ExperimentCommand::class,
+        StandInsCommand::class,
     ],
 )
 class RootCommand : Runnable {
--- a/daemon/src/main/kotlin/io/sequoiawheel/daemon/EntryDaemon.kt
+++ b/daemon/src/main/kotlin/io/sequoiawheel/daemon/EntryDaemon.kt
@@ -171,6 +171,7 @@
         when {
             gate.isLeaving -> "leaving"
             !documents.isKnown -> "no configuration"
+            membership.viewAgeMillis(clock.nowMillis()) == null -> "no instance list"
             else -> null
         }
 
