--- /dev/null
+++ b/experiment/src/main/kotlin/io/sequoiawheel/experiment/control/DeploymentSize.kt
@@ -0,0 +1,27 @@
+package io.sequoiawheel.experiment.control
+
+/** The size of a deployment for the arithmetic of control costs. */
+internal data class DeploymentSize(
+    val daemons: Int,
+    val replicas: Int,
+    val zones: Int,
+    val requestsPerSecond: Double,
+    val concurrentStreams: Double,
+    val workspaces: Int,
+    val services: Int,
+    val changesPerDay: Double,
+) {
+    val daemonsPerZone: Double get() = daemons.toDouble() / zones
+    val replicasPerZone: Double get() = replicas.toDouble() / zones
+    val requestsPerDaemon: Double get() = requestsPerSecond / daemons
+    val replicasPerDaemon: Double get() = replicas.toDouble() / daemons
+    val streamsPerReplica: Double get() = concurrentStreams / replicas
+
+    companion object {
+        /** What deployments run today. */
+        val TODAY = DeploymentSize(6, 11, 3, 10.0, 160.0, 10, 2, 10.0)
+
+        /** The size to design for: 1.2 million tokens a second at 61 ms a token are 73,200 open streams. */
+        val DESIGN = DeploymentSize(340, 600, 5, 2_400.0, 73_200.0, 4_200, 13, 830.0)
+    }
+}
