Admit by the expected memory peak; add memory-pressure and fairness

Cause: one quantile per generation either wastes memory or preempts, and choosing by memory alone leaves batches uneven. Change: forecasts at five quantiles whose mean gives the expected peak (MemoryPredictor, ReplicaMemory); a pacer that keeps prompts apart; a safety factor that rises only under demand; experiments memory-pressure and fairness.

--- a/core/src/main/kotlin/io/sequoiawheel/core/admission/LengthEstimator.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/admission/LengthEstimator.kt
@@ -50,6 +50,12 @@
         return maxOf(learned ?: prior(produced, q), produced + 1)
     }
 
+    /** Returns the output lengths in tokens at five evenly spaced quantiles, given that [produced] tokens exist. */
+    fun spread(
+        key: LengthKey,
+        produced: Int,
+    ): List<Int> = SPREAD.map { quantile(key, produced, it) }
+
     /** A heavy tail: of the outputs that reached [produced] tokens, half reach twice as many. */
     private fun prior(
         produced: Int,
@@ -72,7 +78,8 @@
 
     private companion object {
         /** The prior's shortest output, in tokens, used until the first generations have ended. */
-        const val PRIOR_MINIMUM_TOKENS = 128
+        const val PRIOR_MINIMUM_TOKENS = 512
+        val SPREAD = listOf(0.1, 0.3, 0.5, 0.7, 0.9)
         const val MAXIMUM_QUANTILE = 0.99
         const val INITIAL_CAPACITY = 64
         const val LOAD_FACTOR = 0.75f
--- a/core/src/main/kotlin/io/sequoiawheel/core/admission/MemoryPredictor.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/admission/MemoryPredictor.kt
@@ -17,6 +17,18 @@
         return peakOfSorted(packed)
     }
 
+    /**
+     * Returns the largest expected sum over all future times. Each generation counts at each of its quantiles with an
+     * equal part, so the sum at a time is the mean over the uncertain ends. One quantile per generation either wastes
+     * memory or preempts: docs/decisions/memory-pressure.md has the figures.
+     */
+    fun expectedPeakTokens(forecasts: Collection<GenerationForecast>): Long {
+        val parts = forecasts.firstOrNull()?.remainingTokens?.size ?: return 0
+        val estimates =
+            forecasts.flatMap { forecast -> forecast.remainingTokens.map { RunningEstimate(forecast.heldTokens, it) } }
+        return peakTokens(estimates) / parts
+    }
+
     /** Walks the ends from the last to the first; what ends later is still held at an earlier end. */
     private fun peakOfSorted(packed: LongArray): Long {
         var peak = 0L
--- /dev/null
+++ b/core/src/main/kotlin/io/sequoiawheel/core/admission/PrefillPacer.kt
@@ -0,0 +1,31 @@
+package io.sequoiawheel.core.admission
+
+/**
+ * Keeps prompts apart that would be computed by one replica at the same time. A step that computes two prompts is
+ * longer for every running generation, and both first tokens come later than on two replicas. Thread-safe.
+ *
+ * @param tokensPerMillisecond prompt tokens that a replica computes per millisecond beside its running generations
+ */
+class PrefillPacer(
+    private val tokensPerMillisecond: Double = 17.0,
+) {
+    private var busyUntilMillis = Long.MIN_VALUE
+
+    /** Whether an earlier prompt is probably still being computed. */
+    @Synchronized
+    fun isBusy(nowMillis: Long): Boolean = nowMillis < busyUntilMillis
+
+    /** Records that a prompt of [promptTokens] is sent now. */
+    @Synchronized
+    fun start(
+        promptTokens: Int,
+        nowMillis: Long,
+    ) {
+        busyUntilMillis = nowMillis + MINIMUM_MILLIS + (promptTokens / tokensPerMillisecond).toLong()
+    }
+
+    private companion object {
+        /** About one step of a busy engine: even a short prompt waits for the current step to end. */
+        const val MINIMUM_MILLIS = 30L
+    }
+}
--- a/core/src/test/kotlin/io/sequoiawheel/core/admission/AdmissionLincheckTest.kt
+++ b/core/src/test/kotlin/io/sequoiawheel/core/admission/AdmissionLincheckTest.kt
@@ -61,6 +61,9 @@
         @Param(name = "count") count: Int,
     ) = factor.report("a-1", count.toLong(), 0)
 
+    @Operation
+    fun reportDenial() = factor.reportDenial(0)
+
     @Operation
     fun value(): Double = factor.value(0)
 
--- a/experiment/src/main/kotlin/io/sequoiawheel/experiment/Experiments.kt
+++ b/experiment/src/main/kotlin/io/sequoiawheel/experiment/Experiments.kt
@@ -7,8 +7,9 @@
     /** Every experiment; each name occurs once. */
     val all: List<Experiment> =
         listOf(
-            io.sequoiawheel.experiment.claims
-                .AtMostOnceExperiment(),
+            MemoryPressureExperiment,
+            FairnessExperiment,
+            AtMostOnceExperiment(),
         )
 
     /** Returns the experiment with this [name], or null. */
--- /dev/null
+++ b/experiment/src/main/kotlin/io/sequoiawheel/experiment/MemoryPressureExperiment.kt
@@ -0,0 +1,43 @@
+package io.sequoiawheel.experiment
+
+import io.sequoiawheel.experiment.policy.Policies
+import io.sequoiawheel.experiment.policy.SequoiawheelPolicy
+import io.sequoiawheel.experiment.simulation.CapacityProbe
+import io.sequoiawheel.experiment.simulation.DispatchPolicy
+import io.sequoiawheel.experiment.simulation.SimulatedService
+import io.sequoiawheel.experiment.simulation.Topology
+import io.sequoiawheel.experiment.simulation.Workload
+
+/** Long letters and short summaries at a share of the capacity that the engines sustain without preemption. */
+object MemoryPressureExperiment : Experiment {
+    override val name = "memory-pressure"
+    override val summary = "Stall time, preemptions and time between tokens when engine memory is scarce."
+
+    private const val DURATION_MILLIS = 400_000.0
+    private val topology = Topology()
+    private val workload = Workload()
+
+    /** Requests per second that the service sustains; measured once, as it depends on no seed. */
+    private val capacity: Double by lazy {
+        CapacityProbe(workload, topology.engine).requestsPerSecond() * topology.replicas
+    }
+
+    override fun run(options: ExperimentOptions): ExperimentReport {
+        val policies = Policies.baselines() + SequoiawheelPolicy()
+        return ExperimentReport(
+            experiment = name,
+            seed = options.seed,
+            parameters = mapOf("load" to options.load, "capacityRequestsPerSecond" to capacity),
+            policies = policies.associate { it.name to figures(it, options) },
+        )
+    }
+
+    internal fun figures(
+        policy: DispatchPolicy,
+        options: ExperimentOptions,
+    ): Map<String, Double> {
+        val arrivals = workload.arrivals(options.seed, capacity * options.load, DURATION_MILLIS, topology.entries)
+        val service = SimulatedService(topology, policy, workload.lengths(options.seed), options.seed)
+        return service.run(arrivals, DURATION_MILLIS).figures()
+    }
+}
--- /dev/null
+++ b/experiment/src/main/kotlin/io/sequoiawheel/experiment/policy/SequoiawheelPolicy.kt
@@ -0,0 +1,130 @@
+/*
+ * The system's own policy: requests wait in a fair queue at their entry instance until a granting instance has reserved
+ * predicted memory at a replica. Messages between entry instances take the topology's delay; progress of generations
+ * and load reports reach granting instances, and views reach entry instances, with heartbeats.
+ */
+package io.sequoiawheel.experiment.policy
+
+import io.sequoiawheel.core.admission.GenerationForecast
+import io.sequoiawheel.core.admission.LengthKey
+import io.sequoiawheel.core.admission.ReplicaMemory
+import io.sequoiawheel.core.model.Failure
+import io.sequoiawheel.core.model.InstanceId
+import io.sequoiawheel.core.model.ServiceName
+import io.sequoiawheel.core.model.ZoneName
+import io.sequoiawheel.core.routing.ReplicaView
+import io.sequoiawheel.experiment.ExperimentReport
+import io.sequoiawheel.experiment.simulation.DispatchPolicy
+import io.sequoiawheel.experiment.simulation.SimulatedReplica
+import io.sequoiawheel.experiment.simulation.SimulatedRequest
+import io.sequoiawheel.experiment.simulation.SimulatedService
+
+/** Admission by predicted memory over fair queues. */
+class SequoiawheelPolicy(
+    override val name: String = ExperimentReport.OWN_POLICY,
+) : DispatchPolicy {
+    internal lateinit var service: SimulatedService
+        private set
+
+    private lateinit var memories: List<ReplicaMemory>
+    private lateinit var entries: List<SimulatedEntry>
+    private val reservedAt = HashMap<Int, MutableSet<SimulatedRequest>>()
+
+    /** The largest number of workspaces that an entry instance remembers at the end of the run. */
+    val rememberedWorkspaces: Int get() = entries.maxOf { maxOf(it.queue.workspaces, it.estimator.groups) }
+
+    override fun start(service: SimulatedService) {
+        this.service = service
+        memories = service.replicas.map { ReplicaMemory() }
+        entries = List(service.topology.entries) { SimulatedEntry(this, ZoneName(service.topology.zoneOf(it))) }
+        service.replicas.forEach { replica ->
+            poll(replica)
+            tellViews(replica)
+            service.loop.repeat(HEARTBEAT_MILLIS, service.random.nextDouble() * HEARTBEAT_MILLIS) {
+                poll(replica)
+                service.loop.schedule(service.topology.oneWayMillis) { tellViews(replica) }
+            }
+        }
+    }
+
+    override fun place(request: SimulatedRequest) = entries[request.arrival.entry].offer(request)
+
+    override fun ended(request: SimulatedRequest) {
+        entries[request.arrival.entry].ended(request)
+        release(request, request.replica!!)
+    }
+
+    override fun returned(
+        request: SimulatedRequest,
+        failure: Failure,
+    ) = release(request, request.replica!!)
+
+    /** Reserves room at the granting instance of [replica]. */
+    internal fun reserve(
+        request: SimulatedRequest,
+        replica: SimulatedReplica,
+    ): Boolean {
+        val model = request.arrival.request
+        val isReserved =
+            memories[replica.index].reserve(
+                model.generation,
+                model.promptTokens,
+                forecast(request),
+                service.loop.nowMillis,
+            )
+        if (isReserved) reservedAt.getOrPut(replica.index) { LinkedHashSet() } += request
+        return isReserved
+    }
+
+    /** Returns the room of [request] after the message has reached the granting instance. */
+    internal fun release(
+        request: SimulatedRequest,
+        replica: SimulatedReplica,
+    ) = service.loop.schedule(service.topology.oneWayMillis) {
+        memories[replica.index].release(request.arrival.request.generation)
+        reservedAt[replica.index]?.remove(request)
+    }
+
+    /** Returns what the granting instance of [replica] answers to an entry instance. */
+    internal fun viewOf(replica: SimulatedReplica): ReplicaView =
+        ReplicaView(
+            replica = InstanceId(replica.index.toString()),
+            zone = ZoneName(replica.zone),
+            freeTokens = memories[replica.index].freeTokens(service.loop.nowMillis),
+            capacityTokens =
+                service.topology.engine.memoryTokens
+                    .toLong(),
+            freeRequests = memories[replica.index].freeRequests,
+        )
+
+    private fun poll(replica: SimulatedReplica) {
+        replica.loadReport()?.let { memories[replica.index].report(it, service.loop.nowMillis) }
+        reservedAt[replica.index].orEmpty().forEach {
+            memories[replica.index].update(it.arrival.request.generation, forecast(it))
+        }
+    }
+
+    private fun tellViews(replica: SimulatedReplica) {
+        val view = viewOf(replica)
+        entries.forEach { it.views[replica.index] = view }
+    }
+
+    /** Counts half a memory block beyond the tokens, the mean of the last block's empty part. */
+    private fun forecast(request: SimulatedRequest): GenerationForecast {
+        val limit = request.arrival.request.maximumTokens
+        val lengths = entries[request.arrival.entry].estimator.spread(keyOf(request), request.produced)
+        return GenerationForecast(
+            heldTokens = request.heldTokens + service.topology.engine.blockTokens / 2,
+            remainingTokens = lengths.map { maxOf(1, minOf(it, limit) - request.produced) },
+        )
+    }
+
+    internal companion object {
+        private val SERVICE = ServiceName("wheel-writers")
+
+        /** Granting instances poll their replicas and answer heartbeats in this period. */
+        private const val HEARTBEAT_MILLIS = 500.0
+
+        fun keyOf(request: SimulatedRequest) = LengthKey(SERVICE, request.arrival.workspace, request.arrival.kind)
+    }
+}
--- a/experiment/src/main/kotlin/io/sequoiawheel/experiment/policy/TwoChoicesPolicy.kt
+++ b/experiment/src/main/kotlin/io/sequoiawheel/experiment/policy/TwoChoicesPolicy.kt
@@ -3,6 +3,7 @@
 import io.sequoiawheel.core.model.Failure
 import io.sequoiawheel.experiment.simulation.SimulatedReplica
 import io.sequoiawheel.experiment.simulation.SimulatedRequest
+import io.sequoiawheel.experiment.simulation.SimulatedService
 
 /**
  * Of two replicas chosen at random, the one whose memory and queue look less loaded: the reported share of used memory
@@ -28,7 +29,7 @@
         replica: SimulatedReplica,
     ): Double = reports.load(request.arrival.entry, replica) + OWN_WEIGHT * counts.of(request, replica)
 
-    override fun start(service: io.sequoiawheel.experiment.simulation.SimulatedService) {
+    override fun start(service: SimulatedService) {
         super.start(service)
         reports.start()
     }
--- a/experiment/src/main/kotlin/io/sequoiawheel/experiment/simulation/Measures.kt
+++ b/experiment/src/main/kotlin/io/sequoiawheel/experiment/simulation/Measures.kt
@@ -3,14 +3,16 @@
 import org.HdrHistogram.Histogram
 import java.util.IdentityHashMap
 
-/** The figures of one run. Durations are recorded in microseconds and reported in milliseconds. */
+/**
+ * The figures of one run. Workspaces are grouped by the part of their name before the first hyphen. Durations are
+ * recorded in microseconds and reported in milliseconds.
+ */
 class Measures {
     private val gaps = Histogram(HIGHEST_MICROS, DIGITS)
     private val firstTokens = Histogram(HIGHEST_MICROS, DIGITS)
     private val stalls = Histogram(HIGHEST_MICROS, DIGITS)
-    private val waits = HashMap<String, Histogram>()
+    private val groups = HashMap<String, Group>()
     private val windowTokens = IdentityHashMap<SimulatedRequest, IntArray>()
-    private val goodTokensByWorkspace = HashMap<String, Long>()
     private val endsByState = HashMap<SimulatedRequest.State, Int>()
     private var totalStallMillis = 0.0
     private var goodTokens = 0L
@@ -39,14 +41,15 @@
         val tokens = windowTokens.remove(request)?.get(0) ?: 0
         if (request.state == SimulatedRequest.State.DONE) {
             goodTokens += tokens
-            goodTokensByWorkspace.merge(request.arrival.workspace.value, tokens.toLong(), Long::plus)
+            groupOf(request).goodTokens += tokens
         }
         if (!isMeasured) return
         endsByState.merge(request.state, 1, Int::plus)
+        groupOf(request).endsByState.merge(request.state, 1, Int::plus)
         if (request.produced == 0) return
         val wait = micros(request.firstTokenAt - request.arrival.atMillis)
         firstTokens.recordValue(wait)
-        waits.getOrPut(request.arrival.workspace.value) { Histogram(HIGHEST_MICROS, DIGITS) }.recordValue(wait)
+        groupOf(request).firstTokens.recordValue(wait)
         stalls.recordValue(micros(request.stallMillis))
         totalStallMillis += request.stallMillis
     }
@@ -54,15 +57,18 @@
     /** Requests that ended in [state]. */
     fun count(state: SimulatedRequest.State): Int = endsByState[state] ?: 0
 
-    /** Tokens of complete answers per second, by workspace. */
-    fun goodputOf(workspace: String): Double =
-        (goodTokensByWorkspace[workspace] ?: 0) / windowMillis * MILLIS_PER_SECOND
-
-    /** Time to the first token at [percentile] of the requests of [workspace]. */
-    fun firstTokenMillisOf(
-        workspace: String,
-        percentile: Double,
-    ): Double = waits[workspace]?.getValueAtPercentile(percentile)?.div(MICROS_PER_MILLI) ?: 0.0
+    /** Returns the figures of the workspaces of one [group], each name starting with the group. */
+    fun groupFigures(group: String): Map<String, Double> {
+        val figures = groups[group] ?: Group()
+        val ended = figures.endsByState.values.sum()
+        val done = figures.endsByState[SimulatedRequest.State.DONE] ?: 0
+        return mapOf(
+            "${group}CompletedShare" to if (ended == 0) 0.0 else done.toDouble() / ended,
+            "${group}GoodputTokensPerSecond" to figures.goodTokens / windowMillis * MILLIS_PER_SECOND,
+            "${group}FirstTokenP50Millis" to millis(figures.firstTokens, 50.0),
+            "${group}FirstTokenP95Millis" to millis(figures.firstTokens, 95.0),
+        )
+    }
 
     /** Returns all figures under the names of the report. */
     fun figures(): Map<String, Double> =
@@ -86,6 +92,12 @@
             "goodputTokensPerSecond" to goodTokens / windowMillis * MILLIS_PER_SECOND,
         )
 
+    private fun groupOf(request: SimulatedRequest): Group =
+        groups.getOrPut(
+            request.arrival.workspace.value
+                .substringBefore('-'),
+        ) { Group() }
+
     private fun micros(millis: Double): Long = (millis * MICROS_PER_MILLI).toLong().coerceIn(0, HIGHEST_MICROS)
 
     private fun millis(
@@ -93,6 +105,12 @@
         percentile: Double,
     ): Double = histogram.getValueAtPercentile(percentile) / MICROS_PER_MILLI
 
+    private class Group {
+        val firstTokens = Histogram(HIGHEST_MICROS, DIGITS)
+        val endsByState = HashMap<SimulatedRequest.State, Int>()
+        var goodTokens = 0L
+    }
+
     companion object {
         /** The gap between tokens that the design size promises to 95 in 100; what is beyond it is stall time. */
         const val EXPECTED_GAP_MILLIS = 61.0
