--- a/experiment/src/main/kotlin/io/sequoiawheel/experiment/Experiments.kt
+++ b/experiment/src/main/kotlin/io/sequoiawheel/experiment/Experiments.kt
@@ -8,6 +8,8 @@
     /** Every experiment; each name occurs once. */
     val all: List<Experiment> =
         listOf(
+            MemoryPressureExperiment,
+            FairnessExperiment,
             AtMostOnceExperiment(),
             ControlCostExperiment(),
         )
