--- a/cli/src/main/kotlin/io/sequoiawheel/cli/RootCommand.kt
+++ b/cli/src/main/kotlin/io/sequoiawheel/cli/RootCommand.kt
@@ -28,6 +28,7 @@
         DaemonCommand::class,
         DocumentCommand::class,
         ExperimentCommand::class,
+        ReportCommand::class,
         StandInsCommand::class,
     ],
 )
--- a/experiment/src/main/kotlin/io/sequoiawheel/experiment/control/ControlCostExperiment.kt
+++ b/experiment/src/main/kotlin/io/sequoiawheel/experiment/control/ControlCostExperiment.kt
@@ -43,4 +43,9 @@
         prefix: String,
         figures: Map<String, Double>,
     ): Map<String, Double> = figures.mapKeys { (name, _) -> "$prefix.$name" }
+
+    internal companion object {
+        /** Measures every slope. */
+        fun slopes(): List<Slope> = ControlSlopes().all
+    }
 }
