Add the demo of both deployments

Cause: nobody could see the whole system work against failing parts without setting up a platform. Change: the command demo starts stand-ins and entry daemons of both deployments in one process, drives streams, whole answers, lookups and non-idempotent calls, lets an engine die, a zone leave and return, an engine leave and an entry instance shut down, and decides P1 to P9 on the history that callers and stand-ins record.

--- a/cli/src/main/kotlin/io/sequoiawheel/cli/RootCommand.kt
+++ b/cli/src/main/kotlin/io/sequoiawheel/cli/RootCommand.kt
@@ -1,5 +1,6 @@
 package io.sequoiawheel.cli
 
+import io.sequoiawheel.cli.demo.DemoCommand
 import picocli.AutoComplete
 import picocli.CommandLine
 import picocli.CommandLine.Command
@@ -25,6 +26,7 @@
     subcommands = [
         CodesCommand::class,
         CompletionCommand::class,
+        DemoCommand::class,
         DocumentCommand::class,
         ExperimentCommand::class,
     ],
--- a/standin/src/main/kotlin/io/sequoiawheel/standin/plain/PlainServiceModel.kt
+++ b/standin/src/main/kotlin/io/sequoiawheel/standin/plain/PlainServiceModel.kt
@@ -23,6 +23,7 @@
     private var warmAtMillis = 0L
     private var active = 0
     private var refusals = 0
+    private var coldRefusals = 0
     private var lastAnswer: PlainReply.Answer? = null
     private var sample: Sample? = null
 
@@ -32,6 +33,9 @@
     /** Calls that exceeded the concurrency of the server and were refused. */
     val overloads: Int get() = lock.withLock { refusals }
 
+    /** Those of [overloads] that met a cold server. */
+    val coldOverloads: Int get() = lock.withLock { coldRefusals }
+
     /** Starts the process anew: it is cold, and its earlier calls are gone. */
     fun restart(nowMillis: Long) =
         lock.withLock {
@@ -61,6 +65,7 @@
             val callSettings = settings.calls[call] ?: return PlainReply.Unknown
             if (active >= concurrency(nowMillis)) {
                 refusals++
+                if (nowMillis < warmAtMillis) coldRefusals++
                 return PlainReply.Refused("all ${concurrency(nowMillis)} places are taken")
             }
             val fault = takeFault(call)
--- a/standin/src/main/kotlin/io/sequoiawheel/standin/store/ObjectStoreServer.kt
+++ b/standin/src/main/kotlin/io/sequoiawheel/standin/store/ObjectStoreServer.kt
@@ -47,9 +47,14 @@
         get("/watch/{kind}") { watch(call) }
     }
 
+    /** Puts [faults] in force for every client of the store. */
+    fun order(faults: StoreFaults) {
+        model.faults = faults
+    }
+
     override suspend fun order(faults: FaultOrder): String? {
         if (faults.copy(store = null).hasModelPart) return UNKNOWN_PART
-        faults.store?.let { model.faults = it }
+        faults.store?.let(::order)
         return null
     }
 
