--- a/cli/src/main/kotlin/io/sequoiawheel/cli/RootCommand.kt
+++ b/cli/src/main/kotlin/io/sequoiawheel/cli/RootCommand.kt
@@ -26,9 +26,11 @@
     subcommands = [
         CodesCommand::class,
         CompletionCommand::class,
+        DaemonCommand::class,
         DemoCommand::class,
         DocumentCommand::class,
         ExperimentCommand::class,
+        StandInsCommand::class,
     ],
 )
 class RootCommand : Runnable {
