--- a/core/src/main/kotlin/io/sequoiawheel/core/admission/SafetyFactor.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/admission/SafetyFactor.kt
@@ -14,9 +14,9 @@
  */
 class SafetyFactor(
     private val minimum: Double = 0.6,
-    private val initial: Double = 0.94,
+    private val initial: Double = 0.92,
     private val maximum: Double = 0.95,
-    private val recoveryPerSecond: Double = 0.0025,
+    private val recoveryPerSecond: Double = 0.002,
     private val demandMillis: Long = 200,
     private val settleMillis: Long = 5_000,
 ) {
