--- a/experiment/src/main/kotlin/io/sequoiawheel/experiment/policy/SimulatedEntry.kt
+++ b/experiment/src/main/kotlin/io/sequoiawheel/experiment/policy/SimulatedEntry.kt
@@ -46,12 +46,18 @@
 
     private fun placeNext() {
         if (isPlacing) return
-        queue.expire(service.loop.nowMillis).forEach { service.refuse(it.item, Failure(ResultCode.QUEUE_TIMEOUT)) }
+        queue.expire(service.loop.nowMillis).forEach { giveUp(it) }
         val queued = queue.poll(service.loop.nowMillis) ?: return
         isPlacing = true
         ask(queued, emptySet())
     }
 
+    private fun giveUp(queued: QueuedRequest<SimulatedRequest>) {
+        val now = service.loop.nowMillis
+        val wait = queue.predictedWaitMillis(queued.workspace, queued.weight, queued.costTokens, now)
+        service.refuse(queued.item, Failure(ResultCode.QUEUE_TIMEOUT, retryAfterMillis = wait))
+    }
+
     private fun ask(
         queued: QueuedRequest<SimulatedRequest>,
         asked: Set<Int>,
