--- a/experiment/src/main/kotlin/io/sequoiawheel/experiment/Experiments.kt
+++ b/experiment/src/main/kotlin/io/sequoiawheel/experiment/Experiments.kt
@@ -2,6 +2,9 @@
 
 import io.sequoiawheel.experiment.claims.AtMostOnceExperiment
 import io.sequoiawheel.experiment.control.ControlCostExperiment
+import io.sequoiawheel.experiment.grants.ColdStartExperiment
+import io.sequoiawheel.experiment.grants.EngineLossExperiment
+import io.sequoiawheel.experiment.grants.ZoneChangeExperiment
 
 /** All experiments, in the order of the command line's help. */
 object Experiments {
@@ -10,6 +13,9 @@
         listOf(
             MemoryPressureExperiment,
             FairnessExperiment,
+            ColdStartExperiment(),
+            ZoneChangeExperiment(),
+            EngineLossExperiment(),
             AtMostOnceExperiment(),
             ControlCostExperiment(),
         )
--- /dev/null
+++ b/experiment/src/main/kotlin/io/sequoiawheel/experiment/grants/GrantedPolicy.kt
@@ -0,0 +1,265 @@
+package io.sequoiawheel.experiment.grants
+
+import io.sequoiawheel.core.admission.LengthEstimator
+import io.sequoiawheel.core.admission.LengthKey
+import io.sequoiawheel.core.grant.LengthCorrection
+import io.sequoiawheel.core.grant.Reservation
+import io.sequoiawheel.core.grant.ReserveResult
+import io.sequoiawheel.core.model.Failure
+import io.sequoiawheel.core.model.InstanceId
+import io.sequoiawheel.core.model.RequestId
+import io.sequoiawheel.core.model.ResultCode
+import io.sequoiawheel.core.model.ServiceName
+import io.sequoiawheel.core.model.ZoneName
+import io.sequoiawheel.core.routing.Ejector
+import io.sequoiawheel.core.routing.Need
+import io.sequoiawheel.core.routing.ReplicaChooser
+import io.sequoiawheel.core.routing.ReplicaView
+import io.sequoiawheel.experiment.ExperimentReport
+import io.sequoiawheel.experiment.simulation.DispatchPolicy
+import io.sequoiawheel.experiment.simulation.SimulatedReplica
+import io.sequoiawheel.experiment.simulation.SimulatedRequest
+import io.sequoiawheel.experiment.simulation.SimulatedService
+
+/**
+ * The system's own policy: entry instances choose by the granting instances' views and send only what was granted. What
+ * finds no room waits at its entry instance, in order of arrival.
+ *
+ * @param onDispatch called with each dispatch
+ * @param onRefuse called before each refusal with the number of replicas that had room for the request
+ */
+internal class GrantedPolicy(
+    private val onDispatch: (SimulatedRequest, SimulatedReplica) -> Unit,
+    private val onRefuse: (SimulatedRequest, Int) -> Unit,
+) : DispatchPolicy {
+    override val name = ExperimentReport.OWN_POLICY
+
+    private val lengths = LengthEstimator()
+    private val keys = HashMap<RequestId, LengthKey>()
+    private val ejectors = HashMap<Int, Ejector>()
+    private val waiting = HashMap<Int, ArrayDeque<Waiting>>()
+    private val asking = HashSet<Int>()
+    private val dispatched = LinkedHashMap<SimulatedRequest, Double>()
+    private lateinit var service: SimulatedService
+    private lateinit var grants: Map<InstanceId, ReplicaGrants>
+    private lateinit var chooser: ReplicaChooser
+
+    private class Waiting(
+        val request: SimulatedRequest,
+        val sinceMillis: Double,
+        val excluded: MutableSet<InstanceId> = HashSet(),
+        var hasAskedAll: Boolean = false,
+    )
+
+    override fun start(service: SimulatedService) {
+        this.service = service
+        chooser = ReplicaChooser(service.random)
+        val correction = LengthCorrection { predict(it.request, it.producedTokens.toInt()) }
+        grants = service.replicas.map { ReplicaGrants(service, it, correction) }.associateBy { it.id }
+        grants.values.forEach { it.start() }
+        service.loop.repeat(RETRY_MILLIS) { for (entry in 0 until service.topology.entries) drain(entry) }
+        service.loop.repeat(OBSERVE_MILLIS) { observeFirstTokens() }
+    }
+
+    override fun place(request: SimulatedRequest) {
+        val arrival = request.arrival
+        keys[arrival.request.generation] = LengthKey(SERVICE, arrival.workspace, arrival.kind)
+        val queue = waiting.getOrPut(arrival.entry) { ArrayDeque() }
+        queue.addLast(Waiting(request, arrival.atMillis))
+        if (queue.size == 1) drain(arrival.entry)
+    }
+
+    override fun ended(request: SimulatedRequest) {
+        if (request.state == SimulatedRequest.State.DONE) {
+            keys[request.arrival.request.generation]?.let { lengths.record(it, request.produced) }
+            ejector(request).succeeded(grantsOf(request).id)
+        }
+        if (request.state == SimulatedRequest.State.FAILED) lostBy(request)
+        release(request)
+    }
+
+    override fun returned(
+        request: SimulatedRequest,
+        failure: Failure,
+    ) {
+        lostBy(request)
+        release(request)
+    }
+
+    private fun lostBy(request: SimulatedRequest) {
+        ejector(request).failed(grantsOf(request).id, service.loop.nowMillis)
+    }
+
+    private fun ejector(request: SimulatedRequest) = ejectors.getOrPut(request.arrival.entry) { Ejector() }
+
+    private fun grantsOf(request: SimulatedRequest) = grants.getValue(InstanceId("replica-${request.replica!!.index}"))
+
+    private fun release(request: SimulatedRequest) {
+        val replica = grantsOf(request)
+        val entry = request.arrival.entry
+        val id = request.arrival.request.generation
+        observe(request, replica)
+        keys.remove(id)
+        replica.clients[entry].finished(id)
+        service.loop.schedule(replica.delayMillis(entry)) {
+            replica.ledger.release(ReplicaGrants.entryId(entry), id)
+            drain(entry)
+        }
+    }
+
+    private fun observeFirstTokens() {
+        dispatched.keys
+            .filter { it.produced > 0 }
+            .forEach { observe(it, grantsOf(it)) }
+    }
+
+    private fun observe(
+        request: SimulatedRequest,
+        replica: ReplicaGrants,
+    ) {
+        val since = dispatched.remove(request) ?: return
+        if (request.produced == 0) return
+        replica.ledger.firstToken((request.firstTokenAt - since).toLong(), service.loop.nowMillis)
+    }
+
+    private fun drain(entry: Int) {
+        if (entry in asking) return
+        val queue = waiting[entry] ?: return
+        while (queue.isNotEmpty()) {
+            val head = queue.first()
+            if (head.request.state == SimulatedRequest.State.PENDING) {
+                if (!isExpired(head) || !head.hasAskedAll) return ask(entry, head)
+                giveUp(head.request)
+            }
+            queue.remove(head)
+        }
+    }
+
+    private fun giveUp(request: SimulatedRequest) {
+        val reservation = reservation(request)
+        val room = grants.values.count { isOpen(it) && hasRoom(it, reservation) }
+        onRefuse(request, room)
+        service.refuse(request, Failure(ResultCode.QUEUE_TIMEOUT, retryAfterMillis = RETRY_AFTER_MILLIS))
+    }
+
+    private fun isOpen(replica: ReplicaGrants) = replica.replica in service.eligibleReplicas()
+
+    private fun hasRoom(
+        replica: ReplicaGrants,
+        reservation: Reservation,
+    ): Boolean {
+        val state = replica.ledger.state(service.loop.nowMillis)
+        return state.freeRequests > 0 && state.freeTokens >= reservation.room.tokens
+    }
+
+    private fun ask(
+        entry: Int,
+        head: Waiting,
+    ) {
+        val now = service.loop.nowMillis
+        val reservation = reservation(head.request)
+        val need =
+            Need(
+                ZoneName(service.topology.zoneOf(entry)),
+                reservation.room.tokens,
+                reservation.promptTokens,
+                head.excluded,
+            )
+        val views = grants.values.mapNotNull { view(it, entry) }
+        val chosen = chooser.choose(views, need)?.let { grants.getValue(it.replica) }
+        val ticket = chosen?.clients?.get(entry)?.ask(reservation.request, now)
+        if (chosen == null || ticket == null) {
+            head.excluded.clear()
+            head.hasAskedAll = isExpired(head)
+            if (head.hasAskedAll) drain(entry)
+            return
+        }
+        waiting.getValue(entry).remove(head)
+        asking += entry
+        service.loop.schedule(chosen.delayMillis(entry)) {
+            val result = chosen.ledger.reserve(ReplicaGrants.entryId(entry), reservation, service.loop.nowMillis)
+            service.loop.schedule(chosen.delayMillis(entry)) {
+                asking -= entry
+                val client = chosen.clients[entry]
+                if (result != ReserveResult.GRANTED) client.refused(reservation.request)
+                val mayUse =
+                    result == ReserveResult.GRANTED && client.granted(reservation, ticket, service.loop.nowMillis)
+                if (mayUse) dispatch(head.request, chosen) else back(entry, head, chosen)
+            }
+        }
+    }
+
+    private fun back(
+        entry: Int,
+        head: Waiting,
+        refused: ReplicaGrants,
+    ) {
+        waiting.getValue(entry).addFirst(head)
+        head.excluded += refused.id
+        // Before a request is refused for its wait, every replica is asked once more.
+        if (head.excluded.size <= MAXIMUM_ASKED || isExpired(head)) drain(entry) else head.excluded.clear()
+    }
+
+    private fun isExpired(head: Waiting): Boolean = service.loop.now - head.sinceMillis >= MAXIMUM_WAIT_MILLIS
+
+    private fun dispatch(
+        request: SimulatedRequest,
+        chosen: ReplicaGrants,
+    ) {
+        if (request.state != SimulatedRequest.State.PENDING) {
+            val entry = request.arrival.entry
+            chosen.clients[entry].finished(request.arrival.request.generation)
+            return chosen.ledger.release(ReplicaGrants.entryId(entry), request.arrival.request.generation)
+        }
+        dispatched[request] = service.loop.now
+        onDispatch(request, chosen.replica)
+        service.dispatch(request, chosen.replica)
+        drain(request.arrival.entry)
+    }
+
+    private fun view(
+        replica: ReplicaGrants,
+        entry: Int,
+    ): ReplicaView? {
+        val state = replica.clients[entry].state ?: return null
+        val isEjected = ejectors[entry]?.ejectedUntil(replica.id, service.loop.nowMillis) != null
+        return ReplicaView(
+            replica.id,
+            ZoneName(replica.replica.zone),
+            eligible = isOpen(replica) && state.reachable && !isEjected,
+            freeTokens = state.freeTokens,
+            capacityTokens =
+                service.topology.engine.memoryTokens
+                    .toLong(),
+            freeRequests = state.freeRequests,
+        )
+    }
+
+    private fun reservation(request: SimulatedRequest): Reservation {
+        val generation = request.arrival.request
+        return Reservation(
+            generation.generation,
+            request.arrival.workspace,
+            generation.promptTokens.toLong(),
+            predict(generation.generation, 0),
+        )
+    }
+
+    private fun predict(
+        request: RequestId,
+        produced: Int,
+    ): Long {
+        val key = keys[request] ?: return produced + 1L
+        return lengths.quantile(key, produced, QUANTILE).toLong()
+    }
+
+    private companion object {
+        val SERVICE = ServiceName("wheel-writers")
+        const val QUANTILE = 0.6
+        const val RETRY_MILLIS = 50.0
+        const val OBSERVE_MILLIS = 200.0
+        const val MAXIMUM_WAIT_MILLIS = 30_000.0
+        const val RETRY_AFTER_MILLIS = 2_000L
+        const val MAXIMUM_ASKED = 3
+    }
+}
--- /dev/null
+++ b/experiment/src/main/kotlin/io/sequoiawheel/experiment/grants/ReplicaGrants.kt
@@ -0,0 +1,94 @@
+package io.sequoiawheel.experiment.grants
+
+import io.sequoiawheel.core.admission.MemoryPredictor
+import io.sequoiawheel.core.admission.RunningEstimate
+import io.sequoiawheel.core.admission.SafetyFactor
+import io.sequoiawheel.core.grant.GrantClient
+import io.sequoiawheel.core.grant.GrantLedger
+import io.sequoiawheel.core.grant.GrantView
+import io.sequoiawheel.core.grant.LengthCorrection
+import io.sequoiawheel.core.grant.PeakEstimator
+import io.sequoiawheel.core.membership.Rendezvous
+import io.sequoiawheel.core.model.Instance
+import io.sequoiawheel.core.model.InstanceId
+import io.sequoiawheel.core.model.ServiceDocument.ColdStartPolicy
+import io.sequoiawheel.experiment.simulation.SimulatedReplica
+import io.sequoiawheel.experiment.simulation.SimulatedService
+
+/**
+ * The ledger of one replica at its granting instance and the clients of all entry instances, connected by messages with
+ * the topology's delay.
+ */
+internal class ReplicaGrants(
+    private val service: SimulatedService,
+    val replica: SimulatedReplica,
+    correction: LengthCorrection,
+) {
+    val id = InstanceId("replica-${replica.index}")
+    private val entries = (0 until service.topology.entries).toList()
+    private val members = entries.filter { service.topology.zoneOf(it) == replica.zone }.associateBy { entryId(it) }
+    private val safety = SafetyFactor()
+    val granting: Int = members.getValue(Rendezvous.first(id.value, members.keys)!!)
+    val clients = entries.map { GrantClient(entryId(it)) }
+    val ledger =
+        GrantLedger(
+            id,
+            entryId(granting),
+            ColdStartPolicy(),
+            PREDICTED_PEAK,
+            correction,
+            capacity = { report, now -> (report.memoryCapacityTokens * safety.value(now)).toLong() },
+        )
+
+    fun start() {
+        service.loop.repeat(POLL_MILLIS, service.random.nextDouble() * POLL_MILLIS) { poll() }
+        entries.forEach { entry ->
+            service.loop.repeat(HEARTBEAT_MILLIS, service.random.nextDouble() * HEARTBEAT_MILLIS) { beat(entry) }
+        }
+    }
+
+    /** Delay of a message between [entry] and the granting instance. */
+    fun delayMillis(entry: Int): Double = if (entry == granting) 0.0 else service.topology.oneWayMillis
+
+    private fun poll() {
+        val now = service.loop.nowMillis
+        val isLeaving = replica.listedState != Instance.State.LIVE
+        ledger.update(GrantView(isResponsible = true, members = members.keys, isFresh = true), isLeaving, now)
+        val report = replica.loadReport()
+        if (report == null) {
+            ledger.unreachable()
+        } else {
+            safety.report(report.startId, report.preemptions, now)
+            ledger.report(report, now)
+        }
+    }
+
+    private fun beat(entry: Int) {
+        val client = clients[entry]
+        val (_, heartbeat) = client.nextHeartbeat(entryId(granting), service.loop.nowMillis)
+        service.loop.schedule(delayMillis(entry)) {
+            val answer = ledger.heartbeat(heartbeat, service.loop.nowMillis)
+            service.loop.schedule(delayMillis(entry)) {
+                client.answered(entryId(granting), answer, service.loop.nowMillis)
+                if (heartbeat.echo == 0L && answer.isResponsible) beat(entry)
+            }
+        }
+    }
+
+    companion object {
+        private const val POLL_MILLIS = 500.0
+        private const val HEARTBEAT_MILLIS = 1_000.0
+
+        fun entryId(entry: Int) = InstanceId("entry-$entry")
+
+        private val PREDICTED_PEAK =
+            PeakEstimator { reservations ->
+                MemoryPredictor.peakTokens(
+                    reservations.map {
+                        val remaining = (it.predictedTokens - it.producedTokens).coerceAtLeast(1)
+                        RunningEstimate((it.promptTokens + it.producedTokens).toInt(), remaining.toInt())
+                    },
+                )
+            }
+    }
+}
