--- a/cli/src/main/kotlin/io/sequoiawheel/cli/RootCommand.kt
+++ b/cli/src/main/kotlin/io/sequoiawheel/cli/RootCommand.kt
@@ -1,5 +1,6 @@
 package io.sequoiawheel.cli
 
+import io.sequoiawheel.cli.demo.DemoCommand
 import picocli.AutoComplete
 import picocli.CommandLine
 import picocli.CommandLine.Command
@@ -26,8 +27,10 @@
         CodesCommand::class,
         CompletionCommand::class,
         DaemonCommand::class,
+        DemoCommand::class,
         DocumentCommand::class,
         ExperimentCommand::class,
+        ReportCommand::class,
         StandInsCommand::class,
     ],
 )
