--- a/cli/src/main/kotlin/io/sequoiawheel/cli/RootCommand.kt
+++ b/cli/src/main/kotlin/io/sequoiawheel/cli/RootCommand.kt
@@ -30,6 +30,7 @@
         DemoCommand::class,
         DocumentCommand::class,
         ExperimentCommand::class,
+        ReportCommand::class,
         StandInsCommand::class,
     ],
 )
