--- a/daemon/src/main/kotlin/io/sequoiawheel/daemon/EntryDaemon.kt
+++ b/daemon/src/main/kotlin/io/sequoiawheel/daemon/EntryDaemon.kt
@@ -11,19 +11,22 @@
 import io.sequoiawheel.core.model.Failure
 import io.sequoiawheel.core.model.Instance
 import io.sequoiawheel.core.model.InstanceId
+import io.sequoiawheel.core.model.LoadReport
 import io.sequoiawheel.core.model.RequestId
 import io.sequoiawheel.core.model.ResultCode
+import io.sequoiawheel.core.model.ServiceDocument
 import io.sequoiawheel.core.serving.CallRunner
 import io.sequoiawheel.core.serving.GenerationRunner
 import io.sequoiawheel.core.stream.ResumeHandle
 import io.sequoiawheel.core.stream.ResumeHandleCodec
 import io.sequoiawheel.daemon.control.ControlPlane
-import io.sequoiawheel.daemon.control.OutstandingPlacement
+import io.sequoiawheel.daemon.control.OrderDuty
 import io.sequoiawheel.daemon.control.RegistryClaims
 import io.sequoiawheel.daemon.control.ServiceRetries
 import io.sequoiawheel.daemon.control.supervise
 import io.sequoiawheel.daemon.gateway.BackendClient
 import io.sequoiawheel.daemon.gateway.HttpEngineGateway
+import io.sequoiawheel.daemon.gateway.HttpEngineOrders
 import io.sequoiawheel.daemon.gateway.HttpPlainGateway
 import io.sequoiawheel.daemon.http.AccountFilter
 import io.sequoiawheel.daemon.http.CallHandler
@@ -43,6 +46,7 @@
 import io.sequoiawheel.daemon.settings.DaemonSettings
 import io.sequoiawheel.platform.HttpInstanceList
 import io.sequoiawheel.platform.HttpObjectApi
+import io.sequoiawheel.platform.HttpWeightStore
 import io.sequoiawheel.platform.PlatformTransport
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
@@ -72,14 +76,18 @@
     private val instances = HttpInstanceList(settings.platform.instanceList, transport)
     private val backends = BackendClient()
     private val engines = HttpEngineGateway(backends)
+    private val services = HttpPlainGateway(backends)
 
     /** The port that callers connect to, once [start] has succeeded. */
     var port: Int = settings.listen.port
         private set
-    private val control = ControlPlane(self(settings.peer.port), objects, instances, scope, clock, random)
+    private val weights = HttpWeightStore(settings.platform.weightStore, transport)
+    private val orders = OrderDuty(HttpEngineOrders(backends), weights, clock, ::readLoad)
+    private val control =
+        ControlPlane(self(settings.peer.port), objects, instances, scope, clock, random, orders, ::readLoad)
     private val membership = control.membership
     private val documents = control.configuration
-    private val placement = OutstandingPlacement(membership)
+    private val placement = control.placement
     private val retries = ServiceRetries(clock, random)
     private val generations = GenerationRunner(engines, placement, retries, clock, scope, ::uniqueId)
     private val claims =
@@ -92,7 +100,7 @@
         )
     private val calls =
         CallRunner(
-            HttpPlainGateway(backends),
+            services,
             placement,
             retries,
             RegistryClaims(claims),
@@ -113,6 +121,8 @@
             return Failure(ResultCode.BIND_FAILED, "cannot listen on $addresses: ${error.message}").left()
         }
         metrics.gauge("sequoiawheel.requests.in.progress") { gate.requests }
+        metrics.gauge("sequoiawheel.requests.waiting") { placement.waiting }
+        metrics.gauge("sequoiawheel.claims.pending") { claims.pendingCount }
         control.start()
         scope.supervise("registration") { keepRegistered() }
         scope.supervise("claims") { claims.runBackground() }
@@ -167,6 +177,7 @@
         when {
             gate.isLeaving -> "leaving"
             !documents.isKnown -> "no configuration"
+            membership.viewAgeMillis(clock.nowMillis()) == null -> "no instance list"
             else -> null
         }
 
@@ -179,6 +190,7 @@
                 gate,
                 RespondFilter,
                 AccountFilter(metrics, clock),
+                Gate.RefuseLeaving,
                 HeaderLimitFilter(settings.limits.headerBytes),
                 WorkspaceFilter,
                 DeadlineFilter(clock),
@@ -199,6 +211,14 @@
     private fun isKnownEntry(id: InstanceId): Boolean =
         id == settings.instanceId || membership.listed().any { it.id == id && it.role == Instance.Role.ENTRY }
 
+    private suspend fun readLoad(
+        replica: Instance,
+        document: ServiceDocument,
+    ): LoadReport? {
+        val isEngine = document.kind == ServiceDocument.Kind.MODEL_ENGINE
+        return (if (isEngine) engines.load(replica) else services.load(replica)).getOrNull()
+    }
+
     private fun findReplica(handle: ResumeHandle): Instance? =
         membership.replicas(handle.service).firstOrNull { it.id == handle.replica }
 
--- a/experiment/src/main/kotlin/io/sequoiawheel/experiment/Experiments.kt
+++ b/experiment/src/main/kotlin/io/sequoiawheel/experiment/Experiments.kt
@@ -2,6 +2,7 @@
 
 import io.sequoiawheel.experiment.claims.AtMostOnceExperiment
 import io.sequoiawheel.experiment.configuration.ConfigurationExperiment
+import io.sequoiawheel.experiment.control.ControlCostExperiment
 import io.sequoiawheel.experiment.outage.PlatformOutageExperiment
 
 /** All experiments, in the order of the command line's help. */
@@ -9,9 +10,12 @@
     /** Every experiment; each name occurs once. */
     val all: List<Experiment> =
         listOf(
+            MemoryPressureExperiment,
+            FairnessExperiment,
             AtMostOnceExperiment(),
             ConfigurationExperiment(),
             PlatformOutageExperiment(),
+            ControlCostExperiment(),
         )
 
     /** Returns the experiment with this [name], or null. */
--- a/standin/src/main/kotlin/io/sequoiawheel/standin/engine/EngineServer.kt
+++ b/standin/src/main/kotlin/io/sequoiawheel/standin/engine/EngineServer.kt
@@ -15,6 +15,7 @@
 import io.ktor.server.routing.put
 import io.sequoiawheel.core.model.LoadReport
 import io.sequoiawheel.core.model.RequestId
+import io.sequoiawheel.standin.server.BackendObserver
 import io.sequoiawheel.standin.server.FaultOrder
 import io.sequoiawheel.standin.server.StandInServer
 import kotlinx.coroutines.CoroutineScope
@@ -23,6 +24,7 @@
 import kotlinx.coroutines.cancel
 import kotlinx.serialization.DeserializationStrategy
 import kotlinx.serialization.SerializationException
+import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicInteger
 
 /**
@@ -38,19 +40,26 @@
     private val timeScale: Double = 1.0,
     startsCold: Boolean = false,
     port: Int = 0,
+    private val observer: BackendObserver = BackendObserver,
 ) : StandInServer(port) {
     // The server itself keeps the port closed while the engine restarts, so the model needs no down time of its own.
     private val model =
         EngineModel(settings.copy(cold = settings.cold.copy(restartMillis = 0)), lengths, seed, startsCold)
     private val refusals = AtomicInteger()
     private val streams = EngineStreams(link)
+    private val readers = ConcurrentHashMap<RequestId, Int>()
     private var scope = CoroutineScope(SupervisorJob())
 
     @Volatile
     private var hasCrashed = false
 
+    /** How often the engine failed because it received more than it could handle while cold. */
+    @Volatile
+    var overloadCrashes: Int = 0
+        private set
+
     /** Access to the engine without HTTP. */
-    val driver = EngineDriver(model, clock, timeScale, ::crashedByItself)
+    val driver = EngineDriver(model, clock, timeScale, ::crashedByItself, observer)
 
     override suspend fun onStart() {
         hasCrashed = false
@@ -61,15 +70,13 @@
     override suspend fun onStop() {
         scope.cancel()
         if (!hasCrashed) driver.crash()
+        observer.onDeath()
     }
 
     override fun Routing.routes() {
         post("/generations") { startGeneration(call) }
         get("/generations/{id}") { resumeGeneration(call) }
-        delete("/generations/{id}") {
-            driver.cancel(RequestId(call.parameters["id"].orEmpty()))
-            answer(call, "{}")
-        }
+        delete("/generations/{id}") { cancelGeneration(call) }
         get("/load") { answer(call, json.encodeToString(LoadReport.serializer(), driver.loadReport())) }
         get("/cache-events") {
             val events = driver.cacheEvents(call.request.queryParameters["after"]?.toLongOrNull() ?: 0)
@@ -94,13 +101,14 @@
 
     private suspend fun startGeneration(call: ApplicationCall) {
         val start = decode(EngineWire.Start.serializer(), call.receiveText()) ?: return badRequest(call)
+        observer.onArrival(RequestId(start.id))
         if (refusals.getAndUpdate { maxOf(0, it - 1) } > 0) {
             return refuse(call, start.id, HttpStatusCode.ServiceUnavailable)
         }
         when (driver.submit(toModelRequest(start))) {
             Submission.ACCEPTED -> stream(call, RequestId(start.id), 0)
             Submission.DUPLICATE -> answer(call, "{}", HttpStatusCode.Conflict)
-            Submission.MODEL_NOT_LOADED -> refuse(call, start.id, HttpStatusCode.NotFound)
+            Submission.MODEL_NOT_LOADED -> refuse(call, start.id, HttpStatusCode.ServiceUnavailable)
             Submission.TOO_LARGE -> refuse(call, start.id, HttpStatusCode.PayloadTooLarge)
             Submission.DOWN -> refuse(call, start.id, HttpStatusCode.ServiceUnavailable)
         }
@@ -111,13 +119,27 @@
         stream(call, RequestId(call.parameters["id"].orEmpty()), from)
     }
 
+    /** With `unattended=true` a generation that somebody reads is left alone and the answer is 409. */
+    private suspend fun cancelGeneration(call: ApplicationCall) {
+        val generation = RequestId(call.parameters["id"].orEmpty())
+        val isConditional = call.request.queryParameters["unattended"] == "true"
+        if (isConditional && readers.containsKey(generation)) return answer(call, "{}", HttpStatusCode.Conflict)
+        driver.cancel(generation)
+        answer(call, "{}")
+    }
+
     private suspend fun stream(
         call: ApplicationCall,
         generation: RequestId,
         from: Int,
     ) {
         val progress = driver.progress(generation) ?: return answer(call, "{}", HttpStatusCode.NotFound)
-        streams.serve(call, progress, from)
+        readers.merge(generation, 1, Int::plus)
+        try {
+            streams.serve(call, progress, from)
+        } finally {
+            readers.computeIfPresent(generation) { _, count -> if (count == 1) null else count - 1 }
+        }
     }
 
     private suspend fun takeOrder(call: ApplicationCall) {
@@ -152,6 +174,7 @@
 
     private fun crashedByItself() {
         hasCrashed = true
+        overloadCrashes++
         die((settings.cold.restartMillis / timeScale).toLong())
     }
 
--- a/standin/src/main/kotlin/io/sequoiawheel/standin/plain/PlainServiceModel.kt
+++ b/standin/src/main/kotlin/io/sequoiawheel/standin/plain/PlainServiceModel.kt
@@ -4,8 +4,6 @@
 import io.sequoiawheel.core.model.RequestId
 import kotlinx.collections.immutable.ImmutableList
 import kotlinx.collections.immutable.toImmutableList
-import kotlinx.serialization.json.JsonPrimitive
-import kotlinx.serialization.json.buildJsonObject
 import org.apache.commons.rng.UniformRandomProvider
 import java.util.concurrent.locks.ReentrantLock
 import kotlin.concurrent.withLock
@@ -25,6 +23,7 @@
     private var warmAtMillis = 0L
     private var active = 0
     private var refusals = 0
+    private var coldRefusals = 0
     private var lastAnswer: PlainReply.Answer? = null
     private var sample: Sample? = null
 
@@ -34,6 +33,9 @@
     /** Calls that exceeded the concurrency of the server and were refused. */
     val overloads: Int get() = lock.withLock { refusals }
 
+    /** Those of [overloads] that met a cold server. */
+    val coldOverloads: Int get() = lock.withLock { coldRefusals }
+
     /** Starts the process anew: it is cold, and its earlier calls are gone. */
     fun restart(nowMillis: Long) =
         lock.withLock {
@@ -63,6 +65,7 @@
             val callSettings = settings.calls[call] ?: return PlainReply.Unknown
             if (active >= concurrency(nowMillis)) {
                 refusals++
+                if (nowMillis < warmAtMillis) coldRefusals++
                 return PlainReply.Refused("all ${concurrency(nowMillis)} places are taken")
             }
             val fault = takeFault(call)
@@ -79,7 +82,7 @@
     fun finish(run: PlainRun): PlainReply =
         lock.withLock {
             active = (active - 1).coerceAtLeast(0)
-            val whole = PlainReply.Answer(run.requestId, STATUS_OK, answerText(run))
+            val whole = PlainReply.Answer(run.requestId, STATUS_OK, run.answer)
             val foreign = RequestId("other-${run.requestId.value}")
             val reply =
                 when (run.fault) {
@@ -119,13 +122,6 @@
         return fault
     }
 
-    private fun answerText(run: PlainRun): String =
-        buildJsonObject {
-            put("call", JsonPrimitive(run.call))
-            put("requestId", JsonPrimitive(run.requestId.value))
-            put("received", JsonPrimitive(run.body))
-        }.toString()
-
     private class OrderedFault(
         val kind: AnswerFault,
         val call: String?,
