--- a/experiment/src/main/kotlin/io/sequoiawheel/experiment/Experiments.kt
+++ b/experiment/src/main/kotlin/io/sequoiawheel/experiment/Experiments.kt
@@ -1,10 +1,12 @@
 package io.sequoiawheel.experiment
 
 import io.sequoiawheel.experiment.claims.AtMostOnceExperiment
+import io.sequoiawheel.experiment.configuration.ConfigurationExperiment
 import io.sequoiawheel.experiment.control.ControlCostExperiment
 import io.sequoiawheel.experiment.grants.ColdStartExperiment
 import io.sequoiawheel.experiment.grants.EngineLossExperiment
 import io.sequoiawheel.experiment.grants.ZoneChangeExperiment
+import io.sequoiawheel.experiment.outage.PlatformOutageExperiment
 
 /** All experiments, in the order of the command line's help. */
 object Experiments {
@@ -17,6 +19,8 @@
             ZoneChangeExperiment(),
             EngineLossExperiment(),
             AtMostOnceExperiment(),
+            ConfigurationExperiment(),
+            PlatformOutageExperiment(),
             ControlCostExperiment(),
         )
 
