Add the prefix-cache experiment and report empty violations

Cause: the prefix index had no measurement; JSON reports left out an empty list of violations; memory-pressure had no check that could fail.

A cached prefix is worth at most eight requests among replicas that have room. memory-pressure and prefix-cache report requests without an end and failures without a fault. The JSON output contains empty lists.

The daemon does not read cache events yet.

--- a/cli/src/main/kotlin/io/sequoiawheel/cli/ExperimentCommand.kt
+++ b/cli/src/main/kotlin/io/sequoiawheel/cli/ExperimentCommand.kt
@@ -53,7 +53,7 @@
         val report = find().run(ExperimentOptions(seed, load))
         val out = spec.commandLine().out
         when (output.format) {
-            OutputFormat.JSON -> out.println(Json.encodeToString(report))
+            OutputFormat.JSON -> out.println(json.encodeToString(report))
             OutputFormat.TABLE -> out.println(formatTable(report))
         }
         out.flush()
@@ -100,6 +100,8 @@
     }
 
     private companion object {
+        // An empty list of violations is part of the answer.
+        val json = Json { encodeDefaults = true }
         const val MINIMUM_LOAD = 0.05
         const val MAXIMUM_LOAD = 3.0
     }
--- a/cli/src/test/kotlin/io/sequoiawheel/cli/CommandLineTest.kt
+++ b/cli/src/test/kotlin/io/sequoiawheel/cli/CommandLineTest.kt
@@ -1,6 +1,9 @@
 package io.sequoiawheel.cli
 
 import io.sequoiawheel.core.model.ResultCode
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.jsonArray
+import kotlinx.serialization.json.jsonObject
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
@@ -44,4 +47,13 @@
         assertEquals(ResultCode.DOCUMENT_REJECTED.exitCode, run("document", "check", file.toString()))
         assertTrue(err.toString().contains("$.models"))
     }
+
+    /** Guards against a report that leaves out an empty list of violations, which readers would take for a fault. */
+    @Test
+    fun `an experiment reports its policies and its violations as JSON`() {
+        assertEquals(0, run("experiment", "at-most-once", "--seed", "1", "--output", "json"))
+        val report = Json.parseToJsonElement(out.toString()).jsonObject
+        assertEquals(0, report.getValue("violations").jsonArray.size)
+        assertTrue("sequoiawheel" in report.getValue("policies").jsonObject)
+    }
 }
--- a/experiment/src/main/kotlin/io/sequoiawheel/experiment/Experiments.kt
+++ b/experiment/src/main/kotlin/io/sequoiawheel/experiment/Experiments.kt
@@ -15,6 +15,7 @@
         listOf(
             MemoryPressureExperiment,
             FairnessExperiment,
+            PrefixCacheExperiment,
             ColdStartExperiment(),
             ZoneChangeExperiment(),
             EngineLossExperiment(),
--- a/experiment/src/main/kotlin/io/sequoiawheel/experiment/MemoryPressureExperiment.kt
+++ b/experiment/src/main/kotlin/io/sequoiawheel/experiment/MemoryPressureExperiment.kt
@@ -4,6 +4,7 @@
 import io.sequoiawheel.experiment.policy.SequoiawheelPolicy
 import io.sequoiawheel.experiment.simulation.CapacityProbe
 import io.sequoiawheel.experiment.simulation.DispatchPolicy
+import io.sequoiawheel.experiment.simulation.Measures
 import io.sequoiawheel.experiment.simulation.SimulatedService
 import io.sequoiawheel.experiment.simulation.Topology
 import io.sequoiawheel.experiment.simulation.Workload
@@ -24,20 +25,27 @@
 
     override fun run(options: ExperimentOptions): ExperimentReport {
         val policies = Policies.baselines() + SequoiawheelPolicy()
+        val measures = policies.associate { it.name to measures(it, options) }
         return ExperimentReport(
             experiment = name,
             seed = options.seed,
             parameters = mapOf("load" to options.load, "capacityRequestsPerSecond" to capacity),
-            policies = policies.associate { it.name to figures(it, options) },
+            policies = measures.mapValues { it.value.figures() },
+            violations = measures.getValue(ExperimentReport.OWN_POLICY).violations(),
         )
     }
 
     internal fun figures(
         policy: DispatchPolicy,
         options: ExperimentOptions,
-    ): Map<String, Double> {
+    ): Map<String, Double> = measures(policy, options).figures()
+
+    private fun measures(
+        policy: DispatchPolicy,
+        options: ExperimentOptions,
+    ): Measures {
         val arrivals = workload.arrivals(options.seed, capacity * options.load, DURATION_MILLIS, topology.entries)
         val service = SimulatedService(topology, policy, workload.lengths(options.seed), options.seed)
-        return service.run(arrivals, DURATION_MILLIS).figures()
+        return service.run(arrivals, DURATION_MILLIS)
     }
 }
--- a/experiment/src/main/kotlin/io/sequoiawheel/experiment/policy/SequoiawheelPolicy.kt
+++ b/experiment/src/main/kotlin/io/sequoiawheel/experiment/policy/SequoiawheelPolicy.kt
@@ -12,6 +12,7 @@
 import io.sequoiawheel.core.model.InstanceId
 import io.sequoiawheel.core.model.ServiceName
 import io.sequoiawheel.core.model.ZoneName
+import io.sequoiawheel.core.routing.PrefixIndex
 import io.sequoiawheel.core.routing.ReplicaView
 import io.sequoiawheel.experiment.ExperimentReport
 import io.sequoiawheel.experiment.simulation.DispatchPolicy
@@ -19,9 +20,14 @@
 import io.sequoiawheel.experiment.simulation.SimulatedRequest
 import io.sequoiawheel.experiment.simulation.SimulatedService
 
-/** Admission by predicted memory over fair queues. */
+/**
+ * Admission by predicted memory over fair queues.
+ *
+ * @param prefixes where prompt prefixes are probably cached, fed with heartbeats; null to ignore the caches
+ */
 class SequoiawheelPolicy(
     override val name: String = ExperimentReport.OWN_POLICY,
+    private val prefixes: PrefixIndex? = null,
 ) : DispatchPolicy {
     internal lateinit var service: SimulatedService
         private set
@@ -88,7 +94,7 @@
     /** Returns what the granting instance of [replica] answers to an entry instance. */
     internal fun viewOf(replica: SimulatedReplica): ReplicaView =
         ReplicaView(
-            replica = InstanceId(replica.index.toString()),
+            replica = idOf(replica),
             zone = ZoneName(replica.zone),
             freeTokens = memories[replica.index].freeTokens(service.loop.nowMillis),
             capacityTokens =
@@ -97,8 +103,29 @@
             freeRequests = memories[replica.index].freeRequests,
         )
 
+    /** Returns how many prompt tokens of [request] are probably cached at [replica]. */
+    internal fun cachedTokens(
+        request: SimulatedRequest,
+        replica: SimulatedReplica,
+    ): Long = prefixes?.cachedTokens(idOf(replica), request.arrival.request.promptBlocks) ?: 0
+
+    private fun idOf(replica: SimulatedReplica) = InstanceId(replica.index.toString())
+
+    private fun readCacheEvents(
+        replica: SimulatedReplica,
+        startId: String,
+    ) {
+        val index = prefixes ?: return
+        replica.cacheEvents(index.lastSequence(idOf(replica), startId)).forEach { event ->
+            index.apply(idOf(replica), startId, event.sequence, event.stored, event.evicted)
+        }
+    }
+
     private fun poll(replica: SimulatedReplica) {
-        replica.loadReport()?.let { memories[replica.index].report(it, service.loop.nowMillis) }
+        replica.loadReport()?.let {
+            memories[replica.index].report(it, service.loop.nowMillis)
+            readCacheEvents(replica, it.startId)
+        }
         reservedAt[replica.index].orEmpty().forEach {
             memories[replica.index].update(it.arrival.request.generation, forecast(it))
         }
--- a/experiment/src/main/kotlin/io/sequoiawheel/experiment/policy/SimulatedEntry.kt
+++ b/experiment/src/main/kotlin/io/sequoiawheel/experiment/policy/SimulatedEntry.kt
@@ -64,7 +64,7 @@
     ) {
         val candidates = service.eligibleReplicas().filter { it.index !in asked }
         if (candidates.isEmpty() || asked.size >= MAXIMUM_ASKED) return postpone(queued)
-        val replica = choose(candidates, queued.costTokens)
+        val replica = choose(candidates, queued)
         service.loop.schedule(service.topology.oneWayMillis) {
             val isReserved = policy.reserve(queued.item, replica)
             val view = policy.viewOf(replica)
@@ -77,23 +77,30 @@
 
     /**
      * Prefers, among replicas with room, few requests and much predicted free memory, because both lengthen the steps.
-     * The random part keeps entry instances with the same lagging views apart.
+     * The random part keeps entry instances with the same lagging views apart. A cached prefix is worth a bounded
+     * number of requests, so that it never outweighs memory pressure.
      */
     private fun choose(
         candidates: List<SimulatedReplica>,
-        costTokens: Long,
+        queued: QueuedRequest<SimulatedRequest>,
     ): SimulatedReplica {
         val fitting =
             candidates.filter {
                 val view = views.getValue(it.index)
-                view.freeRequests > 0 && view.freeTokens >= costTokens
+                view.freeRequests > 0 && view.freeTokens >= queued.costTokens
             }
         return fitting.ifEmpty { candidates }.maxBy {
             val view = views.getValue(it.index)
-            view.freeRequests + view.freeTokens / TOKENS_PER_REQUEST + service.random.nextDouble() * RANDOM_REQUESTS
+            val random = service.random.nextDouble() * RANDOM_REQUESTS
+            view.freeRequests + view.freeTokens / TOKENS_PER_REQUEST + prefixValue(queued.item, it) + random
         }
     }
 
+    private fun prefixValue(
+        request: SimulatedRequest,
+        replica: SimulatedReplica,
+    ): Double = minOf(policy.cachedTokens(request, replica) / CACHED_TOKENS_PER_REQUEST, MAXIMUM_PREFIX_REQUESTS)
+
     private fun take(
         queued: QueuedRequest<SimulatedRequest>,
         replica: SimulatedReplica,
@@ -135,6 +142,12 @@
         /** Tokens in memory that lengthen a step about as much as one more request in the batch. */
         const val TOKENS_PER_REQUEST = 8_000.0
 
+        /** Cached prompt tokens whose saved prefill weighs as much as one request less in the batch. */
+        const val CACHED_TOKENS_PER_REQUEST = 256.0
+
+        /** Upper bound of the worth of a cached prefix. */
+        const val MAXIMUM_PREFIX_REQUESTS = 8.0
+
         /** Range of the random part, in requests. */
         const val RANDOM_REQUESTS = 2.0
     }
--- a/experiment/src/main/kotlin/io/sequoiawheel/experiment/simulation/Measures.kt
+++ b/experiment/src/main/kotlin/io/sequoiawheel/experiment/simulation/Measures.kt
@@ -92,6 +92,14 @@
             "goodputTokensPerSecond" to goodTokens / windowMillis * MILLIS_PER_SECOND,
         )
 
+    /** Returns what broke a promise in a run without faults: every request must end, and none may be lost. */
+    fun violations(): List<String> =
+        buildList {
+            if (unfinished > 0) add("$unfinished requests got no final answer")
+            val failed = count(SimulatedRequest.State.FAILED)
+            if (failed > 0) add("$failed requests failed although no replica did")
+        }
+
     private fun groupOf(request: SimulatedRequest): Group =
         groups.getOrPut(
             request.arrival.workspace.value
