Keep refused resumes and cut answers truthful, and repair past a dead parent

Cause: a resume whose engine refused the connection was answered with a code that says `not run`, although the generation ran. The HTTP client takes a chunked answer that breaks off for a complete one, so a cut answer of a plain service could be handed on as whole. An accepted document spread only by the watch, and an instance whose tree parent is paused stayed on its old configuration.

--- a/core/src/main/kotlin/io/sequoiawheel/core/serving/GenerationRunner.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/serving/GenerationRunner.kt
@@ -81,7 +81,9 @@
         when (end) {
             null -> Failure(ResultCode.DEADLINE_AFTER_DISPATCH)
             GenerationStream.End.Complete -> null
-            is GenerationStream.End.Refused -> refusal(end.error)
+            // The generation ran; only this connection was refused.
+            is GenerationStream.End.Refused ->
+                Failure(ResultCode.RESUME_UNAVAILABLE, retryAfterMillis = RESUME_RETRY_MILLIS)
             else -> Failure(if (progressed) ResultCode.STREAM_INTERRUPTED else ResultCode.RESUME_UNAVAILABLE)
         }
 
@@ -252,4 +254,9 @@
         val failure: Failure,
         val isRetriable: Boolean,
     )
+
+    private companion object {
+        /** An engine whose link broke is usually back within this time. */
+        const val RESUME_RETRY_MILLIS = 1_000L
+    }
 }
--- a/core/src/test/kotlin/io/sequoiawheel/core/serving/GenerationRunnerTest.kt
+++ b/core/src/test/kotlin/io/sequoiawheel/core/serving/GenerationRunnerTest.kt
@@ -11,6 +11,7 @@
 import io.sequoiawheel.core.model.ResultCode
 import io.sequoiawheel.core.model.ServiceDocument
 import io.sequoiawheel.core.model.ServiceName
+import io.sequoiawheel.core.model.WorkState
 import io.sequoiawheel.core.model.WorkspaceName
 import io.sequoiawheel.core.model.ZoneName
 import kotlinx.coroutines.awaitCancellation
@@ -94,6 +95,23 @@
             assertEquals(1, engine.cancelled)
         }
 
+    /** Guards against answering `not run` for a generation that ran, because its engine refuses a connection (P5). */
+    @Test
+    fun `a refused resume never says that the generation did not run`() =
+        runTest {
+            val engine =
+                ScriptedEngine {
+                    _,
+                    _,
+                    _,
+                    ->
+                    throw DispatchException(DispatchException.Outcome.NOT_RUN, "down")
+                }
+            val outcome = runner(engine).resume(replicas[0], RequestId("r"), 3, document, RecordingSink())
+            assertEquals(ResultCode.RESUME_UNAVAILABLE, outcome.code)
+            assertTrue(outcome.code.work != WorkState.NOT_RUN)
+        }
+
     private fun TestScope.runner(engine: ScriptedEngine): GenerationRunner {
         val placement = FirstPlacement()
         val clock = Clock { currentTime }
--- a/daemon/src/main/kotlin/io/sequoiawheel/daemon/control/ComparisonController.kt
+++ b/daemon/src/main/kotlin/io/sequoiawheel/daemon/control/ComparisonController.kt
@@ -38,7 +38,7 @@
         while (true) {
             delay(INTERVAL_MILLIS + random.nextLong(JITTER_MILLIS))
             round++
-            tree.parent()?.let { compareWith(it, reports = true) }
+            compareInZone()
             if (tree.isWatcher && round % FOREIGN_ROUNDS == 0L) randomOf(tree.foreignPeers())?.let { compareWith(it) }
             if (tree.isRoot) reportZone()
         }
@@ -71,6 +71,13 @@
         return response.build()
     }
 
+    // A parent that is paused must not keep everything below it on an old configuration.
+    private suspend fun compareInZone() {
+        val parent = tree.parent()
+        if (parent != null && compareWith(parent, reports = true)) return
+        tree.repairPeers().filter { it.id != parent?.id }.firstOrNull { compareWith(it) }
+    }
+
     private suspend fun compareWith(
         peer: Instance,
         reports: Boolean = false,
--- a/daemon/src/main/kotlin/io/sequoiawheel/daemon/control/ControlPlane.kt
+++ b/daemon/src/main/kotlin/io/sequoiawheel/daemon/control/ControlPlane.kt
@@ -60,7 +60,10 @@
             clock = clock,
             random = random,
         )
-    private val leaseholder = LeaseholderPlane(self.id, objects, tree, clock)
+    private val leaseholder =
+        LeaseholderPlane(self.id, objects, tree, clock) { accepted ->
+            scope.launch { configuration.take(listOf(accepted)) }
+        }
     private val grants = GrantPlane(self, membership, configuration, calls, clock, scope, random, readLoad)
 
     /** Where requests get room. */
--- a/daemon/src/main/kotlin/io/sequoiawheel/daemon/control/LeaseholderPlane.kt
+++ b/daemon/src/main/kotlin/io/sequoiawheel/daemon/control/LeaseholderPlane.kt
@@ -1,6 +1,7 @@
 package io.sequoiawheel.daemon.control
 
 import io.sequoiawheel.core.claim.ClaimExpiry
+import io.sequoiawheel.core.configuration.AcceptedDocument
 import io.sequoiawheel.core.configuration.DocumentAcceptor
 import io.sequoiawheel.core.lease.Lease
 import io.sequoiawheel.core.lease.LeasePolicy
@@ -13,17 +14,20 @@
 /**
  * The duties that one instance of the deployment has at a time: accepting documents and deleting expired claims under
  * the lease `acceptor`, and orders to engines under the lease `orders`.
+ *
+ * @param onAccepted told of each acceptance at once, so that it spreads without waiting for a watch
  */
 internal class LeaseholderPlane(
     self: InstanceId,
     private val objects: ObjectApi,
     private val tree: ZoneTree,
     private val clock: Clock,
+    onAccepted: (AcceptedDocument) -> Unit,
 ) {
     private val policy = LeasePolicy()
     private val wallClock = Clock { System.currentTimeMillis() }
     private val acceptorLease = Lease(objects, "acceptor", self, clock, policy)
-    private val acceptor = DocumentAcceptor(objects, self, wallClock, acceptorLease::mayAct)
+    private val acceptor = DocumentAcceptor(objects, self, wallClock, acceptorLease::mayAct, onAccepted)
     private val expiry = ClaimExpiry(objects, wallClock)
 
     /** The lease under which orders are sent. */
--- a/daemon/src/main/kotlin/io/sequoiawheel/daemon/control/ZoneTree.kt
+++ b/daemon/src/main/kotlin/io/sequoiawheel/daemon/control/ZoneTree.kt
@@ -1,5 +1,6 @@
 package io.sequoiawheel.daemon.control
 
+import io.sequoiawheel.core.configuration.RepairPeers
 import io.sequoiawheel.core.membership.MembershipTable
 import io.sequoiawheel.core.membership.RelayTree
 import io.sequoiawheel.core.model.Instance
@@ -31,6 +32,10 @@
         return (tree.children(self) + listOfNotNull(root)).mapNotNull(::find)
     }
 
+    /** Whom to compare digests with if the parent does not answer, in this order. */
+    fun repairPeers(): List<Instance> =
+        RepairPeers.candidates(self, tree(), foreignPeers().map { it.id }.take(FOREIGN_REPAIR_PEERS)).mapNotNull(::find)
+
     /** Other live entry instances of the zone. */
     fun peers(): List<Instance> = membership.liveEntries(zone).filter { it.id != self }
 
@@ -43,4 +48,9 @@
     private fun tree() = RelayTree("zone/$zone", membership.liveEntries(zone).map { it.id })
 
     private fun find(id: InstanceId): Instance? = membership.listed().firstOrNull { it.id == id }
+
+    private companion object {
+        /** Instances of other zones that are asked when nobody of the zone answers. */
+        const val FOREIGN_REPAIR_PEERS = 2
+    }
 }
--- a/daemon/src/main/kotlin/io/sequoiawheel/daemon/gateway/HttpPlainGateway.kt
+++ b/daemon/src/main/kotlin/io/sequoiawheel/daemon/gateway/HttpPlainGateway.kt
@@ -8,6 +8,7 @@
 import io.ktor.http.ContentType
 import io.ktor.http.content.TextContent
 import io.ktor.http.encodeURLPathPart
+import io.ktor.http.isSuccess
 import io.sequoiawheel.core.model.Failure
 import io.sequoiawheel.core.model.Instance
 import io.sequoiawheel.core.model.LoadReport
@@ -16,6 +17,7 @@
 import io.sequoiawheel.core.serving.PlainAnswer
 import io.sequoiawheel.core.serving.PlainGateway
 import io.sequoiawheel.core.serving.PlainRequest
+import kotlinx.serialization.json.Json
 
 /** Plain services over HTTP. */
 class HttpPlainGateway(
@@ -37,11 +39,18 @@
             if (BackendClient.NOT_RUN_HEADER in response.headers) throw BackendClient.refusal(response, id)
             val body = response.bodyAsText()
             if (response.headers[BackendClient.REQUEST_HEADER] != id) throw mismatch()
+            if (response.status.isSuccess() && !isCompleteJson(body)) throw truncated()
             PlainAnswer(request.requestId, response.status.value, body)
         }
 
     override suspend fun load(replica: Instance): Either<Failure, LoadReport> = LoadReader.read(client, replica)
 
+    // The HTTP client takes a chunked body whose connection broke for a complete one.
+    private fun isCompleteJson(body: String): Boolean =
+        body.isEmpty() || Either.catch { Json.parseToJsonElement(body) }.isRight()
+
+    private fun truncated() = DispatchException(DispatchException.Outcome.UNKNOWN, "the answer is not complete JSON")
+
     private fun mismatch() =
         DispatchException(
             DispatchException.Outcome.UNKNOWN,
--- a/daemon/src/test/kotlin/io/sequoiawheel/daemon/CallPathTest.kt
+++ b/daemon/src/test/kotlin/io/sequoiawheel/daemon/CallPathTest.kt
@@ -88,6 +88,16 @@
             assertEquals(1, plain.runs.get())
         }
 
+    /** Guards against a cut answer that is handed on as the whole one (P4), or runs the call again (P6). */
+    @Test
+    fun `an answer that breaks off is never handed on as whole`() =
+        deployed {
+            plain.truncatesAnswers = true
+            val answer = pledge(0, "key-5")
+            assertTrue("\"work\":\"unknown\"" in answer, answer)
+            assertEquals(1, plain.runs.get())
+        }
+
     /** Guards against a key that stays claimed although the backend server proved that nothing ran. */
     @Test
     fun `a call that did not run can be sent again with its key`() =
--- a/daemon/src/test/kotlin/io/sequoiawheel/daemon/FakePlainService.kt
+++ b/daemon/src/test/kotlin/io/sequoiawheel/daemon/FakePlainService.kt
@@ -23,6 +23,10 @@
     @Volatile
     var crossesAnswers = false
 
+    /** Answers break off before their end and look complete to the HTTP client. */
+    @Volatile
+    var truncatesAnswers = false
+
     @Volatile
     var refuses = false
 
@@ -45,6 +49,7 @@
         val body = call.receiveText()
         delay(durationMillis)
         call.response.headers.append("X-Request-Id", if (crossesAnswers) "another" else id)
-        call.respondText("""{"echo":$body}""")
+        val answer = """{"echo":$body}"""
+        call.respondText(if (truncatesAnswers) answer.dropLast(3) else answer)
     }
 }
