Choose replicas by one rule in the daemon and in the experiments

Change: ReplicaChooser scores every replica with room by requests in the batch, free memory and a bounded prefix match, with a random part; the simulation uses it in place of its own copy. Names that were figurative are replaced: UpdateRelay, GrantLedgers, timeoutFactor, publishView.

The daemon still prefers its own zone, which the simulation does not.

--- a/core/src/main/kotlin/io/sequoiawheel/core/serving/GenerationStream.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/serving/GenerationStream.kt
@@ -35,7 +35,7 @@
     @Volatile
     private var waitingSince = CALLER_TURN
     private var progressMillis = clock.nowMillis()
-    private var patience = 1L
+    private var timeoutFactor = 1L
 
     /** Tokens of the generation that the sink took, including those before the first offset. */
     val tokens: Int get() = relay.nextOffset
@@ -84,14 +84,14 @@
 
     private fun silentEnd(offsetBefore: Int): End {
         val progressed = relay.nextOffset > offsetBefore
-        patience = if (progressed) 1 else (patience * 2).coerceAtMost(MAXIMUM_PATIENCE)
+        timeoutFactor = if (progressed) 1 else (timeoutFactor * 2).coerceAtMost(MAXIMUM_TIMEOUT_FACTOR)
         return End.Broken(progressed, silent = true)
     }
 
     /** Returns once the engine has been silent for the timeout. One timer runs per timeout, not per token. */
     private suspend fun awaitSilence() {
         while (true) {
-            val timeout = detector.timeoutMillis * patience
+            val timeout = detector.timeoutMillis * timeoutFactor
             val since = waitingSince
             val left = if (since == CALLER_TURN) timeout else since + timeout - clock.nowMillis()
             if (left <= 0) return
@@ -179,7 +179,7 @@
         const val RESUME_DELAY_MILLIS = 25L
 
         // An engine that preempted a generation is silent although the connection is sound.
-        const val MAXIMUM_PATIENCE = 8L
+        const val MAXIMUM_TIMEOUT_FACTOR = 8L
         const val CALLER_DELAY_MILLIS = 5L
     }
 }
--- a/daemon/src/main/kotlin/io/sequoiawheel/daemon/control/ControlPlane.kt
+++ b/daemon/src/main/kotlin/io/sequoiawheel/daemon/control/ControlPlane.kt
@@ -79,7 +79,7 @@
 
     /** Starts the controllers. */
     fun start() {
-        val relay = NewsRelay(self.id, calls, tree, scope)
+        val relay = UpdateRelay(self.id, calls, tree, scope)
         configuration.relay = { relay.send(it) }
         members.relay = { relay.send(it) }
         scope.launch { learn() }
--- a/daemon/src/main/kotlin/io/sequoiawheel/daemon/control/NewsRelay.kt
+++ b/daemon/src/main/kotlin/io/sequoiawheel/daemon/control/UpdateRelay.kt
@@ -7,8 +7,8 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.launch
 
-/** Sends news down the zone's tree. Each receiver is called on its own, so that a dead one delays nobody. */
-internal class NewsRelay(
+/** Sends updates down the zone's tree. Each receiver is called on its own, so that a dead one delays nobody. */
+internal class UpdateRelay(
     private val self: InstanceId,
     private val calls: PeerCalls,
     private val tree: ZoneTree,
--- a/daemon/src/main/kotlin/io/sequoiawheel/daemon/control/ZoneTree.kt
+++ b/daemon/src/main/kotlin/io/sequoiawheel/daemon/control/ZoneTree.kt
@@ -25,7 +25,7 @@
     /** The instance above this one, or null for the root. */
     fun parent(): Instance? = tree().parent(self)?.let(::find)
 
-    /** Where news goes: to the children, and from a watcher also to the root, which covers the rest of the zone. */
+    /** Where updates go: to the children, and from a watcher also to the root, which covers the rest of the zone. */
     fun receivers(): List<Instance> {
         val tree = tree()
         val root = tree.root?.takeIf { self in tree.watchers && it != self }
--- a/daemon/src/main/kotlin/io/sequoiawheel/daemon/placement/GrantHeartbeats.kt
+++ b/daemon/src/main/kotlin/io/sequoiawheel/daemon/placement/GrantHeartbeats.kt
@@ -19,7 +19,7 @@
 internal class GrantHeartbeats(
     private val self: Instance,
     private val membership: MembershipTable,
-    private val board: GrantBoard,
+    private val ledgers: GrantLedgers,
     private val rooms: GrantRooms,
     private val peers: GrantPeers,
     private val clock: Clock,
@@ -30,7 +30,7 @@
         while (true) {
             val replicas = replicas()
             rooms.retain(replicas.map { it.id }.toSet())
-            beat(replicas)
+            sendHeartbeats(replicas)
             val isSettled = replicas.all { rooms.client(it.id).granter(clock.nowMillis()) != null }
             delay(if (isSettled) INTERVAL_MILLIS else JOINING_MILLIS)
         }
@@ -52,13 +52,13 @@
         return replicas.filter { it.id in chosen }
     }
 
-    private suspend fun beat(replicas: List<Instance>) =
+    private suspend fun sendHeartbeats(replicas: List<Instance>) =
         coroutineScope {
             val now = clock.nowMillis()
             val byReceiver = HashMap<InstanceId, MutableMap<InstanceId, GrantHeartbeat>>()
             replicas.forEach { replica ->
                 val desired = GrantView.granting(membership, replica.zone, replica.id, now) ?: return@forEach
-                val inheritance = board.ledger(replica.id)?.inheritance(now)
+                val inheritance = ledgers.ledger(replica.id)?.inheritance(now)
                 val (receiver, heartbeat) = rooms.client(replica.id).nextHeartbeat(desired, now, inheritance)
                 byReceiver.getOrPut(receiver, ::HashMap)[replica.id] = heartbeat
             }
@@ -78,7 +78,7 @@
     private fun answerSelf(heartbeats: Map<InstanceId, GrantHeartbeat>): Map<InstanceId, GrantAnswer> =
         buildMap {
             heartbeats.forEach { (replica, heartbeat) ->
-                board.ledger(replica)?.let { put(replica, it.heartbeat(heartbeat, clock.nowMillis())) }
+                ledgers.ledger(replica)?.let { put(replica, it.heartbeat(heartbeat, clock.nowMillis())) }
             }
         }
 
--- a/daemon/src/main/kotlin/io/sequoiawheel/daemon/placement/GrantBoard.kt
+++ b/daemon/src/main/kotlin/io/sequoiawheel/daemon/placement/GrantLedgers.kt
@@ -23,7 +23,7 @@
  *
  * @param readLoad returns the load report of a replica, or null if it cannot be read
  */
-internal class GrantBoard(
+internal class GrantLedgers(
     private val self: Instance,
     private val membership: MembershipTable,
     private val documents: Documents,
--- a/daemon/src/main/kotlin/io/sequoiawheel/daemon/placement/GrantPlane.kt
+++ b/daemon/src/main/kotlin/io/sequoiawheel/daemon/placement/GrantPlane.kt
@@ -32,24 +32,24 @@
     random: UniformRandomProvider,
     readLoad: suspend (Instance, ServiceDocument) -> LoadReport?,
 ) {
-    private val board = GrantBoard(self, membership, documents, clock, readLoad)
+    private val ledgers = GrantLedgers(self, membership, documents, clock, readLoad)
     private val peers = GrantPeers(self, membership, calls)
-    private val rooms = GrantRooms(self, membership, board, peers, clock)
+    private val rooms = GrantRooms(self, membership, ledgers, peers, clock)
 
     /** The queues of this instance. */
     val placement = QueuedPlacement(self.zone, rooms, LengthEstimator(), ReplicaChooser(random), clock, scope)
     private val heartbeats =
-        GrantHeartbeats(self, membership, board, rooms, peers, clock, placement::signal)
+        GrantHeartbeats(self, membership, ledgers, rooms, peers, clock, placement::signal)
 
     fun start() {
-        scope.supervise("load") { board.run() }
+        scope.supervise("load") { ledgers.run() }
         scope.supervise("heartbeats") { heartbeats.run() }
         scope.supervise("releases") { peers.run() }
     }
 
     /** Answers a peer's request for room. */
     fun reserve(request: ReserveRequest): ReserveResponse {
-        val ledger = board.ledger(InstanceId(request.replica))
+        val ledger = ledgers.ledger(InstanceId(request.replica))
         val reservation = GrantMessages.fromMessage(request.reservation)
         val result = ledger?.reserve(InstanceId(request.instance), reservation, clock.nowMillis())
         return ReserveResponse
@@ -63,10 +63,10 @@
     fun release(request: ReleaseRequest) {
         val sender = InstanceId(request.instance)
         request.finishedList.forEach {
-            board.ledger(InstanceId(it.replica))?.release(sender, RequestId(it.requestId))
+            ledgers.ledger(InstanceId(it.replica))?.release(sender, RequestId(it.requestId))
         }
         request.firstTokensList.forEach {
-            board.ledger(InstanceId(it.replica))?.firstToken(it.millis.toLong(), clock.nowMillis())
+            ledgers.ledger(InstanceId(it.replica))?.firstToken(it.millis.toLong(), clock.nowMillis())
         }
         placement.signal()
     }
@@ -76,7 +76,7 @@
         val sender = InstanceId(request.instance)
         val response = HeartbeatResponse.newBuilder()
         request.replicasList.forEach { registration ->
-            val ledger = board.ledger(InstanceId(registration.replica)) ?: return@forEach
+            val ledger = ledgers.ledger(InstanceId(registration.replica)) ?: return@forEach
             val heartbeat = GrantMessages.fromMessage(sender, registration)
             response.addReplies(GrantMessages.toMessage(ledger.heartbeat(heartbeat, clock.nowMillis())))
         }
--- a/daemon/src/main/kotlin/io/sequoiawheel/daemon/placement/GrantRooms.kt
+++ b/daemon/src/main/kotlin/io/sequoiawheel/daemon/placement/GrantRooms.kt
@@ -19,7 +19,7 @@
 internal class GrantRooms(
     private val self: Instance,
     private val membership: MembershipTable,
-    private val board: GrantBoard,
+    private val ledgers: GrantLedgers,
     private val peers: GrantPeers,
     private val clock: Clock,
 ) : RoomSource {
@@ -82,7 +82,7 @@
     ): ReserveResult? {
         val granter = client.granter(clock.nowMillis()) ?: return null
         if (granter != self.id) return peers.reserve(granter, candidate.id, reservation)
-        return board.ledger(candidate.id)?.reserve(self.id, reservation, clock.nowMillis())
+        return ledgers.ledger(candidate.id)?.reserve(self.id, reservation, clock.nowMillis())
     }
 
     private fun fromCredit(
@@ -131,7 +131,7 @@
         override fun onFirstToken(elapsedMillis: Long) {
             val granter = client.granter(clock.nowMillis()) ?: return
             if (granter == self.id) {
-                board.ledger(replica.id)?.firstToken(elapsedMillis, clock.nowMillis())
+                ledgers.ledger(replica.id)?.firstToken(elapsedMillis, clock.nowMillis())
             } else {
                 peers.firstToken(granter, replica.id, elapsedMillis)
             }
@@ -145,7 +145,7 @@
             if (verdict == Placed.Verdict.FAILED) ejector.failed(replica.id, clock.nowMillis())
             val granter = client.finished(request) ?: return
             if (granter == self.id) {
-                board.ledger(replica.id)?.release(self.id, request)
+                ledgers.ledger(replica.id)?.release(self.id, request)
             } else {
                 peers.release(granter, replica.id, request, tokens)
             }
--- a/daemon/src/main/kotlin/io/sequoiawheel/daemon/placement/QueuedPlacement.kt
+++ b/daemon/src/main/kotlin/io/sequoiawheel/daemon/placement/QueuedPlacement.kt
@@ -61,7 +61,7 @@
         return PlacedRoom(granted, need, queue, clock.nowMillis() - arrived).right()
     }
 
-    /** Tells the queues that room may have become free somewhere. */
+    /** Notifies the queues that room may have become free somewhere. */
     fun signal() = queues.values.forEach { it.signal() }
 
     private fun needOf(
--- a/daemon/src/main/kotlin/io/sequoiawheel/daemon/placement/ServiceQueue.kt
+++ b/daemon/src/main/kotlin/io/sequoiawheel/daemon/placement/ServiceQueue.kt
@@ -60,7 +60,7 @@
         waiter.queued?.let(queue::remove)
     }
 
-    /** Tells the loop that room may have become free. */
+    /** Notifies the loop that room may have become free. */
     fun signal() {
         changes.trySend(Unit)
     }
--- a/experiment/src/main/kotlin/io/sequoiawheel/experiment/configuration/OperatorModel.kt
+++ b/experiment/src/main/kotlin/io/sequoiawheel/experiment/configuration/OperatorModel.kt
@@ -25,7 +25,7 @@
         number: Int,
     ) {
         val key = ObjectKey(ObjectKind.DOCUMENT, service.value)
-        val giveUpAt = clock.nowMillis() + PATIENCE_MILLIS
+        val giveUpAt = clock.nowMillis() + GIVE_UP_MILLIS
         while (clock.nowMillis() < giveUpAt) {
             val current = api.get(key)
             val code = current.leftOrNull()?.code
@@ -53,7 +53,7 @@
     )
 
     private companion object {
-        const val PATIENCE_MILLIS = 120_000L
+        const val GIVE_UP_MILLIS = 120_000L
         const val RETRY_MILLIS = 200L
     }
 }
--- a/experiment/src/main/kotlin/io/sequoiawheel/experiment/policy/SequoiawheelPolicy.kt
+++ b/experiment/src/main/kotlin/io/sequoiawheel/experiment/policy/SequoiawheelPolicy.kt
@@ -45,10 +45,10 @@
         entries = List(service.topology.entries) { SimulatedEntry(this, ZoneName(service.topology.zoneOf(it))) }
         service.replicas.forEach { replica ->
             poll(replica)
-            tellViews(replica)
+            publishView(replica)
             service.loop.repeat(HEARTBEAT_MILLIS, service.random.nextDouble() * HEARTBEAT_MILLIS) {
                 poll(replica)
-                service.loop.schedule(service.topology.oneWayMillis) { tellViews(replica) }
+                service.loop.schedule(service.topology.oneWayMillis) { publishView(replica) }
             }
         }
     }
@@ -131,7 +131,7 @@
         }
     }
 
-    private fun tellViews(replica: SimulatedReplica) {
+    private fun publishView(replica: SimulatedReplica) {
         val view = viewOf(replica)
         entries.forEach { it.views[replica.index] = view }
     }
--- a/experiment/src/main/kotlin/io/sequoiawheel/experiment/policy/SimulatedEntry.kt
+++ b/experiment/src/main/kotlin/io/sequoiawheel/experiment/policy/SimulatedEntry.kt
@@ -8,6 +8,8 @@
 import io.sequoiawheel.core.model.Failure
 import io.sequoiawheel.core.model.ResultCode
 import io.sequoiawheel.core.model.ZoneName
+import io.sequoiawheel.core.routing.Need
+import io.sequoiawheel.core.routing.ReplicaChooser
 import io.sequoiawheel.core.routing.ReplicaView
 import io.sequoiawheel.experiment.simulation.SimulatedReplica
 import io.sequoiawheel.experiment.simulation.SimulatedRequest
@@ -23,6 +25,7 @@
     val views = HashMap<Int, ReplicaView>()
 
     private val service = policy.service
+    private val chooser = ReplicaChooser(service.random, prefersLocalZone = false)
     private val costs = HashMap<SimulatedRequest, Long>()
     private var isPlacing = false
 
@@ -75,32 +78,20 @@
         }
     }
 
-    /**
-     * Prefers, among replicas with room, few requests and much predicted free memory, because both lengthen the steps.
-     * The random part keeps entry instances with the same lagging views apart. A cached prefix is worth a bounded
-     * number of requests, so that it never outweighs memory pressure.
-     */
     private fun choose(
         candidates: List<SimulatedReplica>,
         queued: QueuedRequest<SimulatedRequest>,
     ): SimulatedReplica {
-        val fitting =
-            candidates.filter {
-                val view = views.getValue(it.index)
-                view.freeRequests > 0 && view.freeTokens >= queued.costTokens
+        val prompt =
+            queued.item.arrival.request.promptTokens
+                .toLong()
+        val chosen =
+            chooser.choose(candidates.map { views.getValue(it.index) }, Need(zone, queued.costTokens, prompt)) { id ->
+                policy.cachedTokens(queued.item, service.replicas[id.value.toInt()])
             }
-        return fitting.ifEmpty { candidates }.maxBy {
-            val view = views.getValue(it.index)
-            val random = service.random.nextDouble() * RANDOM_REQUESTS
-            view.freeRequests + view.freeTokens / TOKENS_PER_REQUEST + prefixValue(queued.item, it) + random
-        }
+        return service.replicas[checkNotNull(chosen).replica.value.toInt()]
     }
 
-    private fun prefixValue(
-        request: SimulatedRequest,
-        replica: SimulatedReplica,
-    ): Double = minOf(policy.cachedTokens(request, replica) / CACHED_TOKENS_PER_REQUEST, MAXIMUM_PREFIX_REQUESTS)
-
     private fun take(
         queued: QueuedRequest<SimulatedRequest>,
         replica: SimulatedReplica,
@@ -138,17 +129,5 @@
 
         /** Queue charges use the median and are corrected by the actual length. */
         const val COST_QUANTILE = 0.5
-
-        /** Tokens in memory that lengthen a step about as much as one more request in the batch. */
-        const val TOKENS_PER_REQUEST = 8_000.0
-
-        /** Cached prompt tokens whose saved prefill weighs as much as one request less in the batch. */
-        const val CACHED_TOKENS_PER_REQUEST = 256.0
-
-        /** Upper bound of the worth of a cached prefix. */
-        const val MAXIMUM_PREFIX_REQUESTS = 8.0
-
-        /** Range of the random part, in requests. */
-        const val RANDOM_REQUESTS = 2.0
     }
 }
