Let the fairness experiment find starved workspaces

Cause: the experiment reported figures and no violations, so nothing in it could fail.

Change: a violation if requests of the system's own policy get no final answer, fail without a fault, or if small workspaces complete a smaller part of their requests than the flooding ones.

--- a/experiment/src/main/kotlin/io/sequoiawheel/experiment/FairnessExperiment.kt
+++ b/experiment/src/main/kotlin/io/sequoiawheel/experiment/FairnessExperiment.kt
@@ -51,9 +51,21 @@
             seed = options.seed,
             parameters = mapOf("load" to options.load * FLOOD_FACTOR, "capacityRequestsPerSecond" to capacity),
             policies = figures,
+            violations = figures.filterKeys { it.startsWith(ExperimentReport.OWN_POLICY) }.flatMap(::violations),
         )
     }
 
+    /** Small workspaces ask for less than their share, so the flood must not cost them a larger part than itself. */
+    private fun violations(run: Map.Entry<String, Map<String, Double>>): List<String> =
+        buildList {
+            val (policy, figures) = run
+            if (figures.getValue("unfinished") > 0) add("$policy: requests got no final answer")
+            if (figures.getValue("failed") > 0) add("$policy: requests failed although no replica did")
+            val small = figures.getValue("smallCompletedShare")
+            val large = figures.getValue("largeCompletedShare")
+            if (small < large) add("$policy: small workspaces completed $small of their requests, large ones $large")
+        }
+
     private fun workload(workspaces: Int): Workload {
         val small = workspaces - LARGE_WORKSPACES
         val largeTraffic =
