Remove code that later changes left unused

Cause: the join delay was replaced by leases, so nothing reads since when an instance has been listed; the figures of memory-pressure are taken from the measures since they are also checked for violations.

Change: MembershipTable.selfListedSinceMillis with its state, and the unused MemoryPressureExperiment.figures, are removed.

--- a/core/src/main/kotlin/io/sequoiawheel/core/membership/MembershipTable.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/membership/MembershipTable.kt
@@ -25,7 +25,6 @@
     private val seen = HashMap<InstanceId, Entry>()
     private val leaving = HashSet<InstanceId>()
     private val heardMillis = HashMap<InstanceId, Long>()
-    private var selfListedMillis: Long? = null
     private var confirmedMillis: Long? = null
 
     /**
@@ -106,10 +105,6 @@
         return known.mapTo(HashSet()) { it.instance.id } + own
     }
 
-    /** Returns since when this instance has been in the list without a break, or null if it is not in the list. */
-    @Synchronized
-    fun selfListedSinceMillis(): Long? = selfListedMillis
-
     /** Returns the age of the last confirmation of the list, or null if there was none. */
     @Synchronized
     fun viewAgeMillis(nowMillis: Long): Long? = confirmedMillis?.let { nowMillis - it }
@@ -142,7 +137,6 @@
         }
         seen.values.filter { it.instance.id !in present }.forEach { it.present = false }
         present.values.forEach { seen[it.id] = Entry(it, present = true, lastPresentMillis = nowMillis) }
-        selfListedMillis = if (self.id in present) selfListedMillis ?: nowMillis else null
     }
 
     private fun isHeld(
--- a/experiment/src/main/kotlin/io/sequoiawheel/experiment/MemoryPressureExperiment.kt
+++ b/experiment/src/main/kotlin/io/sequoiawheel/experiment/MemoryPressureExperiment.kt
@@ -35,11 +35,6 @@
         )
     }
 
-    internal fun figures(
-        policy: DispatchPolicy,
-        options: ExperimentOptions,
-    ): Map<String, Double> = measures(policy, options).figures()
-
     private fun measures(
         policy: DispatchPolicy,
         options: ExperimentOptions,
