Tell the other instances of the work at each replica, and save calls to the store

Change: instances send load reports by datagrams; addresses come from one listing at the start. Only the watch of the configuration keeps a short wait; when it fails, the others start anew.

--- a/relay/src/main/kotlin/io/sequoiawheel/relay/RelayDaemon.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/RelayDaemon.kt
@@ -10,9 +10,11 @@
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.sequoiawheel.core.model.Clock
 import io.sequoiawheel.core.model.ResultCode
+import io.sequoiawheel.core.relay.Endpoint
 import io.sequoiawheel.core.relay.Freshness
 import io.sequoiawheel.core.relay.InstanceSettings
 import io.sequoiawheel.core.relay.NotRunProof
+import io.sequoiawheel.core.relay.PeerLoads
 import io.sequoiawheel.core.relay.ReplicaDirectory
 import io.sequoiawheel.core.relay.ReplicaSelection
 import io.sequoiawheel.core.relay.RequestKind
@@ -23,6 +25,7 @@
 import io.sequoiawheel.relay.control.EvacuationController
 import io.sequoiawheel.relay.control.KindListener
 import io.sequoiawheel.relay.control.KindWatcher
+import io.sequoiawheel.relay.control.PeerController
 import io.sequoiawheel.relay.control.ReplicaController
 import io.sequoiawheel.relay.control.StoreClient
 import io.sequoiawheel.relay.filter.ConfigurationFilter
@@ -72,6 +75,7 @@
     private val freshness =
         Freshness(monotonic, wall, (settings.bounds.revokeMillis * FRESH_SHARE).toLong())
     private val directory = ReplicaDirectory(monotonic)
+    private val peerLoads = PeerLoads(monotonic)
     private val pool = BackendPool(connector)
     private val configuration = ConfigurationController(store, freshness, scope, log)
     private val replicas = ReplicaController(directory, log)
@@ -86,7 +90,18 @@
             metrics,
             random,
             settings.bounds,
-            instanceCount = { ASSUMED_INSTANCES },
+            instanceCount = { peerLoads.instanceCount },
+        )
+    private val peers =
+        PeerController(
+            settings.name,
+            Endpoint(settings.host, settings.peerPorts.first),
+            directory,
+            peerLoads,
+            store,
+            monotonic,
+            random,
+            log,
         )
     private val calls = CallRelay(context)
     private val generations = GenerationRelay(context)
@@ -114,11 +129,21 @@
                 "started",
                 mapOf("instance" to settings.name, "zone" to settings.zone.value, "store" to settings.store.toString()),
             )
-            follow(StoreKind.CONFIGURATION, CONFIGURATION_WAIT_MILLIS, configuration)
-            follow(StoreKind.REPLICAS, REPLICA_WAIT_MILLIS, replicas)
-            follow(StoreKind.EVACUATIONS, EVACUATION_WAIT_MILLIS, evacuations)
+            val others =
+                listOf(
+                    watcher(StoreKind.REPLICAS, LONG_WAIT_MILLIS, replicas) {},
+                    watcher(StoreKind.EVACUATIONS, LONG_WAIT_MILLIS, evacuations) {},
+                )
+            val guard =
+                watcher(StoreKind.CONFIGURATION, CONFIGURATION_WAIT_MILLIS, configuration) {
+                    others.forEach(KindWatcher::interrupt)
+                }
+            (others + guard).forEach { scope.launch { it.run() } }
             server.start(settings.callers, MAXIMUM_HEADER_BYTES)
             StatusServer(eventLoop, ::status).start(settings.readiness)
+            peers.start(eventLoop)
+            scope.launch { peers.introduce() }
+            scope.launch { peers.report() }
             scope.launch { sweep() }
             Unit
         }
@@ -136,6 +161,7 @@
         withContext(scope.coroutineContext) {
             leavingSinceMillis = monotonic.nowMillis()
             log.lifecycle("leaving", mapOf("inProgress" to inProgress))
+            scope.launch { peers.leave() }
             val graceMillis = graceMillis()
             val leavingSince = monotonic.nowMillis()
             while (monotonic.nowMillis() - leavingSince < graceMillis) {
@@ -153,13 +179,12 @@
         group.shutdownGracefully()
     }
 
-    private fun follow(
+    private fun watcher(
         kind: StoreKind,
         waitMillis: Long,
         listener: KindListener,
-    ) {
-        scope.launch { KindWatcher(store, kind, waitMillis, listener, freshness, random, log).run() }
-    }
+        onFailure: () -> Unit,
+    ) = KindWatcher(store, kind, waitMillis, listener, freshness, random, log, onFailure)
 
     private suspend fun relay(exchange: Exchange) {
         val route = checkNotNull(exchange.route)
@@ -242,16 +267,13 @@
         const val READY_SHARE = 0.6
 
         /** Each response to a watch proves the configuration anew, well within the share for readiness. */
-        const val CONFIGURATION_WAIT_MILLIS = 2_000L
-
-        /** Finds a silent connection within the bound for leaving replicas. */
-        const val REPLICA_WAIT_MILLIS = 2_000L
-
-        /** Finds a silent connection within the bound for evacuated zones. */
-        const val EVACUATION_WAIT_MILLIS = 2_500L
+        const val CONFIGURATION_WAIT_MILLIS = 2_400L
 
-        /** Instances assumed until they know of each other. */
-        const val ASSUMED_INSTANCES = 10
+        /**
+         * Changes end a wait at once, so longer waits only save calls. A lost path to the store is found by the watch
+         * of the configuration, a silent connection by keep-alive probes.
+         */
+        const val LONG_WAIT_MILLIS = 20_000L
 
         /** Decoders are set up before the first configuration names its limit. */
         const val MAXIMUM_HEADER_BYTES = 16_384
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/control/KindWatcher.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/control/KindWatcher.kt
@@ -1,13 +1,21 @@
 package io.sequoiawheel.relay.control
 
+import arrow.core.Either
+import arrow.core.left
 import io.sequoiawheel.core.relay.Freshness
 import io.sequoiawheel.core.relay.Instant
 import io.sequoiawheel.core.routing.Backoff
+import io.sequoiawheel.platform.StoreChanges
 import io.sequoiawheel.platform.StoreEvent
 import io.sequoiawheel.platform.StoreKind
 import io.sequoiawheel.platform.StoreObject
 import io.sequoiawheel.relay.internal.DecisionLog
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.Deferred
+import kotlinx.coroutines.async
+import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.ensureActive
 import org.apache.commons.rng.UniformRandomProvider
 
 /** What a watcher tells the controller of a kind. */
@@ -30,6 +38,8 @@
 /**
  * Follows one kind of the store: lists it, then watches it from the listing's revision on. A watch that fails is
  * repeated from where it was; only a lost history makes it list again. Confined to the event loop.
+ *
+ * @param onFailure called at each failed call; a watcher with short waits finds a lost path for those with long ones
  */
 internal class KindWatcher(
     private val store: StoreClient,
@@ -39,10 +49,12 @@
     private val freshness: Freshness,
     private val random: UniformRandomProvider,
     private val log: DecisionLog,
+    private val onFailure: () -> Unit = {},
 ) {
     private val backoff = Backoff(FIRST_BACKOFF_MILLIS, LAST_BACKOFF_MILLIS)
     private var failures = 0
     private var outageEndedMillis: Long? = null
+    private var waiting: Deferred<Either<StoreFailure, StoreChanges>>? = null
 
     /** Follows the kind until cancelled. */
     suspend fun run() {
@@ -60,13 +72,18 @@
         }
     }
 
+    /** Ends a watch that waits, and starts it anew on another connection. */
+    fun interrupt() {
+        waiting?.cancel()
+    }
+
     /** Watches until the history is lost. */
     private suspend fun watchFrom(start: Long) {
         var revision = start
         while (true) {
             val asOf = freshness.now()
             val changes =
-                store.watch(kind, revision, waitMillis).fold({ failure ->
+                watch(revision).fold({ failure ->
                     if (failure is StoreFailure.HistoryGone) {
                         log.belief("store history lost", mapOf("kind" to kind.name, "revision" to revision))
                         return
@@ -85,6 +102,18 @@
         }
     }
 
+    private suspend fun watch(revision: Long): Either<StoreFailure, StoreChanges> =
+        coroutineScope {
+            val call = async { store.watch(kind, revision, waitMillis) }
+            waiting = call
+            try {
+                call.await()
+            } catch (interrupted: CancellationException) {
+                ensureActive()
+                StoreFailure.Unavailable("interrupted").left()
+            }
+        }
+
     private fun Instant.plus(millis: Long): Instant {
         // Without events the store answers at the end of the wait, so nothing had changed until then.
         val now = freshness.now()
@@ -95,6 +124,7 @@
     }
 
     private fun failed(failure: StoreFailure) {
+        onFailure()
         if (failures++ == 0) {
             log.dependency("store lost", mapOf("kind" to kind.name, "detail" to failure.detail))
         }
