Prefer the own zone for urgent copies, copy twice, and log copies

Streams that this instance cut were logged as callers that left.

Change: urgent copies stay in the source's zone unless memory is much freer elsewhere; a second copy takes over what the run made meanwhile, since tokens read anew are priced; backups may use 85% of the memory that is planned for.

--- a/core/src/main/kotlin/io/sequoiawheel/core/relay/ReplicaSelection.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/ReplicaSelection.kt
@@ -36,24 +36,30 @@
     /**
      * Returns the replica that keeps a copy of a generation of [demand], or null if none can without crowding out
      * generations.
+     *
+     * @param sourceZone where the generation runs
+     * @param isUrgent whether the generation's replica is leaving, so that the time of the copy decides
      */
     fun forCopy(
         candidates: List<Replica>,
         demand: GenerationDemand,
         engine: EngineProfile,
         sourceZone: ZoneName,
+        isUrgent: Boolean,
     ): Replica? =
         candidates
             .filter { it.isReachable && !it.isCold }
             .filter { it.load.totalTokens + demand.tokens <= engine.memoryTokens * COPY_MEMORY_SHARE }
-            .minByOrNull { copyCost(it, engine, sourceZone) }
+            .minByOrNull { copyCost(it, engine, sourceZone, isUrgent) }
 
     private fun copyCost(
         replica: Replica,
         engine: EngineProfile,
         sourceZone: ZoneName,
+        isUrgent: Boolean,
     ): Double {
-        val zonePenalty = if (replica.entry.zone == sourceZone) 0.0 else COPY_ZONE_COST_SHARE
+        val otherZoneCost = if (isUrgent) URGENT_ZONE_COST_SHARE else COPY_ZONE_COST_SHARE
+        val zonePenalty = if (replica.entry.zone == sourceZone) 0.0 else otherZoneCost
         return replica.load.totalTokens.toDouble() / engine.memoryTokens + zonePenalty + jitter() * JITTER_SHARE
     }
 
@@ -119,11 +125,14 @@
         /** Makes any replica with room cheaper than one without. */
         const val OVERFULL_COST_FACTOR = 4.0
 
-        /** Copies must leave this much memory to generations. */
-        const val COPY_MEMORY_SHARE = 0.75
+        /** Copies must leave the rest of the memory to generations that start. */
+        const val COPY_MEMORY_SHARE = 0.85
 
-        /** Copies between zones take twice as long. */
-        const val COPY_ZONE_COST_SHARE = 0.15
+        /** Copies between zones load the links for twice as long. */
+        const val COPY_ZONE_COST_SHARE = 0.1
+
+        /** An urgent copy between zones may not end in time, so memory elsewhere must be much freer. */
+        const val URGENT_ZONE_COST_SHARE = 0.5
 
         /** Breaks ties between instances that see the same loads. */
         const val JITTER_SHARE = 0.03
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/filter/OutcomeFilter.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/filter/OutcomeFilter.kt
@@ -19,7 +19,8 @@
         try {
             next(exchange)
         } catch (left: CancellationException) {
-            exchange.result = ResultCode.CANCELLED
+            // Cutting a response closes the connection, which looks like a caller that left.
+            if (exchange.result == null) exchange.result = ResultCode.CANCELLED
             throw left
         } catch (failure: Exception) {
             exchange.fail(ResultCode.INTERNAL_ERROR, "unexpected failure: $failure")
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/RunCopier.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/RunCopier.kt
@@ -53,7 +53,7 @@
     ): Replica? {
         val engine = service.engine?.takeIf { it.backsUpRuns } ?: return null
         val candidates = context.candidates(service, excluded + source)
-        return context.selection.forCopy(candidates, demand, engine, source.entry.zone)
+        return context.selection.forCopy(candidates, demand, engine, source.entry.zone, isUrgent = false)
     }
 
     /** Returns the copy that [backup] keeps of the run of [requestId]. */
@@ -78,15 +78,44 @@
         repeat(COPY_ATTEMPTS) {
             val candidates = context.candidates(service, excluded + source)
             val destination =
-                context.selection.forCopy(candidates, demand, engine, source.entry.zone)
+                context.selection.forCopy(candidates, demand, engine, source.entry.zone, isUrgent = true)
                     ?: context.selection.forGeneration(candidates, demand, engine)
-            if (destination != null) result = copy(requestId, source, destination)
+            if (destination != null) result = copyTwice(requestId, source, destination)
             if (result is CopyResult.Copied) return result
             delay(COPY_PAUSE_MILLIS)
         }
         return result
     }
 
+    /**
+     * Copies a run, and once more what it made meanwhile if the first copy took long, so that little is read anew. The
+     * second copy is left out when the source may be gone before it ends.
+     */
+    private suspend fun copyTwice(
+        requestId: String,
+        source: Replica,
+        destination: Replica,
+    ): CopyResult {
+        val startedMillis = context.clock.nowMillis()
+        val first = copy(requestId, source, destination)
+        val firstMillis = context.clock.nowMillis() - startedMillis
+        context.log.request(
+            "run copied",
+            mapOf(
+                "request" to requestId,
+                "source" to source.toString(),
+                "destination" to destination.toString(),
+                "milliseconds" to firstMillis,
+                "outcome" to first.javaClass.simpleName,
+            ),
+        )
+        val noticeMillis = source.leavingSinceMillis?.let { context.clock.nowMillis() - it } ?: 0
+        val isWorthwhile = firstMillis > SECOND_COPY_FROM_MILLIS && noticeMillis < SECOND_COPY_UNTIL_MILLIS
+        if (first !is CopyResult.Copied || !isWorthwhile) return first
+        val second = withTimeoutOrNull(SECOND_COPY_LIMIT_MILLIS) { copy(requestId, source, destination) }
+        return second as? CopyResult.Copied ?: first
+    }
+
     /** Copies the run of [requestId] from [source] to [destination] while it goes on. */
     private suspend fun copy(
         requestId: String,
@@ -157,6 +186,15 @@
         /** A leaving replica is gone about two seconds after its notice. */
         const val COPY_TIMEOUT_MILLIS = 2_500L
 
+        /** A run makes about eight tokens in this time, which is cheaper to read anew than to copy. */
+        const val SECOND_COPY_FROM_MILLIS = 60L
+
+        /** A replica is gone 1.5 s after its notice at the earliest. */
+        const val SECOND_COPY_UNTIL_MILLIS = 1_200L
+
+        /** Copying a second's tokens takes 20 ms on a free link. */
+        const val SECOND_COPY_LIMIT_MILLIS = 150L
+
         /** Attempts to copy a run, as often as fits into the time that a leaving replica has. */
         const val COPY_ATTEMPTS = 12
         const val COPY_PAUSE_MILLIS = 120L
