Place generations by the prompts that replicas have yet to read

Change: each instance counts the prompts that replicas have not begun to answer, reports them to the others, and weighs them in placement.

--- a/core/src/main/kotlin/io/sequoiawheel/core/relay/PeerLoads.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/PeerLoads.kt
@@ -14,6 +14,7 @@
 data class PeerWork(
     @SerialName("r") val running: Int,
     @SerialName("t") val tokens: Long,
+    @SerialName("p") val promptTokens: Long = 0,
 )
 
 /**
@@ -80,6 +81,7 @@
             val work = fresh.mapNotNull { it.report.work[replica.entry.id.value] }
             replica.load.remoteRunning = work.sumOf { it.running }
             replica.load.remoteTokens = work.sumOf { it.tokens }
+            replica.load.remotePromptTokens = work.sumOf { it.promptTokens }
         }
     }
 
@@ -90,7 +92,7 @@
         fun work(replicas: Collection<Replica>): Map<InstanceId, PeerWork> =
             replicas
                 .filter { it.load.running > 0 || it.load.tokens > 0 }
-                .associate { it.entry.id to PeerWork(it.load.running, it.load.tokens) }
+                .associate { it.entry.id to PeerWork(it.load.running, it.load.tokens, it.load.promptTokens) }
 
         /** Three lost reports in a row mean that the sender is gone or cut off. */
         private const val REPORT_LIFE_MILLIS = 3_500L
--- a/core/src/main/kotlin/io/sequoiawheel/core/relay/ReplicaLoad.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/ReplicaLoad.kt
@@ -21,12 +21,19 @@
     var tokens = 0L
         private set
 
+    /** Prompts of this instance's generations that have not begun, in tokens. */
+    var promptTokens = 0L
+        private set
+
     /** Requests of the other instances in progress. */
     var remoteRunning = 0
 
     /** Memory of the other instances' generations, in tokens. */
     var remoteTokens = 0L
 
+    /** Prompts of the other instances' generations that have not begun, in tokens. */
+    var remotePromptTokens = 0L
+
     /** Smoothed share of responses that failed, from 0 to 1. */
     var failureShare = 0.0
         private set
@@ -40,6 +47,7 @@
 
     val totalRunning: Int get() = running + remoteRunning
     val totalTokens: Long get() = tokens + remoteTokens
+    val totalPromptTokens: Long get() = promptTokens + remotePromptTokens
 
     /** Adds a request that will hold [tokens] of memory. */
     fun begin(tokens: Long) {
@@ -53,6 +61,16 @@
         this.tokens -= tokens
     }
 
+    /** Adds a prompt of [tokens] that the replica has to read before it generates. */
+    fun beginPrompt(tokens: Long) {
+        promptTokens += tokens
+    }
+
+    /** Ends a prompt begun with the same [tokens], when its generation began or was given up. */
+    fun endPrompt(tokens: Long) {
+        promptTokens -= tokens
+    }
+
     /** Reserves memory for a copy of a generation that runs elsewhere. */
     fun reserve(tokens: Long) {
         this.tokens += tokens
--- a/core/src/main/kotlin/io/sequoiawheel/core/relay/ReplicaSelection.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/ReplicaSelection.kt
@@ -85,7 +85,8 @@
         val overfull = maxOf(0.0, memory - FULL_MEMORY_SHARE) * OVERFULL_COST_FACTOR
         val zonePenalty = if (replica.entry.zone == ownZone) 0.0 else ZONE_COST_SHARE
         val coldPenalty = if (replica.isCold) COLD_COST_SHARE else 0.0
-        return memory + overfull + load.totalRunning * RUN_COST_SHARE + load.failureShare +
+        val reading = load.totalPromptTokens.toDouble() / PROMPT_TOKENS_PER_COST
+        return memory + overfull + reading + load.totalRunning * RUN_COST_SHARE + load.failureShare +
             zonePenalty + coldPenalty + jitter() * JITTER_SHARE
     }
 
@@ -119,6 +120,12 @@
         /** Cold replicas are used when the others are a quarter fuller. */
         const val COLD_COST_SHARE = 0.25
 
+        /**
+         * Prompt tokens ahead that weigh as much as all of a replica's memory: a replica that also generates reads
+         * about that many in the objective for the first event.
+         */
+        const val PROMPT_TOKENS_PER_COST = 12_000.0
+
         /** Memory beyond this share is likely to preempt generations that outgrow their estimate. */
         const val FULL_MEMORY_SHARE = 0.85
 
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/control/PeerController.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/control/PeerController.kt
@@ -98,9 +98,11 @@
         store.delete(StoreKind.ENTRY_INSTANCES, instance)
     }
 
-    private fun hasGenerationsChanged(work: Map<InstanceId, PeerWork>): Boolean =
-        work.mapValues { it.value.tokens }.filterValues { it > 0 } !=
-            lastWork.mapValues { it.value.tokens }.filterValues { it > 0 }
+    private fun hasGenerationsChanged(work: Map<InstanceId, PeerWork>): Boolean = memory(work) != memory(lastWork)
+
+    /** Returns what generations hold and wait for; plain calls come and go too fast to be worth a report. */
+    private fun memory(work: Map<InstanceId, PeerWork>): Map<InstanceId, Pair<Long, Long>> =
+        work.mapValues { it.value.tokens to it.value.promptTokens }.filterValues { it.first > 0 }
 
     private fun send(
         work: Map<InstanceId, PeerWork>,
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationAttempt.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationAttempt.kt
@@ -93,6 +93,9 @@
     private var connection: BackendConnection? = null
     private var isComplete = false
 
+    /** Whether the replica has yet to read the prompt; a run that goes on from a copy reads little. */
+    private var readsPrompt = Headers.CONTINUE_FROM !in headers
+
     /** Whether the replica's stream has begun. */
     var hasBegun = false
         private set
@@ -103,6 +106,7 @@
 
     fun start(scope: CoroutineScope) {
         replica.load.begin(demand.tokens)
+        if (readsPrompt) replica.load.beginPrompt(demand.promptTokens.toLong())
         backup?.load?.reserve(demand.tokens)
         job =
             scope.launch {
@@ -133,7 +137,13 @@
         connection?.takeIf { !isComplete }?.abort()
     }
 
+    private fun endPrompt() {
+        if (readsPrompt) replica.load.endPrompt(demand.promptTokens.toLong())
+        readsPrompt = false
+    }
+
     private fun free() {
+        endPrompt()
         replica.load.end(demand.tokens)
         backup?.load?.free(demand.tokens)
         connection?.let { if (isComplete) context.pool.release(replica, it) else it.abort() }
@@ -168,6 +178,7 @@
         }
         if (!head.headers().contains(Headers.SIGNATURE)) throw IOException("a success without a signature")
         hasBegun = true
+        endPrompt()
         lastEventMillis = context.clock.nowMillis()
         signals.trySend(GenerationSignal.Began(this, head))
         relayEvents(opened)
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationRun.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationRun.kt
@@ -39,6 +39,7 @@
             exchange.request.headers.get(Headers.TOKENS),
             exchange.request.headers.get(Headers.OUTPUT_ESTIMATE),
         )
+    private val pauses = DeliveryPauses(context.clock, exchange.request.receivedAtMillis)
     private val delivery =
         Delivery(
             exchange.request.headers
@@ -77,6 +78,7 @@
         }
         exchange.notes["moves"] = moves.takeIf { it > 0 }
         exchange.notes["events"] = delivery.delivered
+        exchange.notes += pauses.notes()
         exchange.notes["replica"] = current?.replica.toString()
     }
 
@@ -158,7 +160,11 @@
 
     private suspend fun deliver(signal: GenerationSignal.Event) {
         when (delivery.decide(signal.event.id)) {
-            DeliveryDecision.DELIVER -> exchange.response.write(signal.event.bytes)
+            DeliveryDecision.DELIVER -> {
+                pauses.delivered(signal.event.id)
+                exchange.response.write(signal.event.bytes)
+            }
+
             DeliveryDecision.SKIP -> Unit
             DeliveryDecision.GAP -> {
                 end(ResultCode.STREAM_INTERRUPTED, "event ${signal.event.id} follows ${delivery.lastId}")
