Keep generations and calls in the instance's own zone, and their backups where a cut does not reach

Change: memory must be a quarter freer elsewhere to leave the zone; backups prefer the zone of the entry instance; a replica that cannot be reached is avoided for longer each time.

--- a/core/src/main/kotlin/io/sequoiawheel/core/relay/Replica.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/Replica.kt
@@ -34,13 +34,21 @@
     val isLeaving: Boolean get() = departure.isCompleted
 
     private var unreachableUntilMillis = Long.MIN_VALUE
+    private var failedConnects = 0
 
     /** Whether the last attempt to connect did not fail just now. */
     val isReachable: Boolean get() = clock.nowMillis() >= unreachableUntilMillis
 
-    /** Avoids the replica for a moment after a failed attempt to connect. */
+    /** Avoids the replica after a failed attempt to connect, for longer with each failure in a row. */
     fun unreachable() {
-        unreachableUntilMillis = clock.nowMillis() + UNREACHABLE_MILLIS
+        val factor = 1L shl failedConnects.coerceAtMost(MAXIMUM_DOUBLINGS)
+        unreachableUntilMillis = clock.nowMillis() + UNREACHABLE_MILLIS * factor
+        failedConnects++
+    }
+
+    /** Notes that the replica answered. */
+    fun reached() {
+        failedConnects = 0
     }
 
     private var coldUntilMillis = seenAtMillis + entry.coldForMillis
@@ -71,5 +79,8 @@
     private companion object {
         /** About the time in which a crashed replica's entry lapses or its process starts again, in steps. */
         const val UNREACHABLE_MILLIS = 800L
+
+        /** After four failures a replica is tried about every six seconds, about as long as cuts last. */
+        const val MAXIMUM_DOUBLINGS = 3
     }
 }
--- a/core/src/main/kotlin/io/sequoiawheel/core/relay/ReplicaSelection.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/ReplicaSelection.kt
@@ -38,7 +38,8 @@
      * generations.
      *
      * @param sourceZone where the generation runs
-     * @param isUrgent whether the generation's replica is leaving, so that the time of the copy decides
+     * @param isUrgent whether the generation's replica is leaving, so that the time of the copy decides; otherwise the
+     *   copy is best kept where this instance reaches it through a cut between zones
      */
     fun forCopy(
         candidates: List<Replica>,
@@ -58,8 +59,8 @@
         sourceZone: ZoneName,
         isUrgent: Boolean,
     ): Double {
-        val otherZoneCost = if (isUrgent) URGENT_ZONE_COST_SHARE else COPY_ZONE_COST_SHARE
-        val zonePenalty = if (replica.entry.zone == sourceZone) 0.0 else otherZoneCost
+        val nearZone = if (isUrgent) sourceZone else ownZone
+        val zonePenalty = if (replica.entry.zone == nearZone) 0.0 else COPY_ZONE_COST_SHARE
         return replica.load.totalTokens.toDouble() / engine.memoryTokens + zonePenalty + jitter() * JITTER_SHARE
     }
 
@@ -105,14 +106,14 @@
         /** What a failed call costs a caller, as time. */
         const val FAILURE_COST_MILLIS = 400.0
 
-        /** A round trip between availability zones, doubled for the bytes that cross. */
-        const val ZONE_COST_MILLIS = 4.0
+        /** Half a usual response time: calls in the own zone are not lost when zones are cut off from each other. */
+        const val ZONE_COST_MILLIS = 25.0
 
         /** What starting at a cold replica costs, as time. */
         const val COLD_COST_MILLIS = 30.0
 
-        /** Share of a replica's memory that must be freer elsewhere to leave the zone. */
-        const val ZONE_COST_SHARE = 0.05
+        /** Share of a replica's memory that must be freer elsewhere to risk a cut between zones. */
+        const val ZONE_COST_SHARE = 0.25
 
         /** A run slows its neighbours by under 2% a step, and its prompt delays them. */
         const val RUN_COST_SHARE = 0.01
@@ -135,11 +136,11 @@
         /** Copies must leave the rest of the memory to generations that start. */
         const val COPY_MEMORY_SHARE = 0.85
 
-        /** Copies between zones load the links for twice as long. */
-        const val COPY_ZONE_COST_SHARE = 0.1
-
-        /** An urgent copy between zones may not end in time, so memory elsewhere must be much freer. */
-        const val URGENT_ZONE_COST_SHARE = 0.5
+        /**
+         * A backup in the instance's own zone outlives a cut between zones, and an urgent copy between zones may not
+         * end in time, so memory elsewhere must be much freer.
+         */
+        const val COPY_ZONE_COST_SHARE = 0.5
 
         /** Breaks ties between instances that see the same loads. */
         const val JITTER_SHARE = 0.03
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/BackendRequests.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/BackendRequests.kt
@@ -53,6 +53,7 @@
         replica: Replica,
         head: HttpResponse,
     ) {
+        replica.reached()
         val load =
             head
                 .headers()
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationRun.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationRun.kt
@@ -225,6 +225,7 @@
         if (!attempt.hasBegun) runs++
         current = null
         exchange.notes["lostReplica"] = signal.detail
+        exchange.notes["backup"] = attempt.backup?.toString() ?: "none"
         if (successor != null) return
         if (!continueFromBackup(attempt)) recover(signal.detail)
     }
