--- a/cli/src/main/kotlin/io/sequoiawheel/cli/RootCommand.kt
+++ b/cli/src/main/kotlin/io/sequoiawheel/cli/RootCommand.kt
@@ -27,6 +27,7 @@
         CodesCommand::class,
         CompletionCommand::class,
         DaemonCommand::class,
+        RelayCommand::class,
         DemoCommand::class,
         DocumentCommand::class,
         ExperimentCommand::class,
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/RelayDaemon.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/RelayDaemon.kt
@@ -61,6 +61,7 @@
 
 class RelayDaemon(
     private var settings: InstanceSettings,
+    private val metricsPort: Int? = null,
     private val monotonic: Clock = Clock { System.nanoTime() / NANOS_PER_MILLI },
     wall: Clock = Clock { System.currentTimeMillis() },
 ) {
@@ -152,7 +153,10 @@
                 }
             (others + guard).forEach { scope.launch { it.run() } }
             callerPort = server.start(settings.callers, MAXIMUM_HEADER_BYTES)
-            StatusServer(eventLoop, ::status).start(settings.readiness)
+            val statusServer = StatusServer(eventLoop, ::status)
+            statusServer.start(settings.readiness)
+            metricsPort?.let { statusServer.start(Endpoint(settings.host, it)) }
+            publishGauges()
             peers.start(eventLoop)
             scope.launch { peers.introduce() }
             scope.launch { peers.report() }
@@ -168,6 +172,11 @@
         }
     }
 
+    /** Records that changed settings could not be read and the ones in force stay. */
+    fun keepSettings(detail: String?) {
+        eventLoop.execute { log.lifecycle("settings unreadable, kept", mapOf("detail" to detail)) }
+    }
+
     /** Stops taking new callers, and returns when the requests in progress have ended or the grace is over. */
     suspend fun leave() =
         withContext(scope.coroutineContext) {
@@ -226,6 +235,15 @@
 
     private fun graceMillis(): Long = (settings.bounds.graceSeconds * MILLIS_PER_SECOND).toLong() - GRACE_MARGIN_MILLIS
 
+    private fun publishGauges() {
+        metrics.gauge("requests.in.progress") { inProgress }
+        metrics.gauge("store.calls") { store.calls }
+        metrics.gauge("connections.opened") { pool.opened }
+        metrics.gauge("configuration.version") { configuration.current?.version ?: 0 }
+        metrics.gauge("configuration.age.milliseconds") { freshness.ageMillis() }
+        metrics.gauge("instances.known") { peerLoads.instanceCount }
+    }
+
     private suspend fun sweep() {
         while (true) {
             delay(SWEEP_MILLIS)
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/internal/LogConfiguration.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/internal/LogConfiguration.kt
@@ -12,12 +12,14 @@
 
 /**
  * Sets up JSON lines on standard output. They are written by a thread of their own; when its queue is full, lines are
- * dropped, so that a slow reader of the output never holds up a request.
+ * dropped, so that a slow reader of the output never holds up a request. Logback finds this class in every program that
+ * has it on its path; it acts only where [isWanted].
  */
 class LogConfiguration :
     ContextAwareBase(),
     Configurator {
     override fun configure(context: LoggerContext): Configurator.ExecutionStatus {
+        if (!isWanted) return Configurator.ExecutionStatus.INVOKE_NEXT_IF_ANY
         val encoder = LogstashEncoder()
         encoder.context = context
         encoder.fieldNames.version = IGNORED
@@ -43,10 +45,14 @@
         return Configurator.ExecutionStatus.DO_NOT_INVOKE_NEXT_IF_ANY
     }
 
-    private companion object {
-        const val IGNORED = "[ignore]"
+    companion object {
+        /** Whether this process logs as an entry instance; set before the first logger is used. */
+        @Volatile
+        var isWanted = false
+
+        private const val IGNORED = "[ignore]"
 
         /** Lines that may wait for a slow reader: several seconds of the largest volume. */
-        const val QUEUED_LINES = 512
+        private const val QUEUED_LINES = 512
     }
 }
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/internal/RelayMetrics.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/internal/RelayMetrics.kt
@@ -3,6 +3,7 @@
 import io.micrometer.core.instrument.Timer
 import io.micrometer.prometheusmetrics.PrometheusConfig
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
+import java.time.Duration
 import java.util.concurrent.TimeUnit
 
 /** Counters and latency histograms of the relay. Labels take few values: kinds of request, outcomes and reasons. */
@@ -50,7 +51,7 @@
     private companion object {
         val BUCKETS =
             longArrayOf(20, 50, 100, 200, 500, 1_000, 2_000, 5_000, 10_000, 40_000)
-                .map { java.time.Duration.ofMillis(it) }
+                .map { Duration.ofMillis(it) }
                 .toTypedArray()
     }
 }
--- a/relay/src/test/kotlin/io/sequoiawheel/relay/CallRelayTest.kt
+++ b/relay/src/test/kotlin/io/sequoiawheel/relay/CallRelayTest.kt
@@ -204,8 +204,11 @@
         val socket = fixture.connect()
         socket.getOutputStream().write(fixture.request("/unsafe/a").toByteArray())
         assertTrue(working.await(2, TimeUnit.SECONDS))
+        val start = System.nanoTime()
         socket.close()
-        assertTrue(ended.await(500, TimeUnit.MILLISECONDS), "the replica still works half a second later")
+        assertTrue(ended.await(5, TimeUnit.SECONDS), "the replica never stops")
+        val millis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - start)
+        assertTrue(millis <= 500, "the replica still worked $millis ms later")
     }
 
     @Test
--- /dev/null
+++ b/relay/src/test/kotlin/io/sequoiawheel/relay/RelayProcessTest.kt
@@ -0,0 +1,97 @@
+package io.sequoiawheel.relay
+
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.jsonObject
+import kotlinx.serialization.json.jsonPrimitive
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.io.TempDir
+import java.net.HttpURLConnection
+import java.net.ServerSocket
+import java.net.URI
+import java.nio.file.Files
+import java.nio.file.Path
+import java.util.concurrent.TimeUnit
+
+/** The entry instance as a process of its own: settings, readiness, signals, exit codes and the lines it writes. */
+class RelayProcessTest {
+    private val fixture = RelayFixture()
+    private var process: Process? = null
+
+    @TempDir
+    private lateinit var directory: Path
+
+    @AfterEach
+    fun close() {
+        process?.destroyForcibly()
+        fixture.close()
+    }
+
+    private fun freePort() = ServerSocket(0).use { it.localPort }
+
+    private fun settings(
+        callers: Int,
+        readiness: Int,
+    ) = """{"node":"entry-1","ip":"127.0.0.1","zone":"a","listen":{"http":"127.0.0.1:$callers",
+        "ready":"127.0.0.1:$readiness"},"port_range":[${freePort()},0],"limits":{"cpu_share":1.0,"memory_mb":280},
+        "bounds":{"contact_ms":3000,"drain_ms":2000,"grace_s":8,"revoke_ms":5000,"retry_ratio":0.2,"retry_extra":54,
+        "retry_window_s":10,"warmup_excess":1.5,"warmup_margin":5},
+        "platform":{"addr":"127.0.0.1:${fixture.store.port}"}}"""
+
+    private fun start(settings: String): Process {
+        val file = directory.resolve("node.json")
+        Files.writeString(file, settings)
+        val java = Path.of(System.getProperty("java.home"), "bin", "java").toString()
+        val builder =
+            ProcessBuilder(java, "-cp", System.getProperty("java.class.path"), "io.sequoiawheel.relay.MainKt")
+                .redirectOutput(directory.resolve("out").toFile())
+                .redirectError(directory.resolve("err").toFile())
+        builder.environment()["SEQUOIAWHEEL_NODE_FILE"] = file.toString()
+        return builder.start().also { process = it }
+    }
+
+    private fun lines(): List<JsonObject> =
+        Files.readAllLines(directory.resolve("out")).map { Json.parseToJsonElement(it).jsonObject }
+
+    private fun hasLine(message: String) = lines().any { it["message"]?.jsonPrimitive?.content == message }
+
+    private fun statusOf(port: Int): Int =
+        runCatching {
+            val connection = URI("http://127.0.0.1:$port/v1/readyz").toURL().openConnection() as HttpURLConnection
+            connection.responseCode
+        }.getOrDefault(0)
+
+    private fun signal(name: String) {
+        val kill = ProcessBuilder("kill", "-$name", checkNotNull(process).pid().toString())
+        assertEquals(0, kill.start().waitFor())
+    }
+
+    @Test
+    fun `a process becomes ready, reloads, and ends with its work done`() {
+        fixture.replica("r-1") { request, answer -> answer.whole(request, "world") }
+        fixture.configure()
+        val readiness = freePort()
+        val started = start(settings(freePort(), readiness))
+        RelayFixture.awaitTrue("the process is ready") { statusOf(readiness) == 200 }
+        signal("HUP")
+        RelayFixture.awaitTrue("the reload is logged") { hasLine("reloaded") }
+        signal("TERM")
+        RelayFixture.awaitTrue("the process is not ready") { statusOf(readiness) == 503 }
+        assertTrue(started.waitFor(9, TimeUnit.SECONDS), "the process ends")
+        assertEquals(0, started.exitValue())
+        listOf("started", "configuration in force", "leaving", "stopped").forEach {
+            assertTrue(hasLine(it), "$it is logged")
+        }
+    }
+
+    @Test
+    fun `settings without a field end the process with its name`() {
+        val started = start("""{"node":"entry-1"}""")
+        assertTrue(started.waitFor(9, TimeUnit.SECONDS))
+        assertEquals(100, started.exitValue())
+        assertTrue(Files.readString(directory.resolve("err")).contains("'listen'"))
+    }
+}
