Bound the rate of cold replicas in sum over all instances, in the first second too

The burst of each instance's bucket was taken from the rate alone. With 74 instances each bucket held at least one token, and all allowed it at the same moment.

Change: ColdShare divides rate and excess by the number of instances; a bucket whose burst is below one token starts with a phase that each instance draws.

--- a/core/src/main/kotlin/io/sequoiawheel/core/relay/Replica.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/Replica.kt
@@ -9,9 +9,12 @@
 /**
  * One incarnation of a replica as this instance sees it, with the work that this instance has at it. It is confined to
  * one thread. Requests in progress keep their reference after the replica has left the directory.
+ *
+ * @param coldPhase this instance's phase in the sum of all instances' requests to the replica while it is cold
  */
 class Replica(
     entry: ReplicaEntry,
+    coldPhase: Double = 0.0,
     private val clock: Clock,
 ) {
     private val departure = CompletableDeferred<LeaveReason>()
@@ -25,7 +28,7 @@
     val load = ReplicaLoad()
 
     /** Limits the rate at which this instance sends while the replica is cold. */
-    val coldRate = TokenBucket(clock)
+    val coldRate = TokenBucket(clock, coldPhase)
 
     /** When the replica was told or seen to leave, or null. */
     var leavingSinceMillis: Long? = null
--- a/core/src/main/kotlin/io/sequoiawheel/core/relay/ReplicaDirectory.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/ReplicaDirectory.kt
@@ -16,11 +16,13 @@
 /**
  * Holds the replicas by id. Confined to one thread.
  *
+ * @param coldPhase from 0 to 1, drawn by each instance; see [TokenBucket]
  * @param graceMillis how long an entry that vanished with an outage of the store is still used after its return
  */
 class ReplicaDirectory(
     private val clock: Clock,
     private val graceMillis: Long = REGISTRATION_GRACE_MILLIS,
+    private val coldPhase: Double = 0.0,
 ) {
     private val replicas = LinkedHashMap<InstanceId, Replica>()
     private val missingUntil = HashMap<InstanceId, Long>()
@@ -81,7 +83,7 @@
     /** Returns all known replicas. */
     fun all(): List<Replica> = replicas.values.toList()
 
-    private fun add(entry: ReplicaEntry) = Replica(entry, clock).also { replicas[entry.id] = it }
+    private fun add(entry: ReplicaEntry) = Replica(entry, coldPhase, clock).also { replicas[entry.id] = it }
 
     private fun expire() {
         if (missingUntil.isEmpty()) return
--- a/core/src/test/kotlin/io/sequoiawheel/core/relay/TokenBucketTest.kt
+++ b/core/src/test/kotlin/io/sequoiawheel/core/relay/TokenBucketTest.kt
@@ -1,34 +1,48 @@
 package io.sequoiawheel.core.relay
 
-import org.junit.jupiter.api.Assertions.assertEquals
+import org.apache.commons.rng.simple.RandomSource
+import org.junit.jupiter.api.Assertions.assertFalse
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
 
 class TokenBucketTest {
     private var nowMillis = 0L
+    private val bounds = ServiceBounds(3_000, 2_000, 8.0, 5_000, 0.2, 54, 10_000, coldExcess = 1.5, coldMargin = 5.0)
 
-    @Test
-    fun `seven instances together stay within what a cold replica bears in any second`() {
-        val share = 37.0 / 7
-        val buckets = (1..7).map { TokenBucket { nowMillis } }
+    /** Lets [instances] send as fast as they may, and checks every second of the time. */
+    private fun assertWithinBound(instances: Int) {
+        val share = ColdShare.of(COLD_PER_SECOND, bounds, instances)
+        val random = RandomSource.XO_RO_SHI_RO_128_PP.create(11L)
+        val buckets = (1..instances).map { TokenBucket({ nowMillis }, random.nextDouble()) }
         val sent = ArrayList<Long>()
         repeat(5_000) {
             nowMillis += 1
-            buckets.forEach { bucket -> if (bucket.tryTake(share, maxOf(1.0, share * 1.5 / 2))) sent += nowMillis }
+            buckets.forEach { bucket -> if (bucket.tryTake(share.perSecond, share.burst)) sent += nowMillis }
         }
+        val allowed = COLD_PER_SECOND * bounds.coldExcess + bounds.coldMargin
         for (end in 1_000L..5_000L step 100) {
             val inSecond = sent.count { it > end - 1_000 && it <= end }
-            assertTrue(inSecond <= 37 * 1.5 + 5, "$inSecond requests in the second before $end ms")
+            assertTrue(inSecond <= allowed, "$inSecond requests in the second before $end ms, $allowed allowed")
         }
     }
 
+    @Test
+    fun `seven instances together stay within what a cold replica bears in any second`() = assertWithinBound(7)
+
+    @Test
+    fun `seventy-four instances together stay within what a cold replica bears in any second`() = assertWithinBound(74)
+
     @Test
     fun `an empty bucket refills with the rate`() {
-        val bucket = TokenBucket { nowMillis }
+        val bucket = TokenBucket({ nowMillis })
         assertTrue(bucket.tryTake(2.0, 1.0))
         nowMillis = 499
-        assertEquals(false, bucket.tryTake(2.0, 1.0))
+        assertFalse(bucket.tryTake(2.0, 1.0))
         nowMillis = 501
         assertTrue(bucket.tryTake(2.0, 1.0))
     }
+
+    private companion object {
+        const val COLD_PER_SECOND = 37.0
+    }
 }
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/RelayDaemon.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/RelayDaemon.kt
@@ -75,7 +75,7 @@
     private val store = StoreClient(connector) { settings.store }
     private val freshness =
         Freshness(monotonic, wall, (settings.bounds.revokeMillis * FRESH_SHARE).toLong())
-    private val directory = ReplicaDirectory(monotonic)
+    private val directory = ReplicaDirectory(monotonic, coldPhase = random.nextDouble())
     private val peerLoads = PeerLoads(monotonic)
     private val pool = BackendPool(connector)
     private val configuration = ConfigurationController(store, freshness, scope, log)
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/RelayContext.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/RelayContext.kt
@@ -2,6 +2,7 @@
 
 import io.sequoiawheel.core.model.Clock
 import io.sequoiawheel.core.model.ServiceName
+import io.sequoiawheel.core.relay.ColdShare
 import io.sequoiawheel.core.relay.RelayConfiguration
 import io.sequoiawheel.core.relay.RelayService
 import io.sequoiawheel.core.relay.Replica
@@ -62,9 +63,8 @@
         service: RelayService,
     ): Boolean {
         if (!replica.isCold || service.coldRequestsPerSecond <= 0) return true
-        val share = 1.0 / instanceCount().coerceAtLeast(1)
-        val perSecond = service.coldRequestsPerSecond * share
-        return replica.coldRate.tryTake(perSecond, maxOf(1.0, perSecond * bounds.coldExcess / 2))
+        val share = ColdShare.of(service.coldRequestsPerSecond, bounds, instanceCount())
+        return replica.coldRate.tryTake(share.perSecond, share.burst)
     }
 
     private companion object {
