Watch from the revision of a listing's first page

Cause: a listing of several pages returned the revision of its last page. A change made between two pages, to a name on an earlier one, was in neither the listing nor the watch, so a replica that began to drain then went on receiving calls. Ruled out: the watch itself; a listing of one page was right. Change: the first page's revision is where the watch begins. Changes made between pages may come twice, in their order. The store's stand-in serves listings in pages.

--- a/relay/src/main/kotlin/io/sequoiawheel/relay/control/StoreClient.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/control/StoreClient.kt
@@ -43,7 +43,10 @@
     ) : StoreFailure
 }
 
-/** A whole listing of one kind as of [revision]. */
+/**
+ * A whole listing of one kind. A watch from [revision] brings every change that the listing may lack; changes made
+ * between two pages may come a second time.
+ */
 internal data class StoreListing(
     val objects: List<StoreObject>,
     val revision: Long,
@@ -67,12 +70,15 @@
     suspend fun list(kind: StoreKind): Either<StoreFailure, StoreListing> {
         val objects = ArrayList<StoreObject>()
         var afterName: String? = null
+        var firstRevision: Long? = null
         while (true) {
             val path = StoreProtocol.listPath(kind, afterName)
             val page = call(HttpMethod.GET, path).flatMap { decode(it, StoreProtocol::decodePage) }
             val result: StorePage = page.fold({ return it.left() }, { it })
+            // Names on the first page may change while later pages are read.
+            val revision = firstRevision ?: result.revision.also { firstRevision = it }
             objects += result.objects
-            if (!result.hasMore || result.objects.isEmpty()) return StoreListing(objects, result.revision).right()
+            if (!result.hasMore || result.objects.isEmpty()) return StoreListing(objects, revision).right()
             afterName = result.objects.last().name
         }
     }
--- a/standin/src/main/kotlin/io/sequoiawheel/standin/platform/PlatformStoreStandIn.kt
+++ b/standin/src/main/kotlin/io/sequoiawheel/standin/platform/PlatformStoreStandIn.kt
@@ -42,6 +42,14 @@
     @Volatile
     var isDown = false
 
+    /** Objects in one page of a listing. */
+    @Volatile
+    var pageSize = 500
+
+    /** Runs after each page of a listing that is not the last, before the page is sent. */
+    @Volatile
+    var afterPage: () -> Unit = {}
+
     /** Calls received so far. */
     @Volatile
     var calls = 0
@@ -98,7 +106,7 @@
             when {
                 isDown -> UNAVAILABLE to "{}"
                 exchange.requestMethod == "GET" && "watch" in query -> watch(kind, query)
-                exchange.requestMethod == "GET" -> list(kind)
+                exchange.requestMethod == "GET" -> list(kind, query["since_rev"])
                 else -> write(exchange.requestMethod, kind, name, body)
             }
         val bytes = text.toByteArray()
@@ -107,16 +115,25 @@
         exchange.responseBody.use { it.write(bytes) }
     }
 
-    private fun list(kind: String): Pair<Int, String> =
-        lock.withLock {
-            val entries = objects.filterKeys { it.first == kind }.values
-            OK to
+    private fun list(
+        kind: String,
+        afterName: String?,
+    ): Pair<Int, String> {
+        var hasMore = false
+        val page =
+            lock.withLock {
+                val rest = objects.filterKeys { it.first == kind && it.second > afterName.orEmpty() }
+                val names = rest.keys.sortedBy { it.second }
+                hasMore = names.size > pageSize
                 buildJsonObject {
-                    put("entries", buildJsonArray { entries.forEach { add(it) } })
-                    put("has_more", JsonPrimitive(false))
+                    put("entries", buildJsonArray { names.take(pageSize).forEach { add(rest.getValue(it)) } })
+                    put("has_more", JsonPrimitive(hasMore))
                     put("at", JsonPrimitive(revision))
-                }.toString()
-        }
+                }
+            }
+        if (hasMore) afterPage()
+        return OK to page.toString()
+    }
 
     private fun watch(
         kind: String,
