Let one instance of a zone watch the platform's store for the others

Cause: every instance watched the store, so each change cost one call an instance. Ruled out: longer waits (waits without changes cost little), reading at intervals (a replica that begins to drain is gone 1.5 s later). Change: in a zone with four instances or more, one of them answers the watches of the others in the store's own format from what it read (ChangeHub, ChangeHistory). A response says when the state was last proven, so the freshness of the configuration is still each instance's own judgement. HubSelection chooses by the newest load reports, without agreement: an instance whose hub is silent, stale or refuses watches the store itself for a while. A kept connection is no longer used for another address after a reload. The wait of the configuration's watch follows shorter revocation bounds.

--- a/core/src/main/kotlin/io/sequoiawheel/core/relay/Freshness.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/Freshness.kt
@@ -74,7 +74,7 @@
         return kotlin.math.abs(monotonicMillis - wallMillis)
     }
 
-    private companion object {
+    companion object {
         /** Two readings that are taken one after the other on a busy processor differ by less. */
         const val CLOCK_TOLERANCE_MILLIS = 300L
     }
--- /dev/null
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/HubSelection.kt
@@ -0,0 +1,75 @@
+/*
+ * Which instance of an availability zone watches the platform's store for the others. Watches cost one call a change
+ * and instance, so in a large zone one instance, the hub, watches the store, and the others watch the hub. No agreement
+ * is needed: two hubs only cost calls, and an instance whose hub fails watches the store itself for a while.
+ */
+package io.sequoiawheel.core.relay
+
+import io.sequoiawheel.core.model.Clock
+import io.sequoiawheel.core.model.ZoneName
+import org.apache.commons.rng.UniformRandomProvider
+
+/** Another instance that reported lately. */
+data class LivePeer(
+    val name: String,
+    val zone: ZoneName,
+    val endpoint: Endpoint,
+)
+
+/**
+ * Chooses the hub of one instance. Confined to one thread.
+ *
+ * @param live the other instances that reported lately
+ */
+class HubSelection(
+    private val ownName: String,
+    private val ownZone: ZoneName,
+    private val clock: Clock,
+    private val random: UniformRandomProvider,
+    private val live: () -> List<LivePeer>,
+) {
+    private var hub: LivePeer? = null
+    private var directUntilMillis = Long.MIN_VALUE
+    private var askedAtMillis: Long? = null
+
+    /** Whether other instances rely on this one as their hub. */
+    val isAsked: Boolean get() = askedAtMillis?.let { clock.nowMillis() - it <= ASKED_MILLIS } ?: false
+
+    /** Records that another instance watches this one. */
+    fun asked() {
+        askedAtMillis = clock.nowMillis()
+    }
+
+    /** Returns the instance to watch, or null if this instance is to watch the store itself. */
+    fun current(): LivePeer? {
+        if (clock.nowMillis() < directUntilMillis || isAsked) return null
+        val members = live().filter { it.zone == ownZone }
+        if (members.size + 1 < MINIMUM_MEMBERS) return null
+        val kept = hub?.takeIf { it in members }
+        val first = kept ?: members.minBy { it.name }.takeIf { it.name < ownName }
+        hub = first
+        return first
+    }
+
+    /** Watches the store for a while, since [peer] did not serve as hub. Returns false if it was not the hub. */
+    fun failed(peer: LivePeer): Boolean {
+        if (peer != hub) return false
+        hub = null
+        directUntilMillis = clock.nowMillis() + DIRECT_MILLIS + (random.nextDouble() * DIRECT_SPREAD_MILLIS).toLong()
+        return true
+    }
+
+    private companion object {
+        /** With fewer instances in a zone the calls that a hub saves are not worth the second step of each change. */
+        const val MINIMUM_MEMBERS = 4
+
+        /** Each instance asks its hub for the configuration about once a second. */
+        const val ASKED_MILLIS = 3_000L
+
+        /** A hub that is gone counts as live until its reports are a few seconds old. */
+        const val DIRECT_MILLIS = 3_500L
+
+        /** Spreads the instances of a zone, so that the new hub knows of its role before most of them ask. */
+        const val DIRECT_SPREAD_MILLIS = 1_500L
+    }
+}
--- a/core/src/main/kotlin/io/sequoiawheel/core/relay/InstanceSettings.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/InstanceSettings.kt
@@ -12,6 +12,14 @@
     val port: Int,
 ) {
     override fun toString(): String = "$host:$port"
+
+    companion object {
+        /** Returns the endpoint that [text] writes as host and port, or null if it is none. */
+        fun parseOrNull(text: String): Endpoint? {
+            val port = text.substringAfterLast(':', "").toIntOrNull() ?: return null
+            return Endpoint(text.substringBeforeLast(':'), port)
+        }
+    }
 }
 
 /**
--- a/core/src/main/kotlin/io/sequoiawheel/core/relay/PeerLoads.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/PeerLoads.kt
@@ -6,6 +6,7 @@
 
 import io.sequoiawheel.core.model.Clock
 import io.sequoiawheel.core.model.InstanceId
+import io.sequoiawheel.core.model.ZoneName
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 
@@ -24,6 +25,7 @@
  * @property start tells two incarnations of the sender apart; the later one has the larger number
  * @property sequence grows with each report of an incarnation
  * @property endpoint where the sender listens for reports
+ * @property zone the sender's availability zone
  */
 @Serializable
 data class PeerReport(
@@ -33,6 +35,7 @@
     @SerialName("e") val endpoint: String,
     @SerialName("w") val work: Map<String, PeerWork>,
     @SerialName("l") val isLeaving: Boolean = false,
+    @SerialName("z") val zone: String = "",
 )
 
 /** The newest report of each other instance. Confined to one thread. */
@@ -50,6 +53,13 @@
     /** Instances that reported lately, this one included. */
     val instanceCount: Int get() = 1 + known.values.count { isFresh(it) }
 
+    /** Instances that reported lately, this one not included. */
+    fun live(): List<LivePeer> =
+        known.values.filter(::isFresh).mapNotNull { peer ->
+            val endpoint = Endpoint.parseOrNull(peer.report.endpoint) ?: return@mapNotNull null
+            LivePeer(peer.report.sender, ZoneName(peer.report.zone), endpoint)
+        }
+
     /** Adds an address at which another instance may listen. */
     fun addEndpoint(endpoint: String) {
         endpoints.putIfAbsent(endpoint, clock.nowMillis())
--- /dev/null
+++ b/core/src/test/kotlin/io/sequoiawheel/core/relay/HubSelectionTest.kt
@@ -0,0 +1,86 @@
+package io.sequoiawheel.core.relay
+
+import io.sequoiawheel.core.model.ZoneName
+import org.apache.commons.rng.simple.RandomSource
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertNull
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+
+/** A fleet of three zones with twenty-five instances each, whose replicas change several times a second. */
+class HubSelectionTest {
+    private var nowMillis = 0L
+    private val peers =
+        listOf("a", "b", "c").flatMap { zone ->
+            (10..34).map { LivePeer("entry-$zone-$it", ZoneName(zone), Endpoint("10.0.0.$it", 7_000)) }
+        }
+    private val gone = HashSet<LivePeer>()
+    private val selections =
+        peers.associateWith { own ->
+            HubSelection(
+                own.name,
+                own.zone,
+                { nowMillis },
+                RandomSource.XO_RO_SHI_RO_128_PP.create(peers.indexOf(own).toLong()),
+            ) { peers.filter { it != own && it !in gone } }
+        }
+
+    /** Lets all live instances choose and ask once; returns the watchers of the store by zone. */
+    private fun round(): Map<ZoneName, List<LivePeer>> {
+        nowMillis += 1_000
+        val alive = selections.filterKeys { it !in gone }
+        val direct = ArrayList<LivePeer>()
+        for ((own, selection) in alive) {
+            val hub = selection.current()
+            when {
+                hub == null -> direct += own
+                hub in gone || selections.getValue(hub).current() != null -> selection.failed(hub)
+                else -> selections.getValue(hub).asked()
+            }
+        }
+        return direct.groupBy { it.zone }
+    }
+
+    @Test
+    fun `one instance of each zone watches the store`() {
+        val watchers = round()
+        assertEquals(listOf(1, 1, 1), watchers.values.map { it.size })
+        assertEquals(watchers, round())
+    }
+
+    @Test
+    fun `after the loss of a hub, one of the others takes its place`() {
+        val first = round().getValue(ZoneName("a")).single()
+        gone += first
+        repeat(12) { round() }
+        val next = round().getValue(ZoneName("a"))
+        assertEquals(1, next.size)
+        assertTrue(next.single() != first)
+    }
+
+    @Test
+    fun `a hub that returns does not take its zone away from the one that serves`() {
+        val first = round().getValue(ZoneName("a")).single()
+        gone += first
+        repeat(12) { round() }
+        val second = round().getValue(ZoneName("a")).single()
+        gone -= first
+        repeat(12) { round() }
+        val watchers = round().getValue(ZoneName("a"))
+        assertTrue(second in watchers && watchers.size <= 2, "$watchers")
+    }
+
+    @Test
+    fun `in a small zone every instance watches the store`() {
+        gone += peers.filter { it.zone == ZoneName("a") }.drop(3)
+        assertEquals(3, round().getValue(ZoneName("a")).size)
+    }
+
+    @Test
+    fun `an instance that others rely on watches the store`() {
+        val last = selections.getValue(peers.last())
+        assertTrue(last.current() != null)
+        last.asked()
+        assertNull(last.current())
+    }
+}
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/RelayDaemon.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/RelayDaemon.kt
@@ -12,6 +12,7 @@
 import io.sequoiawheel.core.model.ResultCode
 import io.sequoiawheel.core.relay.Endpoint
 import io.sequoiawheel.core.relay.Freshness
+import io.sequoiawheel.core.relay.HubSelection
 import io.sequoiawheel.core.relay.InstanceSettings
 import io.sequoiawheel.core.relay.NotRunProof
 import io.sequoiawheel.core.relay.PeerLoads
@@ -21,6 +22,9 @@
 import io.sequoiawheel.platform.StoreKind
 import io.sequoiawheel.relay.backend.BackendPool
 import io.sequoiawheel.relay.backend.Connector
+import io.sequoiawheel.relay.control.ChangeFeed
+import io.sequoiawheel.relay.control.ChangeHub
+import io.sequoiawheel.relay.control.ChangeSources
 import io.sequoiawheel.relay.control.ConfigurationController
 import io.sequoiawheel.relay.control.EvacuationController
 import io.sequoiawheel.relay.control.KindListener
@@ -96,6 +100,7 @@
     private val peers =
         PeerController(
             settings.name,
+            settings.zone,
             Endpoint(settings.host, settings.peerPorts.first),
             directory,
             peerLoads,
@@ -104,6 +109,15 @@
             random,
             log,
         )
+    private val hubs = HubSelection(settings.name, settings.zone, monotonic, random, peerLoads::live)
+    private val sources = ChangeSources(store, connector, hubs, log)
+    private val feeds =
+        listOf(
+            StoreKind.CONFIGURATION,
+            StoreKind.REPLICAS,
+            StoreKind.EVACUATIONS,
+        ).associateWith(::ChangeFeed)
+    private val hub = ChangeHub(feeds, hubs, freshness)
     private val calls = CallRelay(context)
     private val generations = GenerationRelay(context)
     private val chain =
@@ -148,14 +162,15 @@
                     watcher(StoreKind.EVACUATIONS, LONG_WAIT_MILLIS, evacuations) {},
                 )
             val guard =
-                watcher(StoreKind.CONFIGURATION, CONFIGURATION_WAIT_MILLIS, configuration) {
+                watcher(StoreKind.CONFIGURATION, configurationWaitMillis(), configuration) {
                     others.forEach(KindWatcher::interrupt)
                 }
             (others + guard).forEach { scope.launch { it.run() } }
             callerPort = server.start(settings.callers, MAXIMUM_HEADER_BYTES)
-            val statusServer = StatusServer(eventLoop, ::status)
+            val statusServer = StatusServer(eventLoop, scope) { status(it.substringBefore('?')) }
             statusServer.start(settings.readiness)
             metricsPort?.let { statusServer.start(Endpoint(settings.host, it)) }
+            StatusServer(eventLoop, scope, hub::answer).start(Endpoint(settings.host, settings.peerPorts.first))
             publishGauges()
             peers.start(eventLoop)
             scope.launch { peers.introduce() }
@@ -205,7 +220,7 @@
         waitMillis: Long,
         listener: KindListener,
         onFailure: () -> Unit,
-    ) = KindWatcher(store, kind, waitMillis, listener, freshness, random, log, onFailure)
+    ) = KindWatcher(sources, feeds.getValue(kind), waitMillis, listener, freshness, random, log, onFailure)
 
     private suspend fun relay(exchange: Exchange) {
         val route = checkNotNull(exchange.route)
@@ -231,6 +246,9 @@
     private fun isInTouch() =
         freshness.isWithdrawn() || freshness.ageMillis() <= settings.bounds.revokeMillis * READY_SHARE
 
+    private fun configurationWaitMillis() =
+        minOf(CONFIGURATION_WAIT_MILLIS, (settings.bounds.revokeMillis * CONFIGURATION_WAIT_SHARE).toLong())
+
     private fun remainingMillis(): Long? = leavingSinceMillis?.let { it + graceMillis() - monotonic.nowMillis() }
 
     private fun graceMillis(): Long = (settings.bounds.graceSeconds * MILLIS_PER_SECOND).toLong() - GRACE_MARGIN_MILLIS
@@ -298,6 +316,9 @@
         /** Each response to a watch proves the configuration anew, well within the share for readiness. */
         const val CONFIGURATION_WAIT_MILLIS = 2_400L
 
+        /** With shorter bounds, half of the age at which callers are sent elsewhere, and time for the response. */
+        const val CONFIGURATION_WAIT_SHARE = 0.5
+
         /**
          * Changes end a wait at once, so longer waits only save calls. A lost path to the store is found by the watch
          * of the configuration, a silent connection by keep-alive probes.
--- /dev/null
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/control/ChangeHub.kt
@@ -0,0 +1,124 @@
+package io.sequoiawheel.relay.control
+
+import io.netty.handler.codec.http.HttpResponseStatus
+import io.sequoiawheel.core.relay.ChangeHistory
+import io.sequoiawheel.core.relay.Freshness
+import io.sequoiawheel.core.relay.HubSelection
+import io.sequoiawheel.core.relay.Instant
+import io.sequoiawheel.platform.StoreChanges
+import io.sequoiawheel.platform.StoreEvent
+import io.sequoiawheel.platform.StoreKind
+import io.sequoiawheel.platform.StoreProtocol
+import io.sequoiawheel.platform.WatchQuery
+import io.sequoiawheel.relay.http.StatusAnswer
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.withTimeoutOrNull
+
+/** The changes of one kind that this instance read from the store, for other instances of its zone. */
+internal class ChangeFeed(
+    val kind: StoreKind,
+) {
+    private val history = ChangeHistory<StoreEvent>()
+    private var advanced = CompletableDeferred<Unit>()
+
+    /** Whether the store is watched and answers. */
+    var isServing = false
+        private set
+
+    /** When what is known was last proven to be the newest, or null. */
+    var proof: Instant? = null
+        private set
+
+    val revision: Long get() = history.revision
+
+    /** Starts with a listing as of [revision]. */
+    fun listed(revision: Long) {
+        history.restart(revision)
+        proof = null
+        isServing = true
+        wake()
+    }
+
+    /** Starts, or goes on, after [revision], from which the store is watched now. */
+    fun resume(revision: Long) {
+        if (!isServing) listed(revision)
+    }
+
+    /** Adds the response to a watch that followed the last call. */
+    fun changed(
+        changes: StoreChanges,
+        asOf: Instant,
+    ) {
+        resume(changes.revision)
+        history.append(changes.revision, changes.events)
+        proof = asOf
+        wake()
+    }
+
+    /** Ends all waiting calls: the store does not answer, or is not watched any more. */
+    fun stop() {
+        if (!isServing) return
+        isServing = false
+        proof = null
+        wake()
+    }
+
+    /** Returns the changes after [revision], or null if they are not kept. */
+    fun after(revision: Long): List<StoreEvent>? = history.after(revision)
+
+    /** Waits until something about the feed changes. */
+    suspend fun awaitAdvance() = advanced.await()
+
+    private fun wake() {
+        val previous = advanced
+        advanced = CompletableDeferred()
+        previous.complete(Unit)
+    }
+}
+
+/**
+ * Answers the watches of other instances from what this one reads of the store, in the store's own format. A response
+ * says how long after the receipt of the request, or before it, the state was proven to be the newest. Confined to the
+ * event loop.
+ */
+internal class ChangeHub(
+    private val feeds: Map<StoreKind, ChangeFeed>,
+    private val selection: HubSelection,
+    private val freshness: Freshness,
+) {
+    /** Answers the request for [uri]. */
+    suspend fun answer(uri: String): StatusAnswer {
+        val query = StoreProtocol.parseWatch(uri) ?: return StatusAnswer(HttpResponseStatus.NOT_FOUND)
+        val feed = feeds[query.kind] ?: return StatusAnswer(HttpResponseStatus.NOT_FOUND)
+        if (!feed.isServing) return StatusAnswer(HttpResponseStatus.SERVICE_UNAVAILABLE)
+        selection.asked()
+        val received = freshness.now()
+        withTimeoutOrNull(query.waitMillis) {
+            while (feed.isServing && !isDue(feed, query, received)) feed.awaitAdvance()
+        }
+        if (!feed.isServing) return StatusAnswer(HttpResponseStatus.SERVICE_UNAVAILABLE)
+        val events = feed.after(query.revision) ?: return StatusAnswer(HttpResponseStatus.GONE)
+        val changes =
+            StoreChanges(events, maxOf(feed.revision, query.revision), feed.proof?.let { offset(received, it) })
+        return StatusAnswer(HttpResponseStatus.OK, StoreProtocol.encodeChanges(changes))
+    }
+
+    private fun isDue(
+        feed: ChangeFeed,
+        query: WatchQuery,
+        received: Instant,
+    ): Boolean {
+        val isProven = (feed.proof?.monotonicMillis ?: 0) > received.monotonicMillis
+        return feed.after(query.revision)?.isEmpty() != true || isProven && query.kind == StoreKind.CONFIGURATION
+    }
+
+    /** Returns the time from [received] to [proof] in milliseconds, or null if the clocks disagree about it. */
+    private fun offset(
+        received: Instant,
+        proof: Instant,
+    ): Long? {
+        val monotonic = proof.monotonicMillis - received.monotonicMillis
+        val wall = proof.wallMillis - received.wallMillis
+        return minOf(monotonic, wall).takeIf { maxOf(monotonic, wall) - it <= Freshness.CLOCK_TOLERANCE_MILLIS }
+    }
+}
--- /dev/null
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/control/ChangeSources.kt
@@ -0,0 +1,55 @@
+package io.sequoiawheel.relay.control
+
+import arrow.core.Either
+import arrow.core.left
+import io.sequoiawheel.core.relay.HubSelection
+import io.sequoiawheel.core.relay.LivePeer
+import io.sequoiawheel.platform.StoreChanges
+import io.sequoiawheel.platform.StoreKind
+import io.sequoiawheel.relay.backend.Connector
+import io.sequoiawheel.relay.internal.DecisionLog
+
+/** Where changes of the store are read: from the store, or from the hub of the own zone. Confined to the event loop. */
+internal class ChangeSources(
+    val store: StoreClient,
+    private val connector: Connector,
+    private val selection: HubSelection,
+    private val log: DecisionLog,
+) {
+    private var clients = emptyMap<LivePeer, StoreClient>()
+    private var lastHub: LivePeer? = null
+
+    /** Whether other instances rely on this one. */
+    val isHub: Boolean get() = selection.isAsked
+
+    /** Returns the hub to watch, or null if the store is to be watched. */
+    fun hub(): LivePeer? {
+        val hub = selection.current()
+        if (hub != lastHub) {
+            log.belief("watching", mapOf("source" to (hub?.name ?: "store"), "before" to (lastHub?.name ?: "store")))
+            lastHub = hub
+        }
+        return hub
+    }
+
+    /** Returns what [hub] knows after [revision]. A failure makes this instance watch the store for a while. */
+    suspend fun watch(
+        hub: LivePeer,
+        kind: StoreKind,
+        revision: Long,
+        waitMillis: Long,
+    ): Either<StoreFailure, StoreChanges> {
+        val client =
+            clients[hub] ?: StoreClient(connector) { hub.endpoint }.also { clients = mapOf(hub to it) }
+        return client.watch(kind, revision, waitMillis).onLeft { failed(hub, it) }
+    }
+
+    /** Records that [hub] cannot be relied on. */
+    fun failed(
+        hub: LivePeer,
+        failure: StoreFailure,
+    ): Either<StoreFailure, Nothing> {
+        if (selection.failed(hub)) log.dependency("hub lost", mapOf("hub" to hub.name, "detail" to failure.detail))
+        return failure.left()
+    }
+}
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/control/KindWatcher.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/control/KindWatcher.kt
@@ -1,9 +1,11 @@
 package io.sequoiawheel.relay.control
 
 import arrow.core.Either
+import arrow.core.getOrElse
 import arrow.core.left
 import io.sequoiawheel.core.relay.Freshness
 import io.sequoiawheel.core.relay.Instant
+import io.sequoiawheel.core.relay.LivePeer
 import io.sequoiawheel.core.routing.Backoff
 import io.sequoiawheel.platform.StoreChanges
 import io.sequoiawheel.platform.StoreEvent
@@ -36,14 +38,15 @@
 }
 
 /**
- * Follows one kind of the store: lists it, then watches it from the listing's revision on. A watch that fails is
- * repeated from where it was; only a lost history makes it list again. Confined to the event loop.
+ * Follows one kind of the store: lists it, then watches it from the listing's revision on, at the store or at the
+ * hub of the zone. A watch that fails is repeated from where it was; only a lost history makes it list again. What the
+ * store itself says is offered to other instances by [feed]. Confined to the event loop.
  *
  * @param onFailure called at each failed call; a watcher with short waits finds a lost path for those with long ones
  */
 internal class KindWatcher(
-    private val store: StoreClient,
-    private val kind: StoreKind,
+    private val sources: ChangeSources,
+    private val feed: ChangeFeed,
     private val waitMillis: Long,
     private val listener: KindListener,
     private val freshness: Freshness,
@@ -51,6 +54,7 @@
     private val log: DecisionLog,
     private val onFailure: () -> Unit = {},
 ) {
+    private val kind = feed.kind
     private val backoff = Backoff(FIRST_BACKOFF_MILLIS, LAST_BACKOFF_MILLIS)
     private var failures = 0
     private var outageEndedMillis: Long? = null
@@ -60,7 +64,7 @@
     suspend fun run() {
         while (true) {
             val asOf = freshness.now()
-            val listing = store.list(kind).fold({ failed(it).let { null } }, { it })
+            val listing = sources.store.list(kind).fold({ failed(it).let { null } }, { it })
             if (listing == null) {
                 pause()
                 continue
@@ -68,7 +72,9 @@
             succeeded()
             listener.listed(listing.objects, isAfterOutage())
             listener.proven(asOf)
+            feed.listed(listing.revision)
             watchFrom(listing.revision)
+            feed.stop()
         }
     }
 
@@ -81,13 +87,21 @@
     private suspend fun watchFrom(start: Long) {
         var revision = start
         while (true) {
+            val hub = sources.hub()
+            if (hub != null) {
+                feed.stop()
+                revision = watchHub(hub, revision)
+                continue
+            }
+            if (failures == 0) feed.resume(revision)
             val asOf = freshness.now()
             val changes =
-                watch(revision).fold({ failure ->
+                watch { sources.store.watch(kind, revision, storeWaitMillis()) }.fold({ failure ->
                     if (failure is StoreFailure.HistoryGone) {
                         log.belief("store history lost", mapOf("kind" to kind.name, "revision" to revision))
                         return
                     }
+                    feed.stop()
                     failed(failure)
                     null
                 }, { it })
@@ -96,18 +110,57 @@
                 continue
             }
             succeeded()
-            changes.events.forEach { listener.changed(it, isAfterOutage()) }
             revision = changes.revision
-            listener.proven(if (changes.events.isEmpty()) asOf.plus(waitMillis) else asOf)
+            // Without events the store answers at the end of the wait, so nothing had changed until then.
+            val proof = if (changes.events.isEmpty()) asOf.plus(storeWaitMillis()) else asOf
+            apply(changes, proof)
+            feed.changed(changes, proof)
+        }
+    }
+
+    /** Watches [hub] once, and returns the revision that is known then. */
+    private suspend fun watchHub(
+        hub: LivePeer,
+        revision: Long,
+    ): Long {
+        val asOf = freshness.now()
+        val waitMillis = minOf(waitMillis, if (kind == StoreKind.CONFIGURATION) HUB_PROOF_MILLIS else waitMillis)
+        val changes =
+            watch { sources.watch(hub, kind, revision, waitMillis) }
+                .getOrElse {
+                    onFailure()
+                    return revision
+                }
+        val proof = changes.proofOffsetMillis?.let { asOf.plus(it) }
+        apply(changes, proof)
+        val isStale = proof == null || freshness.now().monotonicMillis - proof.monotonicMillis > STALE_HUB_MILLIS
+        if (kind == StoreKind.CONFIGURATION && isStale) {
+            sources.failed(hub, StoreFailure.Unavailable("its state is not proven"))
+            onFailure()
         }
+        return changes.revision
     }
 
-    private suspend fun watch(revision: Long): Either<StoreFailure, StoreChanges> =
+    private fun apply(
+        changes: StoreChanges,
+        proof: Instant?,
+    ) {
+        changes.events.forEach { listener.changed(it, isAfterOutage()) }
+        if (proof != null) listener.proven(proof)
+    }
+
+    /** Returns how long the store may wait; a hub proves its state more often, for those who rely on it. */
+    private fun storeWaitMillis() =
+        if (kind == StoreKind.CONFIGURATION && sources.isHub) minOf(waitMillis, HUB_PROOF_MILLIS) else waitMillis
+
+    private suspend fun watch(
+        call: suspend () -> Either<StoreFailure, StoreChanges>,
+    ): Either<StoreFailure, StoreChanges> =
         coroutineScope {
-            val call = async { store.watch(kind, revision, waitMillis) }
-            waiting = call
+            val running = async { call() }
+            waiting = running
             try {
-                call.await()
+                running.await()
             } catch (interrupted: CancellationException) {
                 ensureActive()
                 StoreFailure.Unavailable("interrupted").left()
@@ -115,7 +168,6 @@
         }
 
     private fun Instant.plus(millis: Long): Instant {
-        // Without events the store answers at the end of the wait, so nothing had changed until then.
         val now = freshness.now()
         return Instant(
             minOf(monotonicMillis + millis, now.monotonicMillis),
@@ -145,6 +197,12 @@
     private suspend fun pause() = delay(backoff.delayMillis(failures.coerceAtLeast(1), random))
 
     private companion object {
+        /** How often a hub proves the configuration, and is asked for it: a silent one is found soon after. */
+        const val HUB_PROOF_MILLIS = 1_000L
+
+        /** A hub that was not asked before proves its state every 2.4 s; one that is further behind lost the store. */
+        const val STALE_HUB_MILLIS = 3_000L
+
         /** The first retry comes at once after a cut connection; later ones spare a store that is down. */
         const val FIRST_BACKOFF_MILLIS = 60L
         const val LAST_BACKOFF_MILLIS = 700L
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/control/PeerController.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/control/PeerController.kt
@@ -10,6 +10,7 @@
 import io.netty.channel.socket.nio.NioDatagramChannel
 import io.sequoiawheel.core.model.Clock
 import io.sequoiawheel.core.model.InstanceId
+import io.sequoiawheel.core.model.ZoneName
 import io.sequoiawheel.core.relay.Endpoint
 import io.sequoiawheel.core.relay.PeerLoads
 import io.sequoiawheel.core.relay.PeerReport
@@ -32,6 +33,7 @@
  */
 internal class PeerController(
     private val instance: String,
+    private val zone: ZoneName,
     private val endpoint: Endpoint,
     private val directory: ReplicaDirectory,
     private val loads: PeerLoads,
@@ -44,7 +46,7 @@
     private var sequence = 0L
     private var channel: Channel? = null
     private var lastWork: Map<InstanceId, PeerWork> = emptyMap()
-    private var lastSentMillis = Long.MIN_VALUE
+    private var lastSentMillis: Long? = null
     private var rounds = 0L
 
     /** Listens for reports. */
@@ -87,7 +89,7 @@
             delay(TICK_MILLIS)
             loads.apply(directory.all())
             val work = PeerLoads.work(directory.all())
-            val isDue = clock.nowMillis() - lastSentMillis >= HEARTBEAT_MILLIS
+            val isDue = lastSentMillis?.let { clock.nowMillis() - it >= HEARTBEAT_MILLIS } ?: true
             if (isDue || hasGenerationsChanged(work)) send(work, isLeaving = false)
         }
     }
@@ -112,11 +114,11 @@
         lastWork = work
         lastSentMillis = clock.nowMillis()
         val named = work.mapKeys { it.key.value }
-        val report = PeerReport(instance, start, ++sequence, endpoint.toString(), named, isLeaving)
+        val report = PeerReport(instance, start, ++sequence, endpoint.toString(), named, isLeaving, zone.value)
         val bytes = Json.encodeToString(PeerReport.serializer(), report).toByteArray()
         for (destination in loads.destinations(includesSilent = rounds++ % SILENT_ROUNDS == 0L)) {
-            val address =
-                InetSocketAddress(destination.substringBeforeLast(':'), destination.substringAfterLast(':').toInt())
+            val (host, port) = Endpoint.parseOrNull(destination) ?: continue
+            val address = InetSocketAddress(host, port)
             target.write(DatagramPacket(Unpooled.wrappedBuffer(bytes), address), target.voidPromise())
         }
         target.flush()
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/control/StoreClient.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/control/StoreClient.kt
@@ -53,14 +53,19 @@
 )
 
 /**
- * The client of the platform's store. A connection on which a call failed is closed, since its response may be lost.
- * Confined to the event loop.
+ * The client of the platform's store, and of instances that answer watches in its place. A connection on which a call
+ * failed is closed, since its response may be lost. Confined to the event loop.
  */
 internal class StoreClient(
     private val connector: Connector,
     private val endpoint: () -> Endpoint,
 ) {
-    private val idle = ArrayDeque<BackendConnection>()
+    private class Idle(
+        val endpoint: Endpoint,
+        val connection: BackendConnection,
+    )
+
+    private val idle = ArrayDeque<Idle>()
 
     /** Calls made so far. */
     var calls = 0L
@@ -134,13 +139,14 @@
         timeoutMillis: Long = CALL_TIMEOUT_MILLIS,
     ): Either<StoreFailure, String> {
         calls++
+        val target = endpoint()
         var connection: BackendConnection? = null
         var isComplete = false
         try {
             val answer =
                 withTimeoutOrNull(timeoutMillis) {
-                    val opened = connect().also { connection = it }
-                    opened.send(request(method, path, body))
+                    val opened = connect(target).also { connection = it }
+                    opened.send(request(target, method, path, body))
                     val head = opened.receiveHead(requestId = null)
                     head.status().code() to String(opened.receiveBody())
                 } ?: return StoreFailure.Unavailable("no response within $timeoutMillis ms").left()
@@ -149,7 +155,7 @@
         } catch (failure: IOException) {
             return StoreFailure.Unavailable(failure.message ?: failure.javaClass.simpleName).left()
         } finally {
-            connection?.let { if (isComplete) keep(it) else it.abort() }
+            connection?.let { if (isComplete) keep(target, it) else it.abort() }
         }
     }
 
@@ -164,27 +170,32 @@
             else -> StoreFailure.Unavailable("status $status").left()
         }
 
-    private suspend fun connect(): BackendConnection {
+    private suspend fun connect(target: Endpoint): BackendConnection {
         while (idle.isNotEmpty()) {
             val kept = idle.removeLast()
-            if (kept.isOpen && kept.idleMillis < KEEP_MILLIS) return kept
-            kept.close()
+            val connection = kept.connection
+            if (kept.endpoint == target && connection.isOpen && connection.idleMillis < KEEP_MILLIS) return connection
+            connection.close()
         }
-        return connector.connect(endpoint())
+        return connector.connect(target)
     }
 
-    private fun keep(connection: BackendConnection) {
-        if (connection.complete()) idle.addLast(connection)
+    private fun keep(
+        target: Endpoint,
+        connection: BackendConnection,
+    ) {
+        if (connection.complete()) idle.addLast(Idle(target, connection))
     }
 
     private fun request(
+        target: Endpoint,
         method: HttpMethod,
         path: String,
         body: String?,
     ): DefaultFullHttpRequest {
         val content = Unpooled.wrappedBuffer(body.orEmpty().toByteArray())
         val request = DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, path, content)
-        request.headers().set(HttpHeaderNames.HOST, endpoint().toString())
+        request.headers().set(HttpHeaderNames.HOST, target.toString())
         if (body != null) {
             request.headers().set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON)
             request.headers().set(HttpHeaderNames.CONTENT_LENGTH, content.readableBytes())
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/http/StatusServer.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/http/StatusServer.kt
@@ -20,6 +20,9 @@
 import io.netty.handler.codec.http.HttpVersion
 import io.sequoiawheel.core.relay.Endpoint
 import io.sequoiawheel.relay.backend.awaitDone
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.launch
 
 /** The response to one question about the instance: a status and a text. */
 internal class StatusAnswer(
@@ -27,10 +30,11 @@
     val text: String = "",
 )
 
-/** Answers readiness and metrics requests on an address of their own; [answer] maps a path to a response. */
+/** Answers questions about the instance on addresses of their own; [answer] maps a request target to a response. */
 internal class StatusServer(
     private val eventLoop: EventLoop,
-    private val answer: (String) -> StatusAnswer,
+    private val scope: CoroutineScope,
+    private val answer: suspend (String) -> StatusAnswer,
 ) {
     /** Starts to listen on [endpoint]. */
     suspend fun start(endpoint: Endpoint) {
@@ -51,16 +55,37 @@
     }
 
     private inner class Responder : SimpleChannelInboundHandler<FullHttpRequest>() {
+        private var last: Job? = null
+
         override fun channelRead0(
             context: ChannelHandlerContext,
             request: FullHttpRequest,
         ) {
-            val result = answer(request.uri().substringBefore('?'))
+            val target = request.uri()
+            val isKeptAlive = HttpUtil.isKeepAlive(request)
+            val previous = last
+            last =
+                scope.launch {
+                    previous?.join()
+                    respond(context, answer(target), isKeptAlive)
+                }
+        }
+
+        override fun channelInactive(context: ChannelHandlerContext) {
+            last?.cancel()
+            context.fireChannelInactive()
+        }
+
+        private fun respond(
+            context: ChannelHandlerContext,
+            result: StatusAnswer,
+            isKeptAlive: Boolean,
+        ) {
             val body = Unpooled.wrappedBuffer(result.text.toByteArray())
             val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, result.status, body)
             response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes())
             val sent = context.writeAndFlush(response)
-            if (!HttpUtil.isKeepAlive(request)) sent.addListener(ChannelFutureListener.CLOSE)
+            if (!isKeptAlive) sent.addListener(ChannelFutureListener.CLOSE)
         }
     }
 
--- a/relay/src/test/kotlin/io/sequoiawheel/relay/RelayFixture.kt
+++ b/relay/src/test/kotlin/io/sequoiawheel/relay/RelayFixture.kt
@@ -55,21 +55,33 @@
 
     /** Starts the instance and waits until it is ready. */
     fun start() {
-        daemon = RelayDaemon(settings())
-        runBlocking { daemon.start() }
-        awaitTrue("the instance is ready") { daemon.isReady }
+        daemon = startInstance("entry-1", peerPort = 0)
+    }
+
+    /** Starts another instance and waits until it is ready; its owner closes it. */
+    fun startInstance(
+        name: String,
+        peerPort: Int,
+    ): RelayDaemon {
+        val instance = RelayDaemon(settings(name, peerPort))
+        runBlocking { instance.start() }
+        awaitTrue("$name is ready") { instance.isReady }
+        return instance
     }
 
     /** Sends [request] on a connection of its own and returns all bytes of the response. */
-    fun send(request: String): String =
-        connect().use { socket ->
+    fun send(
+        request: String,
+        instance: RelayDaemon = daemon,
+    ): String =
+        connect(instance).use { socket ->
             socket.getOutputStream().write(request.toByteArray())
             socket.soTimeout = READ_TIMEOUT_MILLIS
             String(socket.getInputStream().readBytes())
         }
 
-    /** Opens a connection to the instance. */
-    fun connect(): Socket = Socket("127.0.0.1", daemon.callerPort)
+    /** Opens a connection to [instance]. */
+    fun connect(instance: RelayDaemon = daemon): Socket = Socket("127.0.0.1", instance.callerPort)
 
     /** Returns a request that closes its connection. */
     fun request(
@@ -90,19 +102,21 @@
         store.close()
     }
 
-    private fun settings() =
-        InstanceSettings(
-            "entry-1",
-            "127.0.0.1",
-            ZoneName("a"),
-            callers = Endpoint("127.0.0.1", 0),
-            readiness = Endpoint("127.0.0.1", 0),
-            peerPorts = 0..0,
-            capacityShare = 1.0,
-            memoryMegabytes = 280,
-            store = Endpoint("127.0.0.1", store.port),
-            bounds = ServiceBounds(3_000, 2_000, 8.0, 5_000, 0.2, 54, 10_000, 1.5, 5.0),
-        )
+    private fun settings(
+        name: String,
+        peerPort: Int,
+    ) = InstanceSettings(
+        name,
+        "127.0.0.1",
+        ZoneName("a"),
+        callers = Endpoint("127.0.0.1", 0),
+        readiness = Endpoint("127.0.0.1", 0),
+        peerPorts = peerPort..peerPort,
+        capacityShare = 1.0,
+        memoryMegabytes = 280,
+        store = Endpoint("127.0.0.1", store.port),
+        bounds = ServiceBounds(3_000, 2_000, 8.0, 5_000, 0.2, 54, 10_000, 1.5, 5.0),
+    )
 
     private fun configuration(
         version: Int,
