--- a/core/src/main/kotlin/io/sequoiawheel/core/relay/HubSelection.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/HubSelection.kt
@@ -30,6 +30,7 @@
 ) {
     private var hub: LivePeer? = null
     private var directUntilMillis = Long.MIN_VALUE
+    private val avoidedUntilMillis = HashMap<String, Long>()
     private var askedAtMillis: Long? = null
 
     /** Whether other instances rely on this one as their hub. */
@@ -43,10 +44,12 @@
     /** Returns the instance to watch, or null if this instance is to watch the store itself. */
     fun current(): LivePeer? {
         if (clock.nowMillis() < directUntilMillis || isAsked) return null
+        avoidedUntilMillis.values.removeIf { it <= clock.nowMillis() }
         val members = live().filter { it.zone == ownZone }
         if (members.size + 1 < MINIMUM_MEMBERS) return null
-        val kept = hub?.takeIf { it in members }
-        val first = kept ?: members.minBy { it.name }.takeIf { it.name < ownName }
+        val trusted = members.filter { it.name !in avoidedUntilMillis }
+        val kept = hub?.takeIf { it in trusted }
+        val first = kept ?: trusted.minByOrNull { it.name }?.takeIf { it.name < ownName }
         hub = first
         return first
     }
@@ -55,6 +58,7 @@
     fun failed(peer: LivePeer): Boolean {
         if (peer != hub) return false
         hub = null
+        avoidedUntilMillis[peer.name] = clock.nowMillis() + AVOIDED_MILLIS
         directUntilMillis = clock.nowMillis() + DIRECT_MILLIS + (random.nextDouble() * DIRECT_SPREAD_MILLIS).toLong()
         return true
     }
@@ -69,6 +73,9 @@
         /** A hub that is gone counts as live until its reports are a few seconds old. */
         const val DIRECT_MILLIS = 3_500L
 
+        /** An instance that lost the store or its network is mostly without it for some seconds more. */
+        const val AVOIDED_MILLIS = 12_000L
+
         /** Spreads the instances of a zone, so that the new hub knows of its role before most of them ask. */
         const val DIRECT_SPREAD_MILLIS = 1_500L
     }
--- a/core/src/test/kotlin/io/sequoiawheel/core/relay/HubSelectionTest.kt
+++ b/core/src/test/kotlin/io/sequoiawheel/core/relay/HubSelectionTest.kt
@@ -15,6 +15,7 @@
             (10..34).map { LivePeer("entry-$zone-$it", ZoneName(zone), Endpoint("10.0.0.$it", 7_000)) }
         }
     private val gone = HashSet<LivePeer>()
+    private val refusing = HashSet<LivePeer>()
     private val selections =
         peers.associateWith { own ->
             HubSelection(
@@ -34,7 +35,7 @@
             val hub = selection.current()
             when {
                 hub == null -> direct += own
-                hub in gone || selections.getValue(hub).current() != null -> selection.failed(hub)
+                hub in gone || hub in refusing || selections.getValue(hub).current() != null -> selection.failed(hub)
                 else -> selections.getValue(hub).asked()
             }
         }
@@ -58,6 +59,15 @@
         assertTrue(next.single() != first)
     }
 
+    @Test
+    fun `a hub that reports but does not serve is replaced`() {
+        val first = round().getValue(ZoneName("a")).single()
+        refusing += first
+        repeat(10) { round() }
+        val others = round().getValue(ZoneName("a")) - first
+        assertEquals(1, others.size)
+    }
+
     @Test
     fun `a hub that returns does not take its zone away from the one that serves`() {
         val first = round().getValue(ZoneName("a")).single()
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/control/ChangeSources.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/control/ChangeSources.kt
@@ -32,7 +32,10 @@
         return hub
     }
 
-    /** Returns what [hub] knows after [revision]. A failure makes this instance watch the store for a while. */
+    /**
+     * Returns what [hub] knows after [revision]. A failure makes this instance watch the store for a while, unless the
+     * hub only lacks the changes since then.
+     */
     suspend fun watch(
         hub: LivePeer,
         kind: StoreKind,
@@ -41,7 +44,7 @@
     ): Either<StoreFailure, StoreChanges> {
         val client =
             clients[hub] ?: StoreClient(connector) { hub.endpoint }.also { clients = mapOf(hub to it) }
-        return client.watch(kind, revision, waitMillis).onLeft { failed(hub, it) }
+        return client.watch(kind, revision, waitMillis).onLeft { if (it !is StoreFailure.HistoryGone) failed(hub, it) }
     }
 
     /** Records that [hub] cannot be relied on. */
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/control/KindWatcher.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/control/KindWatcher.kt
@@ -66,6 +66,7 @@
             val asOf = freshness.now()
             val listing = sources.store.list(kind).fold({ failed(it).let { null } }, { it })
             if (listing == null) {
+                stopLostFeed()
                 pause()
                 continue
             }
@@ -74,7 +75,6 @@
             listener.proven(asOf)
             feed.listed(listing.revision)
             watchFrom(listing.revision)
-            feed.stop()
         }
     }
 
@@ -90,10 +90,10 @@
             val hub = sources.hub()
             if (hub != null) {
                 feed.stop()
-                revision = watchHub(hub, revision)
+                revision = watchHub(hub, revision) ?: return
                 continue
             }
-            if (failures == 0) feed.resume(revision)
+            if (failures < FAILURES_OF_A_LOST_STORE) feed.resume(revision)
             val asOf = freshness.now()
             val changes =
                 watch { sources.store.watch(kind, revision, storeWaitMillis()) }.fold({ failure ->
@@ -101,8 +101,8 @@
                         log.belief("store history lost", mapOf("kind" to kind.name, "revision" to revision))
                         return
                     }
-                    feed.stop()
                     failed(failure)
+                    stopLostFeed()
                     null
                 }, { it })
             if (changes == null) {
@@ -118,16 +118,21 @@
         }
     }
 
-    /** Watches [hub] once, and returns the revision that is known then. */
+    private fun stopLostFeed() {
+        if (failures >= FAILURES_OF_A_LOST_STORE) feed.stop()
+    }
+
+    /** Watches [hub] once, and returns the revision that is known then, or null if the kind has to be listed anew. */
     private suspend fun watchHub(
         hub: LivePeer,
         revision: Long,
-    ): Long {
+    ): Long? {
         val asOf = freshness.now()
         val waitMillis = minOf(waitMillis, if (kind == StoreKind.CONFIGURATION) HUB_PROOF_MILLIS else waitMillis)
         val changes =
             watch { sources.watch(hub, kind, revision, waitMillis) }
-                .getOrElse {
+                .getOrElse { failure ->
+                    if (failure is StoreFailure.HistoryGone) return null
                     onFailure()
                     return revision
                 }
@@ -197,6 +202,9 @@
     private suspend fun pause() = delay(backoff.delayMillis(failures.coerceAtLeast(1), random))
 
     private companion object {
+        /** A single failure is a watch that the store cut, or a late response; the next call follows at once. */
+        const val FAILURES_OF_A_LOST_STORE = 2
+
         /** How often a hub proves the configuration, and is asked for it: a silent one is found soon after. */
         const val HUB_PROOF_MILLIS = 1_000L
 
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/http/StatusServer.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/http/StatusServer.kt
@@ -71,6 +71,14 @@
                 }
         }
 
+        override fun exceptionCaught(
+            context: ChannelHandlerContext,
+            cause: Throwable,
+        ) {
+            // The asker reset its connection, or sent what is no request; it asks again on another one.
+            context.close()
+        }
+
         override fun channelInactive(context: ChannelHandlerContext) {
             last?.cancel()
             context.fireChannelInactive()
