Probe a lost store with one kind of object

Cause: while an instance could not reach the store, its three watchers each tried again. Ruled out: longer pauses between tries (replicas that drain must be known within a second of the store's return). Change: the watcher of the configuration probes; the others wait for it, up to 2 s, since the store may serve one kind and not another.

--- a/relay/src/main/kotlin/io/sequoiawheel/relay/control/ChangeSources.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/control/ChangeSources.kt
@@ -8,6 +8,8 @@
 import io.sequoiawheel.platform.StoreKind
 import io.sequoiawheel.relay.backend.Connector
 import io.sequoiawheel.relay.internal.DecisionLog
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.withTimeoutOrNull
 
 /** Where changes of the store are read: from the store, or from the hub of the own zone. Confined to the event loop. */
 internal class ChangeSources(
@@ -18,10 +20,26 @@
 ) {
     private var clients = emptyMap<LivePeer, StoreClient>()
     private var lastHub: LivePeer? = null
+    private var regained: CompletableDeferred<Unit>? = null
 
     /** Whether other instances rely on this one. */
     val isHub: Boolean get() = selection.isAsked
 
+    /** Records that the store does not answer, or that it does again. */
+    fun pathIsLost(isLost: Boolean) {
+        if (isLost) {
+            regained = regained ?: CompletableDeferred()
+        } else {
+            regained?.complete(Unit)
+            regained = null
+        }
+    }
+
+    /** Waits while the path to the store is lost, but no longer than [limitMillis]. */
+    suspend fun awaitPath(limitMillis: Long) {
+        withTimeoutOrNull(limitMillis) { regained?.await() }
+    }
+
     /** Returns the hub to watch, or null if the store is to be watched. */
     fun hub(): LivePeer? {
         val hub = selection.current()
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/control/KindWatcher.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/control/KindWatcher.kt
@@ -55,6 +55,7 @@
     private val onFailure: () -> Unit = {},
 ) {
     private val kind = feed.kind
+    private val isProbe = kind == StoreKind.CONFIGURATION
     private val backoff = Backoff(FIRST_BACKOFF_MILLIS, LAST_BACKOFF_MILLIS)
     private var failures = 0
     private var outageEndedMillis: Long? = null
@@ -136,6 +137,7 @@
                     onFailure()
                     return revision
                 }
+        if (isProbe) sources.pathIsLost(false)
         val proof = changes.proofOffsetMillis?.let { asOf.plus(it) }
         apply(changes, proof)
         val isStale = proof == null || freshness.now().monotonicMillis - proof.monotonicMillis > STALE_HUB_MILLIS
@@ -182,12 +184,14 @@
 
     private fun failed(failure: StoreFailure) {
         onFailure()
+        if (isProbe) sources.pathIsLost(true)
         if (failures++ == 0) {
             log.dependency("store lost", mapOf("kind" to kind.name, "detail" to failure.detail))
         }
     }
 
     private fun succeeded() {
+        if (isProbe) sources.pathIsLost(false)
         if (failures == 0) return
         log.dependency("store regained", mapOf("kind" to kind.name, "failures" to failures))
         failures = 0
@@ -199,7 +203,11 @@
         return freshness.now().monotonicMillis - ended <= REGISTRATION_MILLIS
     }
 
-    private suspend fun pause() = delay(backoff.delayMillis(failures.coerceAtLeast(1), random))
+    /** Waits before the next call. One kind probes a lost path for all, so that a store that is down is spared. */
+    private suspend fun pause() {
+        delay(backoff.delayMillis(failures.coerceAtLeast(1), random))
+        if (!isProbe) sources.awaitPath(PROBE_LIMIT_MILLIS)
+    }
 
     private companion object {
         /** A single failure is a watch that the store cut, or a late response; the next call follows at once. */
@@ -215,6 +223,9 @@
         const val FIRST_BACKOFF_MILLIS = 60L
         const val LAST_BACKOFF_MILLIS = 700L
 
+        /** The store may serve one kind and not another. */
+        const val PROBE_LIMIT_MILLIS = 2_000L
+
         /** Live replicas are back in the list about 2 s after the store's return. */
         const val REGISTRATION_MILLIS = 2_000L
     }
