Copy runs off leaving replicas inside the zone first, and ask the next replica when one is full

Copies off one leaving replica share its link; between zones each takes twice as long (1.5 s for 14,000 tokens, of 1.7 s of notice). The destination in the own zone was passed over above 85% of its memory, the bound for backups. Change: an urgent copy may plan with the whole memory of its destination, and leaves the zone of its source only where that is exceeded. After a refusal the next replica is asked at once. The tries end with the source's connection. A run whose connection breaks while its copy is being reported waits for that report, so that a complete copy is used.

--- a/core/src/main/kotlin/io/sequoiawheel/core/relay/ReplicaSelection.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/ReplicaSelection.kt
@@ -50,9 +50,11 @@
     ): Replica? =
         candidates
             .filter { it.isReachable && !it.isCold }
-            .filter { it.load.totalTokens + demand.tokens <= engine.memoryTokens * COPY_MEMORY_SHARE }
+            .filter { it.load.totalTokens + demand.tokens <= engine.memoryTokens * copyMemoryShare(isUrgent) }
             .minByOrNull { copyCost(it, engine, sourceZone, isUrgent) }
 
+    private fun copyMemoryShare(isUrgent: Boolean) = if (isUrgent) URGENT_COPY_MEMORY_SHARE else COPY_MEMORY_SHARE
+
     private fun copyCost(
         replica: Replica,
         engine: EngineProfile,
@@ -66,7 +68,12 @@
                 sourceZone == ownZone -> zone != ownZone
                 else -> zone == ownZone
             }
-        val zonePenalty = if (isWellPlaced) 0.0 else COPY_ZONE_COST_SHARE
+        val zonePenalty =
+            when {
+                isWellPlaced -> 0.0
+                isUrgent -> URGENT_COPY_ZONE_COST_SHARE
+                else -> COPY_ZONE_COST_SHARE
+            }
         return replica.load.totalTokens.toDouble() / engine.memoryTokens + zonePenalty + jitter() * JITTER_SHARE
     }
 
@@ -142,6 +149,12 @@
         /** Copies must leave the rest of the memory to generations that start. */
         const val COPY_MEMORY_SHARE = 0.85
 
+        /** Without a copy the generation is lost, and a replica that has no room refuses within milliseconds. */
+        const val URGENT_COPY_MEMORY_SHARE = 1.0
+
+        /** Copies between zones take twice as long, and all copies off a leaving replica share its link. */
+        const val URGENT_COPY_ZONE_COST_SHARE = 1.0
+
         /**
          * A backup in another zone than its source outlives the loss of that zone's replicas, and one in the
          * instance's own zone outlives a cut; an urgent copy between zones may not end in time. Memory must be much
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationAttempt.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationAttempt.kt
@@ -100,6 +100,9 @@
     var hasBegun = false
         private set
 
+    /** Whether the attempt has ended, however it did. */
+    val isOver: Boolean get() = job?.isCompleted ?: false
+
     /** When the newest event arrived, or the attempt began. */
     var lastEventMillis = context.clock.nowMillis()
         private set
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationRun.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationRun.kt
@@ -54,6 +54,9 @@
     /** The attempt whose events are delivered. */
     private var current: GenerationAttempt? = null
 
+    /** The attempt whose connection broke while a copy of its run, perhaps complete, had not been reported. */
+    private var orphan: GenerationAttempt? = null
+
     /** The attempt that takes over once its stream begins. */
     private var successor: GenerationAttempt? = null
     private var copying: Job? = null
@@ -96,7 +99,7 @@
             is GenerationSignal.Failed -> failed(signal)
             is GenerationSignal.NotRun -> if (!endSuccessor(signal.attempt, signal.detail)) notRun(signal)
             is GenerationSignal.Broken -> if (!endSuccessor(signal.attempt, signal.detail)) broken(signal)
-            else -> if (signal.attempt === current) handleCurrent(signal)
+            else -> if (signal.attempt === current || signal.attempt === orphan) handleCurrent(signal)
         }
     }
 
@@ -106,7 +109,11 @@
             is GenerationSignal.Completed -> complete()
             is GenerationSignal.ReplicaLeaves -> replicaLeaves(signal)
             is GenerationSignal.CopyReady -> if (successor == null) continueFrom(signal.copy)
-            is GenerationSignal.CopyFailed -> exchange.notes["copyFailed"] = signal.detail
+            is GenerationSignal.CopyFailed -> {
+                exchange.notes["copyFailed"] = signal.detail
+                if (signal.attempt === orphan) recover(signal.detail)
+            }
+
             else -> Unit
         }
     }
@@ -226,8 +233,11 @@
         current = null
         exchange.notes["lostReplica"] = signal.detail
         exchange.notes["backup"] = attempt.backup?.toString() ?: "none"
-        if (successor != null) return
-        if (!continueFromBackup(attempt)) recover(signal.detail)
+        when {
+            successor != null || continueFromBackup(attempt) -> Unit
+            copying?.isActive == true -> orphan = attempt
+            else -> recover(signal.detail)
+        }
     }
 
     /** Goes on at the replica that keeps a copy of [attempt]'s run. Returns false if there is none to use. */
@@ -265,7 +275,7 @@
         copying =
             scope.launch {
                 val signal =
-                    when (val result = copier.copyAway(exchange.requestId, attempt.replica, lost, service, demand)) {
+                    when (val result = copier.copyAway(exchange.requestId, attempt, lost, service, demand)) {
                         is CopyResult.Copied -> GenerationSignal.CopyReady(attempt, result.copy)
                         is CopyResult.NoSuchRun -> GenerationSignal.CopyFailed(attempt, result.detail)
                         is CopyResult.Refused -> GenerationSignal.CopyFailed(attempt, result.detail)
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/RunCopier.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/RunCopier.kt
@@ -63,26 +63,34 @@
     ) = RunCopyAt(backup, EngineProtocol.backupCopy(endpoint(backup), requestId))
 
     /**
-     * Copies the run of [requestId] off the leaving replica [source], and tries again while it has not begun there or
-     * no replica has room.
+     * Copies the run of [requestId] off the leaving replica that [attempt] runs at. A replica without room says so at
+     * once, so the next one is asked without a pause; once all were asked, or while the run has not begun, it is tried
+     * again later.
      */
     suspend fun copyAway(
         requestId: String,
-        source: Replica,
+        attempt: GenerationAttempt,
         excluded: Set<Replica>,
         service: RelayService,
         demand: GenerationDemand,
     ): CopyResult {
         val engine = service.engine ?: return CopyResult.Refused("${service.name} is no engine")
+        val source = attempt.replica
         var result: CopyResult = CopyResult.Refused("no replica has room for a copy")
+        val full = HashSet<Replica>()
         repeat(COPY_ATTEMPTS) {
-            val candidates = context.candidates(service, excluded + source)
+            val candidates = context.candidates(service, excluded + source + full)
             val destination =
                 context.selection.forCopy(candidates, demand, engine, source.entry.zone, isUrgent = true)
                     ?: context.selection.forGeneration(candidates, demand, engine)
             if (destination != null) result = copyTwice(requestId, source, destination)
-            if (result is CopyResult.Copied) return result
-            delay(COPY_PAUSE_MILLIS)
+            if (result is CopyResult.Copied || attempt.isOver) return result
+            if (destination != null && result is CopyResult.Refused) {
+                full += destination
+            } else {
+                full.clear()
+                delay(COPY_PAUSE_MILLIS)
+            }
         }
         return result
     }
@@ -196,7 +204,7 @@
         const val SECOND_COPY_LIMIT_MILLIS = 150L
 
         /** Attempts to copy a run, as often as fits into the time that a leaving replica has. */
-        const val COPY_ATTEMPTS = 12
+        const val COPY_ATTEMPTS = 30
         const val COPY_PAUSE_MILLIS = 120L
     }
 }
