Deliver a held answer at the timeout, and judge replicas' heads in one place

Cause: a repeatable call whose first replica answered 500 and whose second did not answer ended with 504 at its timeout, although an answer was at hand. Found by reading. Change: the answer of the earlier attempt is delivered then. CallRelayTest has the case; it fails with 504 before. Also: what a replica's head says of "not run" was judged in CallRelay, GenerationRun and GenerationAttempt, and the exchange on a lent connection was written out in CallRelay and RunCopier; each is now in one place (ReplicaHeads, BackendPool.use). The load that replicas report and two settings were read and never used; they are gone. No change of behaviour in these.

--- a/core/src/main/kotlin/io/sequoiawheel/core/relay/InstanceSettings.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/InstanceSettings.kt
@@ -26,7 +26,6 @@
  * The settings of one entry instance.
  *
  * @property peerPorts ports on which instances may talk to each other, the same on all machines
- * @property capacityShare processor time that the instance may use, in cores
  */
 data class InstanceSettings(
     val name: String,
@@ -35,8 +34,6 @@
     val callers: Endpoint,
     val readiness: Endpoint,
     val peerPorts: IntRange,
-    val capacityShare: Double,
-    val memoryMegabytes: Int,
     val store: Endpoint,
     val bounds: ServiceBounds,
 )
--- a/core/src/main/kotlin/io/sequoiawheel/core/relay/ReplicaLoad.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/ReplicaLoad.kt
@@ -1,16 +1,10 @@
 /*
- * The work that a replica has, from three sources of different age: what this instance runs there (exact), what the
- * other instances say that they run there (a fraction of a second old), and what the replica says in its responses.
+ * The work that a replica has, from two sources of different age: what this instance runs there (exact), and what the
+ * other instances say that they run there (a fraction of a second old). What replicas say of their load themselves is
+ * older than both and is not used.
  */
 package io.sequoiawheel.core.relay
 
-/** What a replica said of its load in a response received at [atMillis]. */
-data class ReportedLoad(
-    val running: Int,
-    val waiting: Int,
-    val atMillis: Long,
-)
-
 /** Counts of one replica. Confined to one thread. */
 class ReplicaLoad {
     /** Requests of this instance in progress. */
@@ -42,9 +36,6 @@
     var responseMillis: Double? = null
         private set
 
-    /** Requests that run and wait at the replica, as its newest response said; null before the first. */
-    var reported: ReportedLoad? = null
-
     val totalRunning: Int get() = running + remoteRunning
     val totalTokens: Long get() = tokens + remoteTokens
     val totalPromptTokens: Long get() = promptTokens + remotePromptTokens
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/ClassArchive.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/ClassArchive.kt
@@ -87,7 +87,7 @@
 private fun settings(storePort: Int) =
     SettingsCodec.decode(
         """{"node":"archive","ip":"$HOST","zone":"z","listen":{"http":"$HOST:0","ready":"$HOST:0"},"port_range":[0,0],
-        "limits":{"cpu_share":1.0,"memory_mb":1},"bounds":{"contact_ms":1000,"drain_ms":1000,"grace_s":1,
+        "bounds":{"contact_ms":1000,"drain_ms":1000,"grace_s":1,
         "revoke_ms":10000,"retry_ratio":0.1,"retry_extra":1,"retry_window_s":1,"warmup_excess":1,"warmup_margin":1},
         "platform":{"addr":"$HOST:$storePort"}}""",
     )
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/backend/BackendPool.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/backend/BackendPool.kt
@@ -33,6 +33,23 @@
         return connector.connect(Endpoint(replica.entry.host, replica.entry.port))
     }
 
+    /**
+     * Runs [exchange] on a connection to [replica]. The connection is kept if the exchange was completed, else it is
+     * closed, since its response may still be under way.
+     */
+    suspend fun <T> use(
+        replica: Replica,
+        mustBeRecent: Boolean,
+        exchange: suspend (ConnectionLease) -> T,
+    ): T {
+        val lease = ConnectionLease(acquire(replica, mustBeRecent))
+        try {
+            return exchange(lease)
+        } finally {
+            if (lease.isComplete) release(replica, lease.connection) else lease.connection.abort()
+        }
+    }
+
     /** Takes back a connection whose exchange is complete. */
     fun release(
         replica: Replica,
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/BackendRequests.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/BackendRequests.kt
@@ -9,7 +9,6 @@
 import io.netty.handler.codec.http.HttpVersion
 import io.sequoiawheel.core.model.Clock
 import io.sequoiawheel.core.relay.Replica
-import io.sequoiawheel.core.relay.ReportedLoad
 import io.sequoiawheel.platform.Headers
 import io.sequoiawheel.relay.filter.Exchange
 
@@ -54,15 +53,6 @@
         head: HttpResponse,
     ) {
         replica.reached()
-        val load =
-            head
-                .headers()
-                .get(Headers.LOAD)
-                ?.split(',')
-                ?.mapNotNull { it.trim().toIntOrNull() }
-        if (load != null && load.size >= 2) {
-            replica.load.reported = ReportedLoad(load[0], load[1], clock.nowMillis())
-        }
         head
             .headers()
             .get(Headers.COLD_FOR)
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/CallRelay.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/CallRelay.kt
@@ -11,8 +11,6 @@
 import io.sequoiawheel.core.relay.NotRunProof
 import io.sequoiawheel.core.relay.RelayService
 import io.sequoiawheel.core.relay.Replica
-import io.sequoiawheel.platform.Headers
-import io.sequoiawheel.relay.backend.BackendConnection
 import io.sequoiawheel.relay.backend.ConnectFailedException
 import io.sequoiawheel.relay.filter.Exchange
 import kotlinx.coroutines.withTimeoutOrNull
@@ -48,7 +46,7 @@
         val remaining = exchange.deadlineMillis - context.clock.nowMillis()
         val call = Call(exchange, service)
         val inTime = withTimeoutOrNull(remaining) { call.run() }
-        if (inTime != null || exchange.response.isStarted) return
+        if (inTime != null || exchange.response.isStarted || call.deliverHeld()) return
         if (exchange.mayHaveRun) {
             exchange.fail(ResultCode.DEADLINE_AFTER_DISPATCH, "no response before the deadline")
         } else {
@@ -86,6 +84,12 @@
             }
         }
 
+        /** Delivers the answer of an earlier attempt. Returns false if there is none. */
+        suspend fun deliverHeld(): Boolean {
+            deliver(lastAnswer ?: return false)
+            return true
+        }
+
         /** Answers the caller if [attempt] decides the call. Returns false if it is to be tried again. */
         private suspend fun settle(attempt: CallAttempt): Boolean {
             when (attempt) {
@@ -177,20 +181,21 @@
 
         private suspend fun send(replica: Replica): CallAttempt {
             val startedMillis = context.clock.nowMillis()
-            var connection: BackendConnection? = null
-            var isComplete = false
             replica.load.begin(0)
             try {
-                val opened = context.pool.acquire(replica, mustBeRecent = !route.isRepeatable)
-                connection = opened
-                if (!opened.isOpen) return CallAttempt.NotRun(NotRunProof.NOTHING_SENT, "connection closed")
-                exchange.mayHaveRun = true
-                opened.send(requests.build(exchange, replica))
-                val head = opened.receiveHead(exchange.requestId)
-                requests.note(replica, head)
-                val body = opened.receiveBody()
-                isComplete = true
-                return judge(replica, head, body, startedMillis)
+                return context.pool.use(replica, mustBeRecent = !route.isRepeatable) { lease ->
+                    val connection = lease.connection
+                    if (!connection.isOpen) {
+                        return@use CallAttempt.NotRun(NotRunProof.NOTHING_SENT, "connection closed")
+                    }
+                    exchange.mayHaveRun = true
+                    connection.send(requests.build(exchange, replica))
+                    val head = connection.receiveHead(exchange.requestId)
+                    requests.note(replica, head)
+                    val body = connection.receiveBody()
+                    lease.complete()
+                    judge(replica, head, body, startedMillis)
+                }
             } catch (failure: ConnectFailedException) {
                 replica.unreachable()
                 return CallAttempt.NotRun(NotRunProof.NOTHING_SENT, failure.message.orEmpty())
@@ -199,7 +204,6 @@
                 return CallAttempt.Unknown("$replica: ${failure.message}")
             } finally {
                 replica.load.end(0)
-                connection?.let { if (isComplete) context.pool.release(replica, it) else it.abort() }
             }
         }
 
@@ -210,15 +214,15 @@
             startedMillis: Long,
         ): CallAttempt {
             val status = head.status().code()
-            if (status == MISDIRECTED) {
-                replica.leave(LeaveReason.REPLACED)
-                return refused("$replica is another replica now")
-            }
-            if (head.headers().contains(Headers.NOT_RUN)) return refused("$replica refused with status $status")
-            val isPromise = status in PROMISING_STATUSES
-            val isUnsigned = status < CLIENT_ERROR && !head.headers().contains(Headers.SIGNATURE)
+            if (head.isMisdirected) replica.leave(LeaveReason.REPLACED)
+            if (head.isNotRun) return refused("$replica refused with status $status")
+            val isUnsigned = status < CLIENT_ERROR && !head.isSigned
             replica.load.outcome(failed = status >= SERVER_ERROR || isUnsigned)
-            if (isPromise || isUnsigned) return CallAttempt.Unknown("$replica answered $status without a proof")
+            if (head.promisesNotRun ||
+                isUnsigned
+            ) {
+                return CallAttempt.Unknown("$replica answered $status without a proof")
+            }
             replica.load.responded(context.clock.nowMillis() - startedMillis)
             return CallAttempt.Answered(head, body)
         }
@@ -232,10 +236,6 @@
     private companion object {
         const val CLIENT_ERROR = 400
         const val SERVER_ERROR = 500
-        const val MISDIRECTED = 421
-
-        /** Statuses that promise that a request has not run; only a replica's explicit word allows them. */
-        val PROMISING_STATUSES = setOf(408, 421, 429, 503)
 
         /** Replicas that may turn one call down before the caller is told to come back. */
         const val MAXIMUM_REFUSALS = 2
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationAttempt.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationAttempt.kt
@@ -164,8 +164,8 @@
         val head = opened.receiveHead(exchange.requestId)
         requests.note(replica, head)
         val status = head.status().code()
-        if (status == MISDIRECTED || head.headers().contains(Headers.NOT_RUN)) {
-            if (status == MISDIRECTED) replica.leave(LeaveReason.REPLACED)
+        if (head.isNotRun) {
+            if (head.isMisdirected) replica.leave(LeaveReason.REPLACED)
             opened.receiveBody()
             isComplete = true
             signals.trySend(
@@ -179,7 +179,7 @@
             signals.trySend(GenerationSignal.Failed(this, head, body))
             return
         }
-        if (!head.headers().contains(Headers.SIGNATURE)) throw IOException("a success without a signature")
+        if (!head.isSigned) throw IOException("a success without a signature")
         hasBegun = true
         endPrompt()
         lastEventMillis = context.clock.nowMillis()
@@ -210,6 +210,5 @@
 
     private companion object {
         val SUCCESS = 200..299
-        const val MISDIRECTED = 421
     }
 }
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationRun.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationRun.kt
@@ -197,7 +197,7 @@
             end(ResultCode.STREAM_INTERRUPTED, "${signal.attempt.replica} answered ${signal.head.status()}")
             return
         }
-        if (signal.head.status().code() in PROMISING_STATUSES) {
+        if (signal.head.promisesNotRun) {
             end(ResultCode.BACKEND_ERROR, "${signal.attempt.replica} answered ${signal.head.status()} without a proof")
             return
         }
@@ -344,8 +344,6 @@
     }
 
     private companion object {
-        val PROMISING_STATUSES = setOf(408, 421, 429, 503)
-
         /** A stream of a service without an engine has no memory to plan for. */
         val PLAIN_STREAM =
             EngineProfile(
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/RunCopier.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/RunCopier.kt
@@ -13,7 +13,6 @@
 import io.sequoiawheel.platform.EngineProtocol
 import io.sequoiawheel.platform.RunCopy
 import io.sequoiawheel.platform.UnreadableDocumentException
-import io.sequoiawheel.relay.backend.BackendConnection
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.withTimeoutOrNull
 import java.io.IOException
@@ -160,27 +159,23 @@
         method: HttpMethod,
         path: String,
         body: String?,
-    ): Pair<Int, String> {
-        var connection: BackendConnection? = null
-        var isComplete = false
+    ): Pair<Int, String> =
         try {
-            val opened = context.pool.acquire(replica, mustBeRecent = true).also { connection = it }
             val content = Unpooled.wrappedBuffer(body.orEmpty().toByteArray())
             val request = DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, path, content)
             request.headers().set(HttpHeaderNames.HOST, replica.entry.address)
             request.headers().set(HttpHeaderNames.CONTENT_LENGTH, content.readableBytes())
             if (body != null) request.headers().set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON)
-            opened.send(request)
-            val head = opened.receiveHead(requestId = null)
-            val text = String(opened.receiveBody())
-            isComplete = true
-            return head.status().code() to text
+            context.pool.use(replica, mustBeRecent = true) { lease ->
+                lease.connection.send(request)
+                val head = lease.connection.receiveHead(requestId = null)
+                val text = String(lease.connection.receiveBody())
+                lease.complete()
+                head.status().code() to text
+            }
         } catch (failure: IOException) {
-            return UNREACHABLE to failure.message.orEmpty()
-        } finally {
-            connection?.let { if (isComplete) context.pool.release(replica, it) else it.abort() }
+            UNREACHABLE to failure.message.orEmpty()
         }
-    }
 
     private fun endpoint(replica: Replica) = Endpoint(replica.entry.host, replica.entry.port)
 
--- a/relay/src/test/kotlin/io/sequoiawheel/relay/CallRelayTest.kt
+++ b/relay/src/test/kotlin/io/sequoiawheel/relay/CallRelayTest.kt
@@ -126,6 +126,28 @@
         assertEquals(listOf(1, 1), replicas.map { it.requests.size })
     }
 
+    @Test
+    fun `the answer of an earlier attempt is delivered when the last one gets none in time`() {
+        val failed = AtomicBoolean()
+        repeat(2) {
+            fixture.replica("r-$it") { request, answer ->
+                if (failed.compareAndSet(false, true)) {
+                    answer.write(
+                        "HTTP/1.1 500 Error\r\nX-Request-Id: ${request.header("X-Request-Id")}\r\n" +
+                            "X-Response-Signature: s\r\nContent-Length: 5\r\n\r\nfault",
+                    )
+                } else {
+                    Thread.sleep(5_000)
+                }
+            }
+        }
+        fixture.configure(timeoutMillis = 600)
+        fixture.start()
+        val response = fixture.send(fixture.request("/safe/a"))
+        assertEquals("500", statusOf(response))
+        assertTrue(response.endsWith("fault"), response)
+    }
+
     @Test
     fun `a late response to another request is not mixed in`() {
         fixture.replica("r-1") { request, answer ->
--- a/relay/src/test/kotlin/io/sequoiawheel/relay/RelayFixture.kt
+++ b/relay/src/test/kotlin/io/sequoiawheel/relay/RelayFixture.kt
@@ -112,8 +112,6 @@
         callers = Endpoint("127.0.0.1", 0),
         readiness = Endpoint("127.0.0.1", 0),
         peerPorts = peerPort..peerPort,
-        capacityShare = 1.0,
-        memoryMegabytes = 280,
         store = Endpoint("127.0.0.1", store.port),
         bounds = ServiceBounds(3_000, 2_000, 8.0, 5_000, 0.2, 54, 10_000, 1.5, 5.0),
     )
