Read the settings file again when it changes without a signal

Cause: the platform may change the file without SIGHUP; the instance then kept the address of the store that it had. Change: the file's time of modification is looked at every second; an unreadable file leaves the settings in force. Test: RelayProcessTest, with a process of its own, an unreadable file and a good one.

--- a/relay/src/main/kotlin/io/sequoiawheel/relay/RelayProcess.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/RelayProcess.kt
@@ -10,11 +10,13 @@
 import java.io.IOException
 import java.nio.file.Files
 import java.nio.file.Path
+import java.nio.file.attribute.FileTime
 import java.util.concurrent.CountDownLatch
+import java.util.concurrent.TimeUnit
 
 /**
- * One entry instance as a process: SIGTERM and SIGINT let it finish its requests and end, SIGHUP reads the settings
- * file again.
+ * One entry instance as a process: SIGTERM and SIGINT let it finish its requests and end. The settings file is read
+ * again at SIGHUP, and when it has changed without a signal.
  *
  * @param settingsPath the settings file that the platform writes
  * @param metricsPort port on which the metrics are served beside the readiness address, or null
@@ -38,11 +40,24 @@
             System.err.println("cannot listen: ${failure.message}")
             return ResultCode.BIND_FAILED.exitCode
         }
-        stop.await()
+        var known = modified()
+        while (!stop.await(SETTINGS_POLL_MILLIS, TimeUnit.MILLISECONDS)) {
+            val newest = modified()
+            if (newest != known) reload(daemon)
+            known = newest
+        }
         runBlocking { daemon.leave() }
         return 0
     }
 
+    /** Returns when the settings file was written, or null while there is none; then the settings in force stay. */
+    private fun modified(): FileTime? =
+        try {
+            Files.getLastModifiedTime(Path.of(settingsPath))
+        } catch (_: IOException) {
+            null
+        }
+
     private fun reload(daemon: RelayDaemon) {
         try {
             daemon.reload(readSettings(settingsPath))
@@ -54,6 +69,9 @@
     }
 
     companion object {
+        /** Changed settings name the store's new address at most; a second without it costs nothing. */
+        private const val SETTINGS_POLL_MILLIS = 1_000L
+
         /** Reads the settings file at [path], or throws with the name of the faulty field. */
         fun readSettings(path: String): InstanceSettings = SettingsCodec.decode(Files.readString(Path.of(path)))
     }
--- a/relay/src/test/kotlin/io/sequoiawheel/relay/RelayProcessTest.kt
+++ b/relay/src/test/kotlin/io/sequoiawheel/relay/RelayProcessTest.kt
@@ -87,6 +87,21 @@
         }
     }
 
+    @Test
+    fun `settings that change without a signal are applied, unreadable ones are not`() {
+        val readiness = freePort()
+        val settings = settings(freePort(), readiness)
+        fixture.configure()
+        start(settings)
+        RelayFixture.awaitTrue("the process is ready") { statusOf(readiness) == 200 }
+        val file = directory.resolve("node.json")
+        Files.writeString(file, "{")
+        RelayFixture.awaitTrue("the unreadable file is logged") { hasLine("settings unreadable, kept") }
+        Files.writeString(file, settings)
+        RelayFixture.awaitTrue("the reload is logged") { hasLine("reloaded") }
+        assertEquals(200, statusOf(readiness))
+    }
+
     @Test
     fun `settings without a field end the process with its name`() {
         val started = start("""{"node":"entry-1"}""")
