--- a/core/src/main/kotlin/io/sequoiawheel/core/relay/ReplicaSelection.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/ReplicaSelection.kt
@@ -146,8 +146,11 @@
         /** Makes any replica with room cheaper than one without. */
         const val OVERFULL_COST_FACTOR = 4.0
 
-        /** Copies must leave the rest of the memory to generations that start. */
-        const val COPY_MEMORY_SHARE = 0.85
+        /**
+         * Backups must leave the rest of the memory to generations that start and to urgent copies. Where memory does
+         * not suffice for all backups, more streams are lost at 0.55 and at 0.85.
+         */
+        const val COPY_MEMORY_SHARE = 0.7
 
         /** Without a copy the generation is lost, and a replica that has no room refuses within milliseconds. */
         const val URGENT_COPY_MEMORY_SHARE = 1.0
