Move the example documents of the archive's run to platform/

Cause: the run that makes the archive of classes wrote the platform's names in the relay. Change: ExampleDocuments in platform/ holds settings, listings and requests of a small deployment. ClassArchiveTest runs the program: it ends with 0 and has served a call and a stream. No change of behaviour elsewhere.

--- a/relay/src/main/kotlin/io/sequoiawheel/relay/ClassArchive.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/ClassArchive.kt
@@ -9,7 +9,9 @@
 import io.netty.channel.nio.NioIoHandler
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.sequoiawheel.core.relay.Endpoint
+import io.sequoiawheel.platform.ExampleDocuments
 import io.sequoiawheel.platform.SettingsCodec
+import io.sequoiawheel.platform.StoreProtocol
 import io.sequoiawheel.relay.http.StatusAnswer
 import io.sequoiawheel.relay.http.StatusServer
 import io.sequoiawheel.relay.internal.LogConfiguration
@@ -38,11 +40,11 @@
     val isServed =
         runBlocking {
             StatusServer(eventLoop, scope) { storeAnswer(it, storePort) }.start(Endpoint(HOST, storePort))
-            val daemon = RelayDaemon(settings(storePort))
+            val daemon = RelayDaemon(SettingsCodec.decode(ExampleDocuments.settings(HOST, storePort)))
             daemon.start()
             withTimeoutOrNull(LIMIT_MILLIS) {
                 while (!daemon.isReady) delay(POLL_MILLIS)
-                listOf("/call", "/stream").forEach { request(daemon.callerPort, it) }
+                ExampleDocuments.requests.forEach { request(daemon.callerPort, it) }
                 true
             } ?: false
         }
@@ -51,10 +53,9 @@
 
 private fun request(
     port: Int,
-    path: String,
+    text: String,
 ) = Socket(HOST, port).use { socket ->
     socket.soTimeout = READ_TIMEOUT_MILLIS
-    val text = "POST $path HTTP/1.1\r\nHost: h\r\nX-Request-Id: r\r\nConnection: close\r\nContent-Length: 1\r\n\r\nx"
     socket.getOutputStream().write(text.toByteArray())
     socket.getInputStream().readBytes()
 }
@@ -63,40 +64,6 @@
     target: String,
     ownPort: Int,
 ): StatusAnswer {
-    if ("watch=" in target) delay(LIMIT_MILLIS)
-    val entries =
-        when {
-            "/config" in target -> entry("main", CONFIGURATION)
-            "/servers" in target -> listOf("d", "e").joinToString(",") { entry(it, replica(it, ownPort)) }
-            else -> ""
-        }
-    return StatusAnswer(HttpResponseStatus.OK, """{"entries":[$entries],"has_more":false,"at":1}""")
+    if (StoreProtocol.parseWatch(target) != null) delay(LIMIT_MILLIS)
+    return StatusAnswer(HttpResponseStatus.OK, ExampleDocuments.listing(target, Endpoint(HOST, ownPort)))
 }
-
-private fun entry(
-    name: String,
-    spec: String,
-) = """{"meta":{"name":"$name","revision":1},"spec":$spec}"""
-
-private fun replica(
-    service: String,
-    port: Int,
-) = """{"svc":"$service","addr":"$HOST:$port","zone":"z","version":"1","slots":1,"state":"ready","warmup_left_ms":0,
-    "seq":1,"born":1}"""
-
-private fun settings(storePort: Int) =
-    SettingsCodec.decode(
-        """{"node":"archive","ip":"$HOST","zone":"z","listen":{"http":"$HOST:0","ready":"$HOST:0"},"port_range":[0,0],
-        "bounds":{"contact_ms":1000,"drain_ms":1000,"grace_s":1,
-        "revoke_ms":10000,"retry_ratio":0.1,"retry_extra":1,"retry_window_s":1,"warmup_excess":1,"warmup_margin":1},
-        "platform":{"addr":"$HOST:$storePort"}}""",
-    )
-
-private const val CONFIGURATION =
-    """{"version":1,"routes":[{"name":"c","host":"h","path_prefix":"/call","type":"safe","timeout_ms":500,"slo_ms":9,
-    "prio":1,"svc":"d","attempts":2,"public":true,"resumable":false,"itl_target_ms":9},{"name":"s","host":"h",
-    "path_prefix":"/stream","type":"stream","timeout_ms":500,"slo_ms":9,"prio":1,"svc":"e","attempts":1,"public":true,
-    "resumable":false,"itl_target_ms":9}],"svcs":[{"name":"d","health_path":"/","max_conns":9,"warmup_s":0,
-    "warmup_per_s":0},{"name":"e","health_path":"/","max_conns":9,"warmup_s":0,"warmup_per_s":0,"runtime":{"slots":2,
-    "kv_capacity":9999,"kv_token_bytes":9,"stride":1,"moves":true,"backups":true}}],"limits":{"max_header_bytes":9999,
-    "max_body_bytes":9999,"header_timeout_ms":999,"idle_timeout_ms":999},"tenants":[{"name":"w","api_keys":["k"]}]}"""
