Date the proof of a watch by the wait that was asked, and count a lost hub as a possible outage

Found by reading the new watcher. - The length of the wait was taken twice, when the store was asked and for the proof. If others stopped relying on the instance between the two, a proof was dated up to its answer, later than the store's word. - An instance that regained its view through a hub after an outage did not count it as one: entries that had lapsed with the store would be dropped at once. A hub that fails may have lost the store as well, so both now keep missing entries for the grace period. - A hub was left for lack of a proof just after it had taken its place, although its state had been proven before; the last proof is kept. ChangeHubTest has the outage with a lapsed entry. It passes before this change too, since all instances regained the store themselves there; a test in which one regains it through a hub is open.

--- a/relay/src/main/kotlin/io/sequoiawheel/relay/control/ChangeHub.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/control/ChangeHub.kt
@@ -31,17 +31,23 @@
 
     val revision: Long get() = history.revision
 
-    /** Starts with a listing as of [revision]. */
-    fun listed(revision: Long) {
+    /** Starts with a listing as of [revision], the newest state at [asOf]. */
+    fun listed(
+        revision: Long,
+        asOf: Instant?,
+    ) {
         history.restart(revision)
-        proof = null
+        proof = asOf
         isServing = true
         wake()
     }
 
-    /** Starts, or goes on, after [revision], from which the store is watched now. */
-    fun resume(revision: Long) {
-        if (!isServing) listed(revision)
+    /** Starts, or goes on, after [revision], from which the store is watched now; it was the newest state at [asOf]. */
+    fun resume(
+        revision: Long,
+        asOf: Instant?,
+    ) {
+        if (!isServing) listed(revision, asOf)
     }
 
     /** Adds the response to a watch that followed the last call. */
@@ -49,7 +55,7 @@
         changes: StoreChanges,
         asOf: Instant,
     ) {
-        resume(changes.revision)
+        resume(changes.revision, asOf)
         history.append(changes.revision, changes.events)
         proof = asOf
         wake()
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/control/ChangeSources.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/control/ChangeSources.kt
@@ -1,7 +1,6 @@
 package io.sequoiawheel.relay.control
 
 import arrow.core.Either
-import arrow.core.left
 import io.sequoiawheel.core.relay.HubSelection
 import io.sequoiawheel.core.relay.LivePeer
 import io.sequoiawheel.platform.StoreChanges
@@ -50,10 +49,7 @@
         return hub
     }
 
-    /**
-     * Returns what [hub] knows after [revision]. A failure makes this instance watch the store for a while, unless the
-     * hub only lacks the changes since then.
-     */
+    /** Returns what [hub] knows after [revision]. */
     suspend fun watch(
         hub: LivePeer,
         kind: StoreKind,
@@ -62,15 +58,14 @@
     ): Either<StoreFailure, StoreChanges> {
         val client =
             clients[hub] ?: StoreClient(connector) { hub.endpoint }.also { clients = mapOf(hub to it) }
-        return client.watch(kind, revision, waitMillis).onLeft { if (it !is StoreFailure.HistoryGone) failed(hub, it) }
+        return client.watch(kind, revision, waitMillis)
     }
 
-    /** Records that [hub] cannot be relied on. */
+    /** Records that [hub] cannot be relied on; this instance watches the store for a while. */
     fun failed(
         hub: LivePeer,
         failure: StoreFailure,
-    ): Either<StoreFailure, Nothing> {
+    ) {
         if (selection.failed(hub)) log.dependency("hub lost", mapOf("hub" to hub.name, "detail" to failure.detail))
-        return failure.left()
     }
 }
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/control/KindWatcher.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/control/KindWatcher.kt
@@ -59,6 +59,7 @@
     private val backoff = Backoff(FIRST_BACKOFF_MILLIS, LAST_BACKOFF_MILLIS)
     private var failures = 0
     private var outageEndedMillis: Long? = null
+    private var lastProof: Instant? = null
     private var waiting: Deferred<Either<StoreFailure, StoreChanges>>? = null
 
     /** Follows the kind until cancelled. */
@@ -74,7 +75,8 @@
             succeeded()
             listener.listed(listing.objects, isAfterOutage())
             listener.proven(asOf)
-            feed.listed(listing.revision)
+            lastProof = asOf
+            feed.listed(listing.revision, asOf)
             watchFrom(listing.revision)
         }
     }
@@ -91,13 +93,14 @@
             val hub = sources.hub()
             if (hub != null) {
                 feed.stop()
-                revision = watchHub(hub, revision) ?: return
+                revision = watchHub(hub, revision, isJustListed = revision == start) ?: return
                 continue
             }
-            if (failures < FAILURES_OF_A_LOST_STORE) feed.resume(revision)
+            if (failures < FAILURES_OF_A_LOST_STORE) feed.resume(revision, lastProof)
             val asOf = freshness.now()
+            val waitMillis = storeWaitMillis()
             val changes =
-                watch { sources.store.watch(kind, revision, storeWaitMillis()) }.fold({ failure ->
+                watch { sources.store.watch(kind, revision, waitMillis) }.fold({ failure ->
                     if (failure is StoreFailure.HistoryGone) {
                         log.belief("store history lost", mapOf("kind" to kind.name, "revision" to revision))
                         return
@@ -113,7 +116,7 @@
             succeeded()
             revision = changes.revision
             // Without events the store answers at the end of the wait, so nothing had changed until then.
-            val proof = if (changes.events.isEmpty()) asOf.plus(storeWaitMillis()) else asOf
+            val proof = if (changes.events.isEmpty()) asOf.plus(waitMillis) else asOf
             apply(changes, proof)
             feed.changed(changes, proof)
             if (changes.events.isNotEmpty()) delay(GATHER_MILLIS)
@@ -128,17 +131,21 @@
     private suspend fun watchHub(
         hub: LivePeer,
         revision: Long,
+        isJustListed: Boolean,
     ): Long? {
         val asOf = freshness.now()
         val waitMillis = minOf(waitMillis, if (kind == StoreKind.CONFIGURATION) HUB_PROOF_MILLIS else waitMillis)
         val changes =
             watch { sources.watch(hub, kind, revision, waitMillis) }
                 .getOrElse { failure ->
-                    if (failure is StoreFailure.HistoryGone) return null
+                    if (failure is StoreFailure.HistoryGone && !isJustListed) return null
+                    sources.failed(hub, failure)
                     onFailure()
+                    // The hub may have lost the store together with the replicas' entries.
+                    outageEndedMillis = freshness.now().monotonicMillis
                     return revision
                 }
-        if (isProbe) sources.pathIsLost(false)
+        succeeded()
         val proof = changes.proofOffsetMillis?.let { asOf.plus(it) }
         apply(changes, proof)
         val isStale = proof == null || freshness.now().monotonicMillis - proof.monotonicMillis > STALE_HUB_MILLIS
@@ -154,6 +161,7 @@
         proof: Instant?,
     ) {
         changes.events.forEach { listener.changed(it, isAfterOutage()) }
+        lastProof = proof ?: lastProof
         if (proof != null) listener.proven(proof)
     }
 
--- a/relay/src/test/kotlin/io/sequoiawheel/relay/ChangeHubTest.kt
+++ b/relay/src/test/kotlin/io/sequoiawheel/relay/ChangeHubTest.kt
@@ -1,5 +1,6 @@
 package io.sequoiawheel.relay
 
+import io.sequoiawheel.standin.platform.ReplicaStandIn
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.BeforeEach
@@ -11,10 +12,11 @@
 class ChangeHubTest {
     private val fixture = RelayFixture()
     private val instances = ArrayList<RelayDaemon>()
+    private lateinit var replica: ReplicaStandIn
 
     @BeforeEach
     fun start() {
-        fixture.replica("r-1") { request, answer -> answer.whole(request, "world") }
+        replica = fixture.replica("r-1") { request, answer -> answer.whole(request, "world") }
         fixture.configure(version = 1)
         for (number in 1..INSTANCES) instances += fixture.startInstance("entry-$number", freePort())
         RelayFixture.awaitTrue("one instance watches the store") { callsWithin(WINDOW_MILLIS) <= HUB_CALLS }
@@ -76,7 +78,22 @@
         revoke(2, "key-2")
     }
 
+    @Test
+    fun `an entry that lapsed with the store is kept until it is back, whoever tells of it`() {
+        fixture.store.isDown = true
+        RelayFixture.awaitTrue("all refuse keys") { instances.all { status(it, "key-1") == "503" } }
+        fixture.store.remove("servers", "r-1")
+        fixture.store.isDown = false
+        RelayFixture.awaitTrue("all serve again") { instances.all { status(it, "key-1") == "200" } }
+        fixture.register("r-1", RelayFixture.PLAIN, replica, state = "ready")
+        val end = System.nanoTime() + BACK_MILLIS * NANOS_PER_MILLI
+        while (System.nanoTime() < end) assertTrue(instances.all { status(it, "key-1") == "200" })
+    }
+
     private companion object {
+        /** Longer than missing entries are kept. */
+        const val BACK_MILLIS = 3_000L
+
         const val INSTANCES = 6
         const val CHANGES = 8
 
