Wait for a copy's report only where the route allows no repeat, and test it

Cause: a stream that may be repeated waited, after its replica had broken off, for the report of a copy under way, up to 2.5 s, although it can go on elsewhere at once. Found by reading. Change: only generations that cannot be repeated wait. Test: GenerationRelayTest breaks the connection after a copy was made and before it is reported. Without the wait the caller's stream is reset; with it all events arrive.

--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationRun.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationRun.kt
@@ -235,7 +235,7 @@
         exchange.notes["backup"] = attempt.backup?.toString() ?: "none"
         when {
             successor != null || continueFromBackup(attempt) -> Unit
-            copying?.isActive == true -> orphan = attempt
+            copying?.isActive == true && !route.isRepeatable -> orphan = attempt
             else -> recover(signal.detail)
         }
     }
--- a/relay/src/test/kotlin/io/sequoiawheel/relay/GenerationRelayTest.kt
+++ b/relay/src/test/kotlin/io/sequoiawheel/relay/GenerationRelayTest.kt
@@ -9,6 +9,7 @@
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
 import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicBoolean
 
 class GenerationRelayTest {
     private val fixture = RelayFixture()
@@ -20,11 +21,13 @@
     /** Adds an engine that streams [EVENTS] events, resuming after the last one that the request names. */
     private fun engine(
         id: String,
+        duringCopy: () -> Unit = {},
         before: (ReceivedRequest, ReplicaAnswer, Int) -> Unit = { _, _, _ -> },
     ) {
         engines[id] =
             fixture.replica(id, RelayFixture.ENGINE) { request, answer ->
                 if (request.target == "/v1/kv-move") {
+                    duringCopy()
                     answer.whole(request, """{"session":"h-1","created":1}""")
                 } else {
                     val first = (request.header("Last-Event-Id")?.toInt() ?: 0) + 1
@@ -39,7 +42,8 @@
             }
     }
 
-    private fun send() = fixture.send(fixture.request("/stream/a", extra = "X-Token-Usage: 3000,900\r\n"))
+    private fun send(tokens: String = "3000,900") =
+        fixture.send(fixture.request("/stream/a", extra = "X-Token-Usage: $tokens\r\n"))
 
     private fun idsOf(response: String) =
         Regex("id: (\\d+)\ndata: piece \\1\n").findAll(response).map { it.groupValues[1].toInt() }.toList()
@@ -86,18 +90,40 @@
         for (id in listOf("e-1", "e-2")) engine(id)
         fixture.configure()
         fixture.start()
-        val leaves =
-            Thread {
-                RelayFixture.awaitTrue("the stream runs") { engines.keys.any { generations(it).isNotEmpty() } }
-                Thread.sleep(4 * EVENT_MILLIS)
-                val source = sourceId()
-                fixture.register(source, RelayFixture.ENGINE, engines.getValue(source), state = "draining")
-            }.also { it.start() }
+        val leaves = sourceLeaves()
         assertWhole(send())
         leaves.join()
         assertEquals(1, engines.keys.sumOf { id -> generations(id).count { it.header("Kv-From") != null } })
     }
 
+    /** Tells the replica that runs the generation to leave, some events after its start. */
+    private fun sourceLeaves() =
+        Thread {
+            RelayFixture.awaitTrue("the stream runs") { engines.keys.any { generations(it).isNotEmpty() } }
+            Thread.sleep(4 * EVENT_MILLIS)
+            val source = sourceId()
+            fixture.register(source, RelayFixture.ENGINE, engines.getValue(source), state = "draining")
+        }.also { it.start() }
+
+    @Test
+    fun `a generation whose connection breaks before its copy is reported goes on from the copy`() {
+        val isCopied = AtomicBoolean()
+        for (id in listOf("e-1", "e-2")) {
+            engine(
+                id,
+                duringCopy = {
+                    isCopied.set(true)
+                    Thread.sleep(10 * EVENT_MILLIS)
+                },
+            ) { request, answer, _ -> if (isCopied.get() && request.header("Kv-From") == null) answer.reset() }
+        }
+        fixture.configure()
+        fixture.start()
+        val leaves = sourceLeaves()
+        assertWhole(send(TOO_LARGE_FOR_BACKUP))
+        leaves.join()
+    }
+
     @Test
     fun `a generation without a copy that is cut in the middle does not look complete`() {
         engine("e-1") { _, answer, event -> if (event == EVENTS / 2) answer.reset() }
@@ -132,6 +158,9 @@
     }
 
     private companion object {
+        /** Prompt and output whose backup would take more of an engine's memory than backups may. */
+        const val TOO_LARGE_FOR_BACKUP = "20000,9000"
+
         const val EVENTS = 20
         const val EVENT_MILLIS = 20L
     }
