--- a/relay/src/main/kotlin/io/sequoiawheel/relay/RelayDaemon.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/RelayDaemon.kt
@@ -316,7 +316,7 @@
         /** Each response to a watch proves the configuration anew, well within the share for readiness. */
         const val CONFIGURATION_WAIT_MILLIS = 2_400L
 
-        /** With shorter bounds, half of the age at which callers are sent elsewhere, and time for the response. */
+        /** Share of a short revocation bound that a wait may take; with the response it stays below [READY_SHARE]. */
         const val CONFIGURATION_WAIT_SHARE = 0.5
 
         /**
