Move no generation to a backup whose zone was taken out

Only a leaving backup was excluded. Change: one condition, ReplicaDirectory.mayReceive, decides for new and for moved work. Test: GenerationRelayTest takes the backup's zone out before the source breaks. Before: the backup receives the run. After: it receives nothing; all tests of the class and of ReplicaDirectory pass.

--- a/core/src/main/kotlin/io/sequoiawheel/core/relay/ReplicaDirectory.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/ReplicaDirectory.kt
@@ -75,11 +75,12 @@
     /** Returns the replicas of [service] that may receive new work now. */
     fun usable(service: ServiceName): List<Replica> {
         expire()
-        return replicas.values.filter { replica ->
-            replica.entry.service == service && !replica.isLeaving && replica.entry.zone !in evacuated
-        }
+        return replicas.values.filter { it.entry.service == service && mayReceive(it) }
     }
 
+    /** Whether [replica] may receive work, new or moved: it is not leaving, and its zone is not taken out. */
+    fun mayReceive(replica: Replica): Boolean = !replica.isLeaving && replica.entry.zone !in evacuated
+
     /** Returns all known replicas. */
     fun all(): List<Replica> = replicas.values.toList()
 
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationRun.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationRun.kt
@@ -242,7 +242,7 @@
 
     /** Goes on at the replica that keeps a copy of [attempt]'s run. Returns false if there is none to use. */
     private fun continueFromBackup(attempt: GenerationAttempt): Boolean {
-        val backup = attempt.backup?.takeIf { !it.isLeaving } ?: return false
+        val backup = attempt.backup?.takeIf(context.directory::mayReceive) ?: return false
         if (!attempt.hasBegun || !usedBackups.add(backup)) return false
         continueFrom(copier.backup(backup, exchange.requestId.orEmpty()))
         return true
--- a/relay/src/test/kotlin/io/sequoiawheel/relay/GenerationRelayTest.kt
+++ b/relay/src/test/kotlin/io/sequoiawheel/relay/GenerationRelayTest.kt
@@ -3,6 +3,7 @@
 import io.sequoiawheel.standin.platform.ReceivedRequest
 import io.sequoiawheel.standin.platform.ReplicaAnswer
 import io.sequoiawheel.standin.platform.ReplicaStandIn
+import kotlinx.serialization.json.JsonObject
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertFalse
@@ -124,6 +125,22 @@
         leaves.join()
     }
 
+    @Test
+    fun `a backup in a zone that was taken out meanwhile receives nothing`() {
+        for (id in listOf("e-1", "e-2")) {
+            engine(id) { _, answer, event ->
+                if (event == 2) fixture.store.put("evacuations", "b", JsonObject(emptyMap()))
+                if (event == EVENTS - 1) answer.reset()
+            }
+        }
+        fixture.register("e-2", RelayFixture.ENGINE, engines.getValue("e-2"), state = "ready", zone = "b")
+        fixture.configure()
+        fixture.start()
+        runCatching { send() }
+        assertEquals(engines.getValue("e-2").address, generations("e-1").single().header("X-Kv-Backup"))
+        assertEquals(0, generations("e-2").size)
+    }
+
     @Test
     fun `a generation without a copy that is cut in the middle does not look complete`() {
         engine("e-1") { _, answer, event -> if (event == EVENTS / 2) answer.reset() }
--- a/relay/src/test/kotlin/io/sequoiawheel/relay/RelayFixture.kt
+++ b/relay/src/test/kotlin/io/sequoiawheel/relay/RelayFixture.kt
@@ -37,11 +37,12 @@
         name: String,
         replica: ReplicaStandIn,
         state: String,
+        zone: String = "a",
     ) = store.put(
         "servers",
         id,
         Json.parseToJsonElement(
-            """{"svc":"$name","addr":"${replica.address}","zone":"a","version":"v1","slots":6,"state":"$state",
+            """{"svc":"$name","addr":"${replica.address}","zone":"$zone","version":"v1","slots":6,"state":"$state",
               "warmup_left_ms":0,"seq":1,"born":1}""",
         ),
     )
