Simplify the watchers after reading the whole change

Found by reading; behaviour stays. - Whether a kind was listed stood in two listeners; the watcher knows it, and readiness asks the watchers. - The length of a wait was decided in two places; one function decides it now, and `isProbe` stands for the kind. - ChangeHub compared two readings of both clocks as Freshness does; Freshness.offsetMillis serves it, and the tolerance is private again. - A reader's changes were looked for from the oldest batch on at each wake-up; now from the newest. - LeaveReason.EVACUATED was never set. A comment named a property that does not exist. One difference: a hub without a proof took 0 for its time, which counted as later than a request on a monotonic clock with negative readings; now it counts as unproven. Not merged: FullJitterBackoff (object API) and Backoff (core) draw from different ranges; the wire types of a stand-in and of its client are apart on purpose; DecisionLog's four methods and StoreClient's writes are alike in shape only.

--- a/core/src/main/kotlin/io/sequoiawheel/core/relay/ChangeHistory.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/ChangeHistory.kt
@@ -55,7 +55,7 @@
      */
     fun after(revision: Long): List<E>? {
         if (revision < start) return null
-        return batches.filter { it.revision > revision }.flatMap { it.changes }
+        return batches.takeLastWhile { it.revision > revision }.flatMap { it.changes }
     }
 
     private companion object {
--- a/core/src/main/kotlin/io/sequoiawheel/core/relay/Freshness.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/Freshness.kt
@@ -65,6 +65,14 @@
         return suspended
     }
 
+    /** Returns the time between two readings in milliseconds, the smaller of both clocks', or null if they disagree. */
+    fun offsetMillis(
+        from: Instant,
+        to: Instant,
+    ): Long? =
+        minOf(to.monotonicMillis - from.monotonicMillis, to.wallMillis - from.wallMillis)
+            .takeIf { disagreement(from, to) <= CLOCK_TOLERANCE_MILLIS }
+
     private fun disagreement(
         from: Instant,
         to: Instant,
@@ -74,7 +82,7 @@
         return kotlin.math.abs(monotonicMillis - wallMillis)
     }
 
-    companion object {
+    private companion object {
         /** Two readings that are taken one after the other on a busy processor differ by less. */
         const val CLOCK_TOLERANCE_MILLIS = 300L
     }
--- a/core/src/main/kotlin/io/sequoiawheel/core/relay/Replica.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/Replica.kt
@@ -4,7 +4,7 @@
 import kotlinx.coroutines.CompletableDeferred
 
 /** Why a replica receives no new work. */
-enum class LeaveReason { DRAINING, REMOVED, EVACUATED, REPLACED }
+enum class LeaveReason { DRAINING, REMOVED, REPLACED }
 
 /**
  * One incarnation of a replica as this instance sees it, with the work that this instance has at it. It is confined to
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/RelayDaemon.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/RelayDaemon.kt
@@ -118,6 +118,15 @@
             StoreKind.EVACUATIONS,
         ).associateWith(::ChangeFeed)
     private val hub = ChangeHub(feeds, hubs, freshness)
+    private val longWatchers =
+        listOf(
+            watcher(StoreKind.REPLICAS, LONG_WAIT_MILLIS, replicas) {},
+            watcher(StoreKind.EVACUATIONS, LONG_WAIT_MILLIS, evacuations) {},
+        )
+    private val probe =
+        watcher(StoreKind.CONFIGURATION, configurationWaitMillis(), configuration) {
+            longWatchers.forEach(KindWatcher::interrupt)
+        }
     private val calls = CallRelay(context)
     private val generations = GenerationRelay(context)
     private val chain =
@@ -147,7 +156,7 @@
 
     /** Whether everything that a request depends on was read from the store once. */
     private val isInformed: Boolean
-        get() = configuration.current != null && replicas.isListed && evacuations.isListed
+        get() = configuration.current != null && longWatchers.all { it.isListed }
 
     /** Starts the listeners and begins to follow the platform's store. */
     suspend fun start() =
@@ -156,16 +165,7 @@
                 "started",
                 mapOf("instance" to settings.name, "zone" to settings.zone.value, "store" to settings.store.toString()),
             )
-            val others =
-                listOf(
-                    watcher(StoreKind.REPLICAS, LONG_WAIT_MILLIS, replicas) {},
-                    watcher(StoreKind.EVACUATIONS, LONG_WAIT_MILLIS, evacuations) {},
-                )
-            val guard =
-                watcher(StoreKind.CONFIGURATION, configurationWaitMillis(), configuration) {
-                    others.forEach(KindWatcher::interrupt)
-                }
-            (others + guard).forEach { scope.launch { it.run() } }
+            (longWatchers + probe).forEach { scope.launch { it.run() } }
             callerPort = server.start(settings.callers, MAXIMUM_HEADER_BYTES)
             val statusServer = StatusServer(eventLoop, scope) { status(it.substringBefore('?')) }
             statusServer.start(settings.readiness)
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/control/ChangeHub.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/control/ChangeHub.kt
@@ -105,7 +105,11 @@
         if (!feed.isServing) return StatusAnswer(HttpResponseStatus.SERVICE_UNAVAILABLE)
         val events = feed.after(query.revision) ?: return StatusAnswer(HttpResponseStatus.GONE)
         val changes =
-            StoreChanges(events, maxOf(feed.revision, query.revision), feed.proof?.let { offset(received, it) })
+            StoreChanges(
+                events,
+                maxOf(feed.revision, query.revision),
+                feed.proof?.let { freshness.offsetMillis(received, it) },
+            )
         return StatusAnswer(HttpResponseStatus.OK, StoreProtocol.encodeChanges(changes))
     }
 
@@ -114,17 +118,7 @@
         query: WatchQuery,
         received: Instant,
     ): Boolean {
-        val isProven = (feed.proof?.monotonicMillis ?: 0) > received.monotonicMillis
+        val isProven = feed.proof?.let { it.monotonicMillis > received.monotonicMillis } ?: false
         return feed.after(query.revision)?.isEmpty() != true || isProven && query.kind == StoreKind.CONFIGURATION
     }
-
-    /** Returns the time from [received] to [proof] in milliseconds, or null if the clocks disagree about it. */
-    private fun offset(
-        received: Instant,
-        proof: Instant,
-    ): Long? {
-        val monotonic = proof.monotonicMillis - received.monotonicMillis
-        val wall = proof.wallMillis - received.wallMillis
-        return minOf(monotonic, wall).takeIf { maxOf(monotonic, wall) - it <= Freshness.CLOCK_TOLERANCE_MILLIS }
-    }
 }
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/control/KindWatcher.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/control/KindWatcher.kt
@@ -57,6 +57,11 @@
     private val kind = feed.kind
     private val isProbe = kind == StoreKind.CONFIGURATION
     private val backoff = Backoff(FIRST_BACKOFF_MILLIS, LAST_BACKOFF_MILLIS)
+
+    /** Whether the kind was listed once. */
+    var isListed = false
+        private set
+
     private var failures = 0
     private var outageEndedMillis: Long? = null
     private var lastProof: Instant? = null
@@ -73,6 +78,7 @@
                 continue
             }
             succeeded()
+            isListed = true
             listener.listed(listing.objects, isAfterOutage())
             listener.proven(asOf)
             lastProof = asOf
@@ -98,7 +104,7 @@
             }
             if (failures < FAILURES_OF_A_LOST_STORE) feed.resume(revision, lastProof)
             val asOf = freshness.now()
-            val waitMillis = storeWaitMillis()
+            val waitMillis = waitMillis(isProofNeededSoon = sources.isHub)
             val changes =
                 watch { sources.store.watch(kind, revision, waitMillis) }.fold({ failure ->
                     if (failure is StoreFailure.HistoryGone) {
@@ -134,7 +140,7 @@
         isJustListed: Boolean,
     ): Long? {
         val asOf = freshness.now()
-        val waitMillis = minOf(waitMillis, if (kind == StoreKind.CONFIGURATION) HUB_PROOF_MILLIS else waitMillis)
+        val waitMillis = waitMillis(isProofNeededSoon = true)
         val changes =
             watch { sources.watch(hub, kind, revision, waitMillis) }
                 .getOrElse { failure ->
@@ -149,7 +155,7 @@
         val proof = changes.proofOffsetMillis?.let { asOf.plus(it) }
         apply(changes, proof)
         val isStale = proof == null || freshness.now().monotonicMillis - proof.monotonicMillis > STALE_HUB_MILLIS
-        if (kind == StoreKind.CONFIGURATION && isStale) {
+        if (isProbe && isStale) {
             sources.failed(hub, StoreFailure.Unavailable("its state is not proven"))
             onFailure()
         }
@@ -165,9 +171,9 @@
         if (proof != null) listener.proven(proof)
     }
 
-    /** Returns how long the store may wait; a hub proves its state more often, for those who rely on it. */
-    private fun storeWaitMillis() =
-        if (kind == StoreKind.CONFIGURATION && sources.isHub) minOf(waitMillis, HUB_PROOF_MILLIS) else waitMillis
+    /** Returns how long an answer may wait. Between a hub and those who rely on it, the probe's proof comes sooner. */
+    private fun waitMillis(isProofNeededSoon: Boolean) =
+        if (isProbe && isProofNeededSoon) minOf(waitMillis, HUB_PROOF_MILLIS) else waitMillis
 
     private suspend fun watch(
         call: suspend () -> Either<StoreFailure, StoreChanges>,
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/control/ReplicaController.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/control/ReplicaController.kt
@@ -15,15 +15,10 @@
     private val directory: ReplicaDirectory,
     private val log: DecisionLog,
 ) : KindListener {
-    /** Whether the list was read once. */
-    var isListed = false
-        private set
-
     override fun listed(
         objects: List<StoreObject>,
         afterOutage: Boolean,
     ) {
-        isListed = true
         directory.replaceAll(objects.mapNotNull(::decode), afterOutage)
         log.belief("replicas listed", mapOf("entries" to objects.size, "afterOutage" to afterOutage))
     }
@@ -64,15 +59,10 @@
     private val directory: ReplicaDirectory,
     private val log: DecisionLog,
 ) : KindListener {
-    /** Whether the list was read once. */
-    var isListed = false
-        private set
-
     override fun listed(
         objects: List<StoreObject>,
         afterOutage: Boolean,
     ) {
-        isListed = true
         set(objects.filter { !it.isBeingDeleted }.mapTo(HashSet()) { ZoneName(it.name) })
     }
 
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationAttempt.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationAttempt.kt
@@ -62,7 +62,7 @@
         val reason: LeaveReason,
     ) : GenerationSignal
 
-    /** A copy of the run's memory is ready at [destination]. */
+    /** A copy of the run's memory is ready. */
     class CopyReady(
         override val attempt: GenerationAttempt,
         val copy: RunCopyAt,
