Ask all replicas at once before a request is refused for its wait

Ruled out: grants that are not used in time, and ejected replicas (none in the traces). Change: all replicas of the list are asked at once, whatever the view says; of several grants one is used and the others are given back. A request does not return to a replica that it could not reach. The daemon's own queue is unchanged.

--- a/experiment/src/main/kotlin/io/sequoiawheel/experiment/grants/GrantedPolicy.kt
+++ b/experiment/src/main/kotlin/io/sequoiawheel/experiment/grants/GrantedPolicy.kt
@@ -2,6 +2,7 @@
 
 import io.sequoiawheel.core.admission.LengthEstimator
 import io.sequoiawheel.core.admission.LengthKey
+import io.sequoiawheel.core.grant.GrantTicket
 import io.sequoiawheel.core.grant.LengthCorrection
 import io.sequoiawheel.core.grant.Reservation
 import io.sequoiawheel.core.grant.ReserveResult
@@ -39,6 +40,9 @@
     private val ejectors = HashMap<Int, Ejector>()
     private val waiting = HashMap<Int, ArrayDeque<Waiting>>()
     private val asking = HashSet<Int>()
+
+    /** Replicas that could not be reached or were lost, by the request that found out. */
+    private val lost = HashMap<SimulatedRequest, MutableSet<InstanceId>>()
     private val dispatched = LinkedHashMap<SimulatedRequest, Double>()
     private lateinit var service: SimulatedService
     private lateinit var grants: Map<InstanceId, ReplicaGrants>
@@ -49,7 +53,10 @@
         val sinceMillis: Double,
         val excluded: MutableSet<InstanceId> = HashSet(),
         var hasAskedAll: Boolean = false,
-    )
+    ) {
+        /** Replicas that had no room when they were asked last, half a round trip before a refusal. */
+        val full: MutableSet<InstanceId> = HashSet()
+    }
 
     override fun start(service: SimulatedService) {
         this.service = service
@@ -65,7 +72,9 @@
         val arrival = request.arrival
         keys[arrival.request.generation] = LengthKey(SERVICE, arrival.workspace, arrival.kind)
         val queue = waiting.getOrPut(arrival.entry) { ArrayDeque() }
-        queue.addLast(Waiting(request, arrival.atMillis))
+        val newcomer = Waiting(request, arrival.atMillis)
+        newcomer.excluded += lost[request].orEmpty()
+        queue.addLast(newcomer)
         if (queue.size == 1) drain(arrival.entry)
     }
 
@@ -75,6 +84,7 @@
             ejector(request).succeeded(grantsOf(request).id)
         }
         if (request.state == SimulatedRequest.State.FAILED) lostBy(request)
+        lost.remove(request)
         release(request)
     }
 
@@ -83,6 +93,7 @@
         failure: Failure,
     ) {
         lostBy(request)
+        lost.getOrPut(request) { HashSet() } += grantsOf(request).id
         release(request)
     }
 
@@ -128,18 +139,21 @@
         while (queue.isNotEmpty()) {
             val head = queue.first()
             if (head.request.state == SimulatedRequest.State.PENDING) {
-                if (!isExpired(head) || !head.hasAskedAll) return ask(entry, head)
-                giveUp(head.request)
+                when {
+                    !isExpired(head) -> return ask(entry, head)
+                    !head.hasAskedAll -> return askEverywhere(entry, head)
+                    else -> giveUp(head)
+                }
             }
             queue.remove(head)
         }
     }
 
-    private fun giveUp(request: SimulatedRequest) {
-        val reservation = reservation(request)
-        val room = grants.values.count { isOpen(it) && hasRoom(it, reservation) }
-        onRefuse(request, room)
-        service.refuse(request, Failure(ResultCode.QUEUE_TIMEOUT, retryAfterMillis = RETRY_AFTER_MILLIS))
+    private fun giveUp(head: Waiting) {
+        val reservation = reservation(head.request)
+        val room = grants.values.count { it.id !in head.full && isOpen(it) && hasRoom(it, reservation) }
+        onRefuse(head.request, room)
+        service.refuse(head.request, Failure(ResultCode.QUEUE_TIMEOUT, retryAfterMillis = RETRY_AFTER_MILLIS))
     }
 
     private fun isOpen(replica: ReplicaGrants) = replica.replica in service.eligibleReplicas()
@@ -170,8 +184,6 @@
         val ticket = chosen?.clients?.get(entry)?.ask(reservation.request, now)
         if (chosen == null || ticket == null) {
             head.excluded.clear()
-            head.hasAskedAll = isExpired(head)
-            if (head.hasAskedAll) drain(entry)
             return
         }
         waiting.getValue(entry).remove(head)
@@ -180,10 +192,7 @@
             val result = chosen.ledger.reserve(ReplicaGrants.entryId(entry), reservation, service.loop.nowMillis)
             service.loop.schedule(chosen.delayMillis(entry)) {
                 asking -= entry
-                val client = chosen.clients[entry]
-                if (result != ReserveResult.GRANTED) client.refused(reservation.request)
-                val mayUse =
-                    result == ReserveResult.GRANTED && client.granted(reservation, ticket, service.loop.nowMillis)
+                val mayUse = settle(chosen, entry, reservation, ticket, result)
                 if (mayUse) dispatch(head.request, chosen) else back(entry, head, chosen)
             }
         }
@@ -196,10 +205,74 @@
     ) {
         waiting.getValue(entry).addFirst(head)
         head.excluded += refused.id
-        // Before a request is refused for its wait, every replica is asked once more.
         if (head.excluded.size <= MAXIMUM_ASKED || isExpired(head)) drain(entry) else head.excluded.clear()
     }
 
+    /**
+     * Asks every replica at once before a request is refused for its wait. Asked one after the other, a replica that
+     * was asked early may have room by the time the last one answers; and views may lack one that has just returned.
+     */
+    private fun askEverywhere(
+        entry: Int,
+        head: Waiting,
+    ) {
+        head.hasAskedAll = true
+        val reservation = reservation(head.request)
+        val now = service.loop.nowMillis
+        val tickets =
+            grants.values.filter(::isOpen).mapNotNull { replica ->
+                replica.clients[entry].ask(reservation.request, now)?.let { replica to it }
+            }
+        if (tickets.isEmpty()) return drain(entry)
+        waiting.getValue(entry).remove(head)
+        asking += entry
+        var unanswered = tickets.size
+        var isDispatched = false
+        for ((replica, ticket) in tickets) {
+            service.loop.schedule(replica.delayMillis(entry)) {
+                val result = replica.ledger.reserve(ReplicaGrants.entryId(entry), reservation, service.loop.nowMillis)
+                if (!hasRoom(replica, reservation)) head.full += replica.id
+                service.loop.schedule(replica.delayMillis(entry)) {
+                    val mayUse = settle(replica, entry, reservation, ticket, result)
+                    if (mayUse && isDispatched) giveBack(replica, entry, reservation)
+                    if (mayUse && !isDispatched) {
+                        isDispatched = true
+                        dispatch(head.request, replica)
+                    }
+                    if (--unanswered == 0) {
+                        asking -= entry
+                        if (!isDispatched) waiting.getValue(entry).addFirst(head)
+                        drain(entry)
+                    }
+                }
+            }
+        }
+    }
+
+    /** Records the answer of [replica]'s ledger. Returns whether the room may be used. */
+    private fun settle(
+        replica: ReplicaGrants,
+        entry: Int,
+        reservation: Reservation,
+        ticket: GrantTicket,
+        result: ReserveResult,
+    ): Boolean {
+        val client = replica.clients[entry]
+        if (result != ReserveResult.GRANTED) client.refused(reservation.request)
+        return result == ReserveResult.GRANTED && client.granted(reservation, ticket, service.loop.nowMillis)
+    }
+
+    private fun giveBack(
+        replica: ReplicaGrants,
+        entry: Int,
+        reservation: Reservation,
+    ) {
+        replica.clients[entry].finished(reservation.request)
+        service.loop.schedule(replica.delayMillis(entry)) {
+            replica.ledger.release(ReplicaGrants.entryId(entry), reservation.request)
+        }
+    }
+
     private fun isExpired(head: Waiting): Boolean = service.loop.now - head.sinceMillis >= MAXIMUM_WAIT_MILLIS
 
     private fun dispatch(
