Exchange load by sums of zones in fleets of more than sixteen instances

Cause: reports of work went from each instance to each other one at every change and at least every second, so what an instance sent, received, decoded and summed up grew with the fleet. Ruled out: longer intervals between reports to all. They keep the growth, and several instances of a zone then place generations at the same replica. Change: LoadExchange (core, no I/O) decides what is sent to whom. Up to 16 instances exchange reports as before. In a larger fleet an instance reports to the first live instance of its zone by name; that one tells the other zones the sums of its zone every 0.4 s and its zone the totals every 0.2 s, less often where a total is large. An instance subtracts the report of its own that the total includes. Nothing is agreed on: whoever is asked aggregates, two aggregators cost datagrams only. Shares of cold rates and of the retry budget are taken of the largest number of instances of the last two minutes, and of 340 before anything is known, so that they hold while instances are cut off or all start at once. PeerController carries datagrams only, and counts them. Test: LargeFleetTest (95 and 340 instances in virtual time, 1% of datagrams lost): datagrams per instance at 340 at most 1.2 times those at 95; the loss of every aggregator and a cut zone are made good within 6 s; counts hold. Test changed: after silence the old test asked for an instance count of 1; that is now the live count, and the count for shares is asserted to stay at 3, since instances that are cut off still use their share.

--- a/core/src/main/kotlin/io/sequoiawheel/core/relay/HubSelection.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/HubSelection.kt
@@ -9,13 +9,6 @@
 import io.sequoiawheel.core.model.ZoneName
 import org.apache.commons.rng.UniformRandomProvider
 
-/** Another instance that reported lately. */
-data class LivePeer(
-    val name: String,
-    val zone: ZoneName,
-    val endpoint: Endpoint,
-)
-
 /**
  * Chooses the hub of one instance. Confined to one thread.
  *
@@ -26,9 +19,9 @@
     private val ownZone: ZoneName,
     private val clock: Clock,
     private val random: UniformRandomProvider,
-    private val live: () -> List<LivePeer>,
+    private val live: () -> List<Peer>,
 ) {
-    private var hub: LivePeer? = null
+    private var hub: Peer? = null
     private var directUntilMillis = Long.MIN_VALUE
     private val avoidedUntilMillis = HashMap<String, Long>()
     private var askedAtMillis: Long? = null
@@ -42,7 +35,7 @@
     }
 
     /** Returns the instance to watch, or null if this instance is to watch the store itself. */
-    fun current(): LivePeer? {
+    fun current(): Peer? {
         if (clock.nowMillis() < directUntilMillis || isAsked) return null
         avoidedUntilMillis.values.removeIf { it <= clock.nowMillis() }
         val members = live().filter { it.zone == ownZone }
@@ -55,7 +48,7 @@
     }
 
     /** Watches the store for a while, since [peer] did not serve as hub. Returns false if it was not the hub. */
-    fun failed(peer: LivePeer): Boolean {
+    fun failed(peer: Peer): Boolean {
         if (peer != hub) return false
         hub = null
         avoidedUntilMillis[peer.name] = clock.nowMillis() + AVOIDED_MILLIS
--- a/core/src/main/kotlin/io/sequoiawheel/core/relay/LoadExchange.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/LoadExchange.kt
@@ -1,116 +1,271 @@
 /*
- * What entry instances tell each other: the work that each has at the replicas. Reports are sent as datagrams, may be
- * lost or overtake one another, and are forgotten when their sender falls silent.
+ * How an entry instance learns of the work that the others have at the replicas. A small fleet exchanges reports
+ * directly. In a larger one each instance reports to one instance of its zone, the aggregator, which exchanges sums
+ * with the aggregators of the other zones and tells its zone the total, so that the messages of an instance do not grow
+ * with the fleet. An instance subtracts its own part of a total by the report that the total includes.
  */
 package io.sequoiawheel.core.relay
 
 import io.sequoiawheel.core.model.Clock
-import io.sequoiawheel.core.model.InstanceId
 import io.sequoiawheel.core.model.ZoneName
-import kotlinx.serialization.SerialName
-import kotlinx.serialization.Serializable
-
-/** The work of one instance at one replica. Names are short, since reports cross availability zones. */
-@Serializable
-data class PeerWork(
-    @SerialName("r") val running: Int,
-    @SerialName("t") val tokens: Long,
-    @SerialName("p") val promptTokens: Long = 0,
+
+/** A message to be sent to [destinations]. */
+class PeerSending(
+    val destinations: List<Endpoint>,
+    val message: PeerMessage,
 )
 
 /**
- * The report of one instance.
+ * Decides what one instance sends to the others, and what follows from what it receives. Confined to one thread.
  *
- * @property sender name of the instance
- * @property start tells two incarnations of the sender apart; the later one has the larger number
- * @property sequence grows with each report of an incarnation
- * @property endpoint where the sender listens for reports
- * @property zone the sender's availability zone
+ * @param start tells this incarnation from earlier ones of the same name
  */
-@Serializable
-data class PeerReport(
-    @SerialName("i") val sender: String,
-    @SerialName("s") val start: Long,
-    @SerialName("n") val sequence: Long,
-    @SerialName("e") val endpoint: String,
-    @SerialName("w") val work: Map<String, PeerWork>,
-    @SerialName("l") val isLeaving: Boolean = false,
-    @SerialName("z") val zone: String = "",
-)
-
-/** The newest report of each other instance. Confined to one thread. */
-class PeerLoads(
+class LoadExchange(
+    private val self: Peer,
+    private val start: Long,
     private val clock: Clock,
 ) {
-    private class Known(
-        val report: PeerReport,
-        val atMillis: Long,
-    )
+    private val roster = PeerRoster(clock)
+    private val aggregators = AggregatorSelection(self, roster, clock)
+    private val ownReports = OwnReports()
+    private val heard = HeardLoads(self.zone, clock)
+    private val count = FleetCount(clock)
+    private var sequence = 0L
+    private var meshRounds = 0L
+    private var totalRounds = 0L
+    private var isListed = false
+    private var reportSentMillis: Long? = null
+    private var totalSentMillis: Long? = null
+    private var sumSentMillis: Long? = null
+    private var totalBytes = 0
 
-    private val known = HashMap<String, Known>()
-    private val endpoints = HashMap<String, Long>()
+    /** The instances that may exist: an upper estimate, so that shares of common bounds add up to less than these. */
+    val instanceCount: Int
+        get() {
+            if (!isListed && heard.isEmpty) return FleetCount.UNKNOWN
+            return count.atLeast(maxOf(liveCount(), roster.size + 1))
+        }
 
     /** Instances that reported lately, this one included. */
-    val instanceCount: Int get() = 1 + known.values.count { isFresh(it) }
+    fun liveCount(): Int = totals()?.instances ?: (1 + heard.count())
 
-    /** Instances that reported lately, this one not included. */
-    fun live(): List<LivePeer> =
-        known.values.filter(::isFresh).mapNotNull { peer ->
-            val endpoint = Endpoint.parseOrNull(peer.report.endpoint) ?: return@mapNotNull null
-            LivePeer(peer.report.sender, ZoneName(peer.report.zone), endpoint)
-        }
+    /** Other instances that reported lately; in a large fleet those of the own zone. */
+    fun live(): List<Peer> {
+        val told = heard.totals?.let { it.members.keys + it.sender }.orEmpty()
+        val names = heard.instances.map { it.sender } + told
+        return names.distinct().filter { it != self.name }.mapNotNull { roster[it] }
+    }
 
-    /** Adds an address at which another instance may listen. */
-    fun addEndpoint(endpoint: String) {
-        endpoints.putIfAbsent(endpoint, clock.nowMillis())
+    /** Takes the addresses of [peers] from the platform's store. */
+    fun listed(peers: List<Peer>) {
+        isListed = true
+        peers.filter { it.name != self.name }.forEach(roster::add)
     }
 
-    /** Takes a report. Returns false if a newer one of its sender is known. */
-    fun receive(report: PeerReport): Boolean {
-        val before = known[report.sender]?.report
-        val isOlder =
-            before != null &&
-                (report.start < before.start || report.start == before.start && report.sequence <= before.sequence)
-        if (isOlder) return false
-        if (report.isLeaving) known.remove(report.sender) else known[report.sender] = Known(report, clock.nowMillis())
-        endpoints[report.endpoint] = clock.nowMillis()
-        return true
+    /** Returns what to send now, where this instance has [work]. To be called every tenth of a second. */
+    fun tick(work: WorkByReplica): List<PeerSending> {
+        val sendings = ArrayList<PeerSending>()
+        val hasChanged = memory(work) != memory(ownReports.newest)
+        if (hasChanged || isElapsed(reportSentMillis, heartbeatMillis())) sendings += report(work, isLeaving = false)
+        if (!aggregators.isAsked && !isFirst()) return sendings
+        if (isElapsed(totalSentMillis, totalIntervalMillis())) total(work)?.let { sendings += it }
+        if (!isMesh() && isElapsed(sumSentMillis, SUM_INTERVAL_MILLIS)) sum(work)?.let { sendings += it }
+        return sendings
     }
 
-    /** Returns where to send reports: to every instance that was heard of lately, to silent ones now and then. */
-    fun destinations(includesSilent: Boolean): List<String> {
-        val now = clock.nowMillis()
-        endpoints.entries.removeIf { now - it.value > FORGET_MILLIS }
-        return endpoints.filter { includesSilent || now - it.value <= SILENT_MILLIS }.keys.toList()
+    /** Returns the last message of an instance that is leaving. */
+    fun leave(): PeerSending = report(emptyMap(), isLeaving = true)
+
+    /** Takes a message. Returns what to send on at once. */
+    fun receive(message: PeerMessage): List<PeerSending> {
+        val endpoint = Endpoint.parseOrNull(message.endpoint) ?: return emptyList()
+        if (message.sender == self.name) return emptyList()
+        val sender = Peer(message.sender, ZoneName(message.zone), endpoint)
+        when (message) {
+            is PeerReport -> receive(message, sender)
+            is FleetReport -> if (sender.zone == self.zone) receive(message, sender)
+            is ZoneReport -> if (sender.zone != self.zone) return receive(message, sender)
+        }
+        return emptyList()
     }
 
     /** Sets what the other instances have at each of [replicas]. */
     fun apply(replicas: Collection<Replica>) {
-        val fresh = known.values.filter(::isFresh)
+        val work = othersWork()
         for (replica in replicas) {
-            val work = fresh.mapNotNull { it.report.work[replica.entry.id.value] }
-            replica.load.remoteRunning = work.sumOf { it.running }
-            replica.load.remoteTokens = work.sumOf { it.tokens }
-            replica.load.remotePromptTokens = work.sumOf { it.promptTokens }
+            val part = work[replica.entry.id.value]
+            replica.load.remoteRunning = part?.running ?: 0
+            replica.load.remoteTokens = part?.tokens ?: 0
+            replica.load.remotePromptTokens = part?.promptTokens ?: 0
+        }
+    }
+
+    private fun receive(
+        report: PeerReport,
+        sender: Peer,
+    ) {
+        if (!heard.take(report)) return
+        if (report.isLeaving) return roster.remove(report.sender)
+        roster.heard(sender)
+        if (report.wantsSums && sender.zone == self.zone) aggregators.asked()
+    }
+
+    private fun receive(
+        report: FleetReport,
+        sender: Peer,
+    ) {
+        roster.heard(sender)
+        aggregators.heard(report.sender)
+        heard.take(report, preferred = aggregators.current().firstOrNull()?.name)
+        report.addresses.filterKeys { it != self.name }.forEach { (name, address) ->
+            Endpoint.parseOrNull(address)?.let { roster.heard(Peer(name, self.zone, it)) }
+        }
+    }
+
+    /** Sums of another zone that reach an instance with an aggregator go on to it, once. */
+    private fun receive(
+        report: ZoneReport,
+        sender: Peer,
+    ): List<PeerSending> {
+        roster.heard(sender)
+        heard.take(report)
+        val aggregator = aggregators.current().firstOrNull()?.takeIf { !isMesh() && !report.isForwarded }
+        return listOfNotNull(aggregator?.let { PeerSending(listOf(it.endpoint), report.copy(isForwarded = true)) })
+    }
+
+    private fun report(
+        work: WorkByReplica,
+        isLeaving: Boolean,
+    ): PeerSending {
+        val endpoint = self.endpoint.toString()
+        val wantsSums = !isMesh() && !isLeaving
+        val report = PeerReport(self.name, start, ++sequence, endpoint, work, isLeaving, self.zone.value, wantsSums)
+        ownReports.add(report)
+        reportSentMillis = clock.nowMillis()
+        return PeerSending((if (isMesh()) meshPeers() else aggregators.current()).map { it.endpoint }, report)
+    }
+
+    /** Returns the totals for the instances that asked for them, or null if none did. */
+    private fun total(work: WorkByReplica): PeerSending? {
+        val members = heard.members
+        val askers = members.filter { it.wantsSums }.mapNotNull { Endpoint.parseOrNull(it.endpoint) }
+        if (askers.isEmpty()) return null
+        totalSentMillis = clock.nowMillis()
+        val hasAddresses = totalRounds++ % ADDRESS_ROUNDS == 0L
+        val report =
+            FleetReport(
+                self.name,
+                start,
+                ++sequence,
+                self.endpoint.toString(),
+                self.zone.value,
+                1 + heard.count(),
+                (heard.work() + listOf(work)).total(),
+                members.associate { it.sender to it.sequence },
+                if (hasAddresses) members.associate { it.sender to it.endpoint } else emptyMap(),
+            )
+        totalBytes = (report.work.size + report.members.size) * BYTES_PER_ENTRY
+        return PeerSending(askers, report)
+    }
+
+    /** Returns the sums of the own zone for the other zones, or null if there are none. */
+    private fun sum(work: WorkByReplica): PeerSending? {
+        val targets = otherZones()
+        if (targets.isEmpty()) return null
+        sumSentMillis = clock.nowMillis()
+        val members = heard.members
+        val sums = (members.map { it.work } + listOf(work)).total()
+        val endpoint = self.endpoint.toString()
+        val report = ZoneReport(self.name, start, ++sequence, endpoint, self.zone.value, 1 + members.size, sums)
+        return PeerSending(targets.map { it.endpoint }, report)
+    }
+
+    /** Returns whom to tell this zone's sums: who told theirs, or one instance after the other until one does. */
+    private fun otherZones(): List<Peer> {
+        val turn = clock.nowMillis() / ZONE_PROBE_MILLIS
+        return roster.all().filter { it.zone != self.zone }.groupBy { it.zone }.map { (zone, peers) ->
+            heard.senderOfSums(zone)?.let { roster[it] } ?: peers[(turn % peers.size).toInt()]
         }
     }
 
-    private fun isFresh(peer: Known) = clock.nowMillis() - peer.atMillis <= REPORT_LIFE_MILLIS
+    private fun othersWork(): WorkByReplica {
+        val told = totals() ?: return heard.work().total()
+        val own = told.members[self.name]?.let(ownReports::get).orEmpty()
+        return told.work.mapValues { (replica, sum) -> own[replica]?.let { sum - it } ?: sum }
+    }
+
+    /** The totals of an aggregator, unless this instance is the one that knows best. */
+    private fun totals(): FleetReport? = heard.totals?.takeIf { !isFirst() }
+
+    private fun isFirst() = !isMesh() && aggregators.current().isEmpty()
+
+    private fun isMesh() = roster.size < MESH_INSTANCES
+
+    private fun meshPeers(): List<Peer> =
+        if (meshRounds++ % SILENT_ROUNDS == 0L) roster.all() else roster.heardWithin(SILENT_MILLIS)
+
+    /** An aggregator that was just chosen is asked until it answers, since one lost datagram must not condemn it. */
+    private fun heartbeatMillis(): Long {
+        val isUnanswered = !isMesh() && aggregators.current().isNotEmpty() && aggregators.isUnanswered
+        return if (isUnanswered) UNANSWERED_HEARTBEAT_MILLIS else HEARTBEAT_MILLIS
+    }
+
+    private fun isElapsed(
+        sinceMillis: Long?,
+        millis: Long,
+    ) = sinceMillis == null || clock.nowMillis() - sinceMillis >= millis
+
+    private fun totalIntervalMillis(): Long =
+        (totalBytes * MILLIS_PER_SECOND / TOTAL_BYTES_PER_SECOND)
+            .coerceIn(TOTAL_INTERVAL_MILLIS, TOTAL_INTERVAL_LIMIT_MILLIS)
+
+    /** Returns what generations hold and wait for; plain calls come and go too fast to be worth a report. */
+    private fun memory(work: WorkByReplica): Map<String, Pair<Long, Long>> =
+        work.mapValues { it.value.tokens to it.value.promptTokens }.filterValues { it.first > 0 }
 
     companion object {
-        /** Returns the report of [replicas]' work; replicas without work are left out. */
-        fun work(replicas: Collection<Replica>): Map<InstanceId, PeerWork> =
+        /** Returns the work at [replicas]; replicas without work are left out. */
+        fun work(replicas: Collection<Replica>): WorkByReplica =
             replicas
                 .filter { it.load.running > 0 || it.load.tokens > 0 }
-                .associate { it.entry.id to PeerWork(it.load.running, it.load.tokens, it.load.promptTokens) }
+                .associate { it.entry.id.value to PeerWork(it.load.running, it.load.tokens, it.load.promptTokens) }
+
+        private const val MILLIS_PER_SECOND = 1_000L
+
+        /** Up to this many instances, messages to all cost less than the delay of sums: 16 x 1.5 messages a second. */
+        private const val MESH_INSTANCES = 16
 
-        /** Three lost reports in a row mean that the sender is gone or cut off. */
-        private const val REPORT_LIFE_MILLIS = 3_500L
+        /** Silence longer than a few of these means that an instance is gone. */
+        private const val HEARTBEAT_MILLIS = 1_000L
+
+        /** Several questions fit into the silence after which an aggregator is left. */
+        private const val UNANSWERED_HEARTBEAT_MILLIS = 300L
 
         /** After this time without a report, an address is tried only now and then. */
         private const val SILENT_MILLIS = 6_000L
 
-        /** An address that stays silent this long belongs to a machine that is gone. */
-        private const val FORGET_MILLIS = 120_000L
+        /** One in this many reports goes to silent addresses too. */
+        private const val SILENT_ROUNDS = 20L
+
+        /** A replica reads one prompt meanwhile; instances that place by older totals choose the same replica. */
+        private const val TOTAL_INTERVAL_MILLIS = 200L
+
+        /** Shorter than the silence after which an aggregator is left. */
+        private const val TOTAL_INTERVAL_LIMIT_MILLIS = 700L
+
+        /** What an instance may receive as totals: five a second where 95 instances use 33 replicas. */
+        private const val TOTAL_BYTES_PER_SECOND = 8_000L
+
+        /** An id and its figures in a message. */
+        private const val BYTES_PER_ENTRY = 30
+
+        /** Between zones staler sums do, since generations are placed in the own zone first. */
+        private const val SUM_INTERVAL_MILLIS = 400L
+
+        /** How long one instance of a zone whose sums are not known is told this zone's. */
+        private const val ZONE_PROBE_MILLIS = 800L
+
+        /** One total in this many names the members' addresses, about one in two seconds. */
+        private const val ADDRESS_ROUNDS = 8L
     }
 }
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/RelayDaemon.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/RelayDaemon.kt
@@ -14,8 +14,9 @@
 import io.sequoiawheel.core.relay.Freshness
 import io.sequoiawheel.core.relay.HubSelection
 import io.sequoiawheel.core.relay.InstanceSettings
+import io.sequoiawheel.core.relay.LoadExchange
 import io.sequoiawheel.core.relay.NotRunProof
-import io.sequoiawheel.core.relay.PeerLoads
+import io.sequoiawheel.core.relay.Peer
 import io.sequoiawheel.core.relay.ReplicaDirectory
 import io.sequoiawheel.core.relay.ReplicaSelection
 import io.sequoiawheel.core.relay.RequestKind
@@ -80,7 +81,8 @@
     private val freshness =
         Freshness(monotonic, wall, (settings.bounds.revokeMillis * FRESH_SHARE).toLong())
     private val directory = ReplicaDirectory(monotonic, coldPhase = random.nextDouble())
-    private val peerLoads = PeerLoads(monotonic)
+    private val self = Peer(settings.name, settings.zone, Endpoint(settings.host, settings.peerPorts.first))
+    private val loads = LoadExchange(self, start = wall.nowMillis(), monotonic)
     private val pool = BackendPool(connector)
     private val configuration = ConfigurationController(store, freshness, scope, log)
     private val replicas = ReplicaController(directory, log)
@@ -95,21 +97,10 @@
             metrics,
             random,
             settings.bounds,
-            instanceCount = { peerLoads.instanceCount },
+            instanceCount = loads::instanceCount,
         )
-    private val peers =
-        PeerController(
-            settings.name,
-            settings.zone,
-            Endpoint(settings.host, settings.peerPorts.first),
-            directory,
-            peerLoads,
-            store,
-            monotonic,
-            random,
-            log,
-        )
-    private val hubs = HubSelection(settings.name, settings.zone, monotonic, random, peerLoads::live)
+    private val peers = PeerController(self, directory, loads, store, random, log)
+    private val hubs = HubSelection(settings.name, settings.zone, monotonic, random, loads::live)
     private val sources = ChangeSources(store, connector, hubs, log)
     private val feeds =
         listOf(
@@ -170,7 +161,7 @@
             val statusServer = StatusServer(eventLoop, scope) { status(it.substringBefore('?')) }
             statusServer.start(settings.readiness)
             metricsPort?.let { statusServer.start(Endpoint(settings.host, it)) }
-            StatusServer(eventLoop, scope, hub::answer).start(Endpoint(settings.host, settings.peerPorts.first))
+            StatusServer(eventLoop, scope, hub::answer).start(self.endpoint)
             publishGauges()
             peers.start(eventLoop)
             scope.launch { peers.introduce() }
@@ -259,7 +250,9 @@
         metrics.gauge("connections.opened") { pool.opened }
         metrics.gauge("configuration.version") { configuration.current?.version ?: 0 }
         metrics.gauge("configuration.age.milliseconds") { freshness.ageMillis() }
-        metrics.gauge("instances.known") { peerLoads.instanceCount }
+        metrics.gauge("instances.live") { loads.liveCount() }
+        metrics.gauge("peer.datagrams.sent") { peers.datagramsSent }
+        metrics.gauge("peer.bytes.sent") { peers.bytesSent }
     }
 
     private suspend fun sweep() {
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/control/ChangeSources.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/control/ChangeSources.kt
@@ -2,7 +2,7 @@
 
 import arrow.core.Either
 import io.sequoiawheel.core.relay.HubSelection
-import io.sequoiawheel.core.relay.LivePeer
+import io.sequoiawheel.core.relay.Peer
 import io.sequoiawheel.platform.StoreChanges
 import io.sequoiawheel.platform.StoreKind
 import io.sequoiawheel.relay.backend.Connector
@@ -17,8 +17,8 @@
     private val selection: HubSelection,
     private val log: DecisionLog,
 ) {
-    private var clients = emptyMap<LivePeer, StoreClient>()
-    private var lastHub: LivePeer? = null
+    private var clients = emptyMap<Peer, StoreClient>()
+    private var lastHub: Peer? = null
     private var regained: CompletableDeferred<Unit>? = null
 
     /** Whether other instances rely on this one. */
@@ -40,7 +40,7 @@
     }
 
     /** Returns the hub to watch, or null if the store is to be watched. */
-    fun hub(): LivePeer? {
+    fun hub(): Peer? {
         val hub = selection.current()
         if (hub != lastHub) {
             log.belief("watching", mapOf("source" to (hub?.name ?: "store"), "before" to (lastHub?.name ?: "store")))
@@ -51,7 +51,7 @@
 
     /** Returns what [hub] knows after [revision]. */
     suspend fun watch(
-        hub: LivePeer,
+        hub: Peer,
         kind: StoreKind,
         revision: Long,
         waitMillis: Long,
@@ -63,7 +63,7 @@
 
     /** Records that [hub] cannot be relied on; this instance watches the store for a while. */
     fun failed(
-        hub: LivePeer,
+        hub: Peer,
         failure: StoreFailure,
     ) {
         if (selection.failed(hub)) log.dependency("hub lost", mapOf("hub" to hub.name, "detail" to failure.detail))
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/control/KindWatcher.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/control/KindWatcher.kt
@@ -5,7 +5,7 @@
 import arrow.core.left
 import io.sequoiawheel.core.relay.Freshness
 import io.sequoiawheel.core.relay.Instant
-import io.sequoiawheel.core.relay.LivePeer
+import io.sequoiawheel.core.relay.Peer
 import io.sequoiawheel.core.routing.Backoff
 import io.sequoiawheel.platform.StoreChanges
 import io.sequoiawheel.platform.StoreEvent
@@ -135,7 +135,7 @@
 
     /** Watches [hub] once, and returns the revision that is known then, or null if the kind has to be listed anew. */
     private suspend fun watchHub(
-        hub: LivePeer,
+        hub: Peer,
         revision: Long,
         isJustListed: Boolean,
     ): Long? {
