Bound what is read of a replica that sends bytes without end

Cause: of a response of a replica, only header sizes and whole bodies were bounded. Ruled out: a limit on single events only, since small ones that repeat come without end as well. Change: an attempt at a generation ends after 256 KiB without the next event; silence is measured from that event. A head has 2 s from its first bytes, and 32 heads may come before the awaited one. Bodies of failures and refusals have 1.5 s and 256 KiB; the head of a refusal is proof by itself, so the call goes on elsewhere. The extra of the retry budget follows the number of instances instead of the first count.

--- a/core/src/main/kotlin/io/sequoiawheel/core/relay/RetryAllowance.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/RetryAllowance.kt
@@ -10,13 +10,13 @@
  * Counts requests and repeats of one service in a sliding window. Not thread-safe.
  *
  * @param ratio repeats allowed for each request
- * @param extra repeats allowed beside the ratio, in one window, for this instance
+ * @param extra returns the repeats allowed beside the ratio, in one window, for this instance
  * @param windowMillis length of the window
  */
 class RetryAllowance(
     private val clock: Clock,
     private val ratio: Double,
-    private val extra: Int,
+    private val extra: () -> Int,
     private val windowMillis: Long,
 ) {
     private val requests = ArrayDeque<Long>()
@@ -31,7 +31,7 @@
     /** Takes one repeat, or returns false if the window has had its share. */
     fun tryRepeat(): Boolean {
         expire()
-        val allowed = repeats.size + 1 <= requests.size * ratio * SAFETY_SHARE + extra
+        val allowed = repeats.size + 1 <= requests.size * ratio * SAFETY_SHARE + extra()
         if (allowed) repeats.addLast(clock.nowMillis())
         return allowed
     }
--- a/core/src/test/kotlin/io/sequoiawheel/core/relay/RetryAllowanceTest.kt
+++ b/core/src/test/kotlin/io/sequoiawheel/core/relay/RetryAllowanceTest.kt
@@ -6,7 +6,7 @@
 
 class RetryAllowanceTest {
     private var nowMillis = 0L
-    private val allowance = RetryAllowance({ nowMillis }, ratio = 0.2, extra = 5, windowMillis = 10_000)
+    private val allowance = RetryAllowance({ nowMillis }, ratio = 0.2, extra = { 5 }, windowMillis = 10_000)
 
     @Test
     fun `in no window are there more repeats than the ratio and the extra allow`() {
@@ -31,4 +31,13 @@
         nowMillis = 10_001
         assertEquals(5, (1..100).count { allowance.tryRepeat() })
     }
+
+    @Test
+    fun `the extra follows the number of instances`() {
+        var extra = 1
+        val changing = RetryAllowance({ nowMillis }, ratio = 0.2, extra = { extra }, windowMillis = 10_000)
+        assertEquals(1, (1..100).count { changing.tryRepeat() })
+        extra = 3
+        assertEquals(2, (1..100).count { changing.tryRepeat() })
+    }
 }
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/backend/BackendConnection.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/backend/BackendConnection.kt
@@ -19,8 +19,11 @@
 import io.netty.util.ReferenceCountUtil
 import io.sequoiawheel.core.model.Clock
 import io.sequoiawheel.platform.Headers
+import kotlinx.coroutines.withTimeoutOrNull
 import java.io.ByteArrayOutputStream
 import java.io.IOException
+import java.util.concurrent.ScheduledFuture
+import java.util.concurrent.TimeUnit
 
 /** Bytes that are no response in the protocol, or a response to another request. */
 internal class InvalidResponseException(
@@ -30,6 +33,7 @@
 internal class BackendConnection(
     private val channel: Channel,
     private val clock: Clock,
+    private val memory: ResponseMemory,
 ) : ChannelInboundHandlerAdapter() {
     private val inbound = InboundQueue()
     private var isExchanging = false
@@ -37,6 +41,9 @@
     private var idleSinceMillis = clock.nowMillis()
     private var keepMillis = DEFAULT_KEEP_MILLIS
     private var mayKeep = true
+    private var hasDecoded = false
+    private var isInResponse = false
+    private var headTimeout: ScheduledFuture<*>? = null
 
     /** Whether at least one exchange was completed before. */
     var isReused = false
@@ -64,10 +71,29 @@
             abort()
             return
         }
+        hasDecoded = true
+        if (message is HttpResponse) isInResponse = true
+        if (message is LastHttpContent) isInResponse = false
         inbound.offer(message as HttpObject)
     }
 
-    override fun channelInactive(context: ChannelHandlerContext) = inbound.end()
+    /** Bytes that do not make a head within a bounded time are no response, also if they come without end. */
+    override fun channelReadComplete(context: ChannelHandlerContext) {
+        val isPartialHead = isExchanging && !isInResponse && !hasDecoded
+        if (hasDecoded) stopHeadTimeout()
+        hasDecoded = false
+        if (isPartialHead && headTimeout == null) {
+            val late = InvalidResponseException("a response head that takes more than $HEAD_LIMIT_MILLIS ms")
+            val fail = Runnable { exceptionCaught(context, late) }
+            headTimeout = context.executor().schedule(fail, HEAD_LIMIT_MILLIS, TimeUnit.MILLISECONDS)
+        }
+        context.fireChannelReadComplete()
+    }
+
+    override fun channelInactive(context: ChannelHandlerContext) {
+        stopHeadTimeout()
+        inbound.end()
+    }
 
     override fun exceptionCaught(
         context: ChannelHandlerContext,
@@ -89,14 +115,14 @@
 
     /** Returns the head of the response to [requestId]; responses to other requests before it are skipped. */
     suspend fun receiveHead(requestId: String?): HttpResponse {
-        while (true) {
+        repeat(MAXIMUM_HEADS) {
             val message = receiveMessage()
             val head = message as? HttpResponse
             if (head == null) {
                 ReferenceCountUtil.release(message)
-                continue
+                return@repeat
             }
-            if (head.status().codeClass() == HttpStatusClass.INFORMATIONAL) continue
+            if (head.status().codeClass() == HttpStatusClass.INFORMATIONAL) return@repeat
             noteKeeping(head)
             val echoed = head.headers().get(Headers.REQUEST_ID)
             if (requestId == null || echoed == requestId) return head
@@ -104,6 +130,7 @@
             mayKeep = false
             skipBody()
         }
+        throw InvalidResponseException("more than $MAXIMUM_HEADS heads that answer nothing")
     }
 
     /** Returns the next part of the body; a [LastHttpContent] ends it. The caller releases it. */
@@ -121,19 +148,41 @@
         return content
     }
 
-    /** Reads the rest of the body, up to [limitBytes]. */
+    /** Reads the rest of the body, up to [limitBytes], and as far as the memory for all responses suffices. */
     suspend fun receiveBody(limitBytes: Int = BODY_LIMIT_BYTES): ByteArray {
         val body = ByteArrayOutputStream()
-        while (true) {
-            val content = receiveContent()
-            val isLast = content is LastHttpContent
-            content.content().readBytes(body, content.content().readableBytes())
-            content.release()
-            if (body.size() > limitBytes) throw InvalidResponseException("response body exceeds $limitBytes bytes")
-            if (isLast) return body.toByteArray()
+        try {
+            while (true) {
+                val content = receiveContent()
+                val isLast = content is LastHttpContent
+                val bytes = content.content().readableBytes()
+                val part = ByteArray(bytes)
+                content.content().readBytes(part)
+                content.release()
+                memory.take(bytes)
+                body.write(part)
+                if (body.size() > limitBytes) throw InvalidResponseException("response body exceeds $limitBytes bytes")
+                if (isLast) return body.toByteArray()
+            }
+        } finally {
+            memory.free(body.size())
         }
     }
 
+    /** Reads the short body of a failure or refusal. */
+    suspend fun receiveFailureBody(): ByteArray =
+        withTimeoutOrNull(FAILURE_BODY_LIMIT_MILLIS) { receiveBody(FAILURE_BODY_LIMIT_BYTES) }
+            ?: throw InvalidResponseException("the body of a failure takes more than $FAILURE_BODY_LIMIT_MILLIS ms")
+
+    /** Reads past the body of a refusal. Returns why that is not possible, or null. */
+    suspend fun skipFailureBody(): String? =
+        try {
+            receiveFailureBody()
+            null
+        } catch (unreadable: IOException) {
+            unreadable.message ?: unreadable.javaClass.simpleName
+        }
+
     /** Ends a complete exchange. Returns whether the connection may carry another one. */
     fun complete(): Boolean {
         isExchanging = false
@@ -168,14 +217,22 @@
     }
 
     private suspend fun skipBody() {
+        var skipped = 0
         while (true) {
             val content = receiveContent()
             val isLast = content is LastHttpContent
+            skipped += content.content().readableBytes()
             content.release()
             if (isLast) return
+            if (skipped > BODY_LIMIT_BYTES) throw InvalidResponseException("a response to another request without end")
         }
     }
 
+    private fun stopHeadTimeout() {
+        headTimeout?.cancel(false)
+        headTimeout = null
+    }
+
     private fun noteKeeping(head: HttpResponse) {
         val headers = head.headers()
         val isFramed = HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head)
@@ -202,7 +259,19 @@
         /** A request must arrive before the peer's timeout, which is stated in whole seconds. */
         const val KEEP_MARGIN_MILLIS = 300L
 
-        /** Bounds the memory of one buffered response. */
+        /** Bounds the memory of one buffered response; the store's pages hold about a megabyte. */
         const val BODY_LIMIT_BYTES = 8_388_608
+
+        /** Failures and refusals carry a line of text. */
+        const val FAILURE_BODY_LIMIT_BYTES = 262_144
+
+        /** A body follows its head within a round trip; the rest allows for a lost packet. */
+        const val FAILURE_BODY_LIMIT_MILLIS = 1_500L
+
+        /** A head arrives in one packet or two; a lost packet is sent again within a second. */
+        const val HEAD_LIMIT_MILLIS = 2_000L
+
+        /** Informational responses and late responses to other requests before the one that is awaited. */
+        const val MAXIMUM_HEADS = 32
     }
 }
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/backend/Connector.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/backend/Connector.kt
@@ -24,6 +24,7 @@
     eventLoop: EventLoop,
     private val clock: Clock,
 ) {
+    private val memory = ResponseMemory()
     private val bootstrap =
         Bootstrap()
             .group(eventLoop)
@@ -38,7 +39,7 @@
                 object : ChannelInitializer<Channel>() {
                     override fun initChannel(channel: Channel) {
                         channel.pipeline().addLast(HttpClientCodec())
-                        channel.pipeline().addLast(BackendConnection(channel, clock))
+                        channel.pipeline().addLast(BackendConnection(channel, clock, memory))
                     }
                 },
             )
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/CallRelay.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/CallRelay.kt
@@ -12,6 +12,7 @@
 import io.sequoiawheel.core.relay.RelayService
 import io.sequoiawheel.core.relay.Replica
 import io.sequoiawheel.relay.backend.ConnectFailedException
+import io.sequoiawheel.relay.backend.ConnectionLease
 import io.sequoiawheel.relay.filter.Exchange
 import kotlinx.coroutines.withTimeoutOrNull
 import java.io.IOException
@@ -192,6 +193,7 @@
                     connection.send(requests.build(exchange, replica))
                     val head = connection.receiveHead(exchange.requestId)
                     requests.note(replica, head)
+                    if (head.isNotRun) return@use notRun(replica, head, lease)
                     val body = connection.receiveBody()
                     lease.complete()
                     judge(replica, head, body, startedMillis)
@@ -214,8 +216,6 @@
             startedMillis: Long,
         ): CallAttempt {
             val status = head.status().code()
-            if (head.isMisdirected) replica.leave(LeaveReason.REPLACED)
-            if (head.isNotRun) return refused("$replica refused with status $status")
             val isUnsigned = status < CLIENT_ERROR && !head.isSigned
             replica.load.outcome(failed = status >= SERVER_ERROR || isUnsigned)
             if (head.promisesNotRun ||
@@ -227,9 +227,20 @@
             return CallAttempt.Answered(head, body)
         }
 
-        private fun refused(detail: String): CallAttempt {
+        /** The head of a refusal proves that nothing ran, whatever becomes of its body. */
+        private suspend fun notRun(
+            replica: Replica,
+            head: HttpResponse,
+            lease: ConnectionLease,
+        ): CallAttempt {
+            if (head.isMisdirected) replica.leave(LeaveReason.REPLACED)
             if (runs == 0) exchange.mayHaveRun = false
-            return CallAttempt.NotRun(NotRunProof.REFUSED_BY_REPLICA, detail)
+            val unreadable = lease.connection.skipFailureBody()
+            if (unreadable == null) lease.complete() else exchange.notes["refusalBody"] = unreadable
+            return CallAttempt.NotRun(
+                NotRunProof.REFUSED_BY_REPLICA,
+                "$replica refused with status ${head.status().code()}",
+            )
         }
     }
 
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationAttempt.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationAttempt.kt
@@ -103,10 +103,19 @@
     /** Whether the attempt has ended, however it did. */
     val isOver: Boolean get() = job?.isCompleted ?: false
 
-    /** When the newest event arrived, or the attempt began. */
+    /** Bytes since the last event that was the next one for the caller. */
+    private var uselessBytes = 0
+
+    /** When the last event that was the next one for the caller arrived, or the attempt began. */
     var lastEventMillis = context.clock.nowMillis()
         private set
 
+    /** Records that an event of this attempt was the next one for the caller. */
+    fun advanced() {
+        lastEventMillis = context.clock.nowMillis()
+        uselessBytes = 0
+    }
+
     fun start(scope: CoroutineScope) {
         replica.load.begin(demand.tokens)
         if (readsPrompt) replica.load.beginPrompt(demand.promptTokens.toLong())
@@ -166,15 +175,15 @@
         val status = head.status().code()
         if (head.isNotRun) {
             if (head.isMisdirected) replica.leave(LeaveReason.REPLACED)
-            opened.receiveBody()
-            isComplete = true
+            val unreadable = opened.skipFailureBody()
+            if (unreadable == null) isComplete = true else exchange.notes["refusalBody"] = unreadable
             signals.trySend(
                 GenerationSignal.NotRun(this, NotRunProof.REFUSED_BY_REPLICA, "$replica refused with status $status"),
             )
             return
         }
         if (status !in SUCCESS) {
-            val body = opened.receiveBody()
+            val body = opened.receiveFailureBody()
             isComplete = true
             signals.trySend(GenerationSignal.Failed(this, head, body))
             return
@@ -195,8 +204,9 @@
             val bytes = ByteArray(content.content().readableBytes())
             content.content().readBytes(bytes)
             content.release()
+            uselessBytes += bytes.size
+            if (uselessBytes > USELESS_BYTES) throw IOException("$uselessBytes bytes without the next event")
             for (event in splitter.append(bytes)) {
-                lastEventMillis = context.clock.nowMillis()
                 signals.trySend(GenerationSignal.Event(this, event))
             }
             exchange.response.awaitWritable()
@@ -210,5 +220,8 @@
 
     private companion object {
         val SUCCESS = 200..299
+
+        /** Some hundred events: a repeated run may send as many again before the next one. */
+        const val USELESS_BYTES = 262_144
     }
 }
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationRun.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationRun.kt
@@ -168,6 +168,7 @@
     private suspend fun deliver(signal: GenerationSignal.Event) {
         when (delivery.decide(signal.event.id)) {
             DeliveryDecision.DELIVER -> {
+                if (signal.event.id != null) signal.attempt.advanced()
                 pauses.delivered(signal.event.id)
                 exchange.response.write(signal.event.bytes)
             }
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/RelayContext.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/RelayContext.kt
@@ -33,10 +33,12 @@
     /** Returns the repeats that this instance may make to [service]. */
     fun allowance(service: ServiceName): RetryAllowance =
         allowances.getOrPut(service) {
-            val extra = (bounds.retryExtra / instanceCount().coerceAtLeast(MINIMUM_INSTANCES)).coerceAtLeast(1)
-            RetryAllowance(clock, bounds.retryRatio, extra, bounds.retryWindowMillis)
+            RetryAllowance(clock, bounds.retryRatio, ::retryExtra, bounds.retryWindowMillis)
         }
 
+    private fun retryExtra(): Int =
+        (bounds.retryExtra / instanceCount().coerceAtLeast(MINIMUM_INSTANCES)).coerceAtLeast(1)
+
     /** Draws the service of a request by the route's weights. */
     fun service(
         route: Route,
