Let one instance watch the store in zones of two and more, from its start on

Ruled out: longer waits. A hub's proof each second is 10 calls in ten seconds and zone; the others wait already. Change: instances learn the others from the store before their first watch (0.4 s at most) and take the first by name as hub at once; listed addresses count as live until they had time to report. Hubs serve zones from two instances on. Sums between zones and totals go out within 0.1 and 0.2 s when something changed, and less often when nothing did.

--- a/core/src/main/kotlin/io/sequoiawheel/core/relay/HubSelection.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/HubSelection.kt
@@ -57,8 +57,8 @@
     }
 
     private companion object {
-        /** With fewer instances in a zone the calls that a hub saves are not worth the second step of each change. */
-        const val MINIMUM_MEMBERS = 4
+        /** The smallest zone in which a hub saves calls: half of them with two instances. */
+        const val MINIMUM_MEMBERS = 2
 
         /** Each instance asks its hub for the configuration about once a second. */
         const val ASKED_MILLIS = 3_000L
--- a/core/src/main/kotlin/io/sequoiawheel/core/relay/LoadExchange.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/LoadExchange.kt
@@ -38,6 +38,8 @@
     private var totalSentMillis: Long? = null
     private var sumSentMillis: Long? = null
     private var totalBytes = 0
+    private var lastTotal: Map<String, Pair<Long, Long>> = emptyMap()
+    private var lastSum: Map<String, Pair<Long, Long>> = emptyMap()
 
     /** The instances that may exist: an upper estimate, so that shares of common bounds add up to less than these. */
     val instanceCount: Int
@@ -49,12 +51,8 @@
     /** Instances that reported lately, this one included. */
     fun liveCount(): Int = totals()?.instances ?: (1 + heard.count())
 
-    /** Other instances that reported lately; in a large fleet those of the own zone. */
-    fun live(): List<Peer> {
-        val told = heard.totals?.let { it.members.keys + it.sender }.orEmpty()
-        val names = heard.instances.map { it.sender } + told
-        return names.distinct().filter { it != self.name }.mapNotNull { roster[it] }
-    }
+    /** Other instances that were heard of or listed lately; in a large fleet those of the own zone. */
+    fun live(): List<Peer> = roster.heardWithin(LIVE_MILLIS)
 
     /** Takes the addresses of [peers] from the platform's store. */
     fun listed(peers: List<Peer>) {
@@ -145,11 +143,15 @@
         return PeerSending((if (isMesh()) meshPeers() else aggregators.current()).map { it.endpoint }, report)
     }
 
-    /** Returns the totals for the instances that asked for them, or null if none did. */
+    /** Returns the totals for the instances that asked for them, or null if none did or nothing is new. */
     private fun total(work: WorkByReplica): PeerSending? {
         val members = heard.members
         val askers = members.filter { it.wantsSums }.mapNotNull { Endpoint.parseOrNull(it.endpoint) }
         if (askers.isEmpty()) return null
+        val total = (heard.work() + listOf(work)).total()
+        val hasChanged = memory(total) != lastTotal
+        if (!hasChanged && !isElapsed(totalSentMillis, TOTAL_INTERVAL_LIMIT_MILLIS)) return null
+        lastTotal = memory(total)
         totalSentMillis = clock.nowMillis()
         val hasAddresses = totalRounds++ % ADDRESS_ROUNDS == 0L
         val report =
@@ -160,7 +162,7 @@
                 self.endpoint.toString(),
                 self.zone.value,
                 1 + heard.count(),
-                (heard.work() + listOf(work)).total(),
+                total,
                 members.associate { it.sender to it.sequence },
                 if (hasAddresses) members.associate { it.sender to it.endpoint } else emptyMap(),
             )
@@ -168,13 +170,15 @@
         return PeerSending(askers, report)
     }
 
-    /** Returns the sums of the own zone for the other zones, or null if there are none. */
+    /** Returns the sums of the own zone for the other zones, or null if there are none or nothing is new. */
     private fun sum(work: WorkByReplica): PeerSending? {
         val targets = otherZones()
         if (targets.isEmpty()) return null
-        sumSentMillis = clock.nowMillis()
         val members = heard.members
         val sums = (members.map { it.work } + listOf(work)).total()
+        if (memory(sums) == lastSum && !isElapsed(sumSentMillis, HEARTBEAT_MILLIS)) return null
+        lastSum = memory(sums)
+        sumSentMillis = clock.nowMillis()
         val endpoint = self.endpoint.toString()
         val report = ZoneReport(self.name, start, ++sequence, endpoint, self.zone.value, 1 + members.size, sums)
         return PeerSending(targets.map { it.endpoint }, report)
@@ -241,14 +245,17 @@
         /** Several questions fit into the silence after which an aggregator is left. */
         private const val UNANSWERED_HEARTBEAT_MILLIS = 300L
 
+        /** Three heartbeats, and an address that is told every second or two in a large fleet. */
+        private const val LIVE_MILLIS = 3_500L
+
         /** After this time without a report, an address is tried only now and then. */
         private const val SILENT_MILLIS = 6_000L
 
         /** One in this many reports goes to silent addresses too. */
         private const val SILENT_ROUNDS = 20L
 
-        /** A replica reads one prompt meanwhile; instances that place by older totals choose the same replica. */
-        private const val TOTAL_INTERVAL_MILLIS = 200L
+        /** Half the time to read one prompt; instances that place by older totals choose the same replica. */
+        private const val TOTAL_INTERVAL_MILLIS = 100L
 
         /** Shorter than the silence after which an aggregator is left. */
         private const val TOTAL_INTERVAL_LIMIT_MILLIS = 700L
@@ -260,7 +267,7 @@
         private const val BYTES_PER_ENTRY = 30
 
         /** Between zones staler sums do, since generations are placed in the own zone first. */
-        private const val SUM_INTERVAL_MILLIS = 400L
+        private const val SUM_INTERVAL_MILLIS = 200L
 
         /** How long one instance of a zone whose sums are not known is told this zone's. */
         private const val ZONE_PROBE_MILLIS = 800L
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/RelayDaemon.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/RelayDaemon.kt
@@ -164,9 +164,13 @@
             StatusServer(eventLoop, scope, hub::answer).start(self.endpoint)
             publishGauges()
             peers.start(eventLoop)
-            scope.launch { peers.introduce() }
+            scope.launch {
+                peers.introduce()
+                sources.peersAreKnown()
+            }
             scope.launch { peers.report() }
             scope.launch { sweep() }
+            scope.launch { reportCosts() }
             Unit
         }
 
@@ -246,7 +250,7 @@
 
     private fun publishGauges() {
         metrics.gauge("requests.in.progress") { inProgress }
-        metrics.gauge("store.calls") { store.calls }
+        metrics.gauge("store.calls") { store.calls.values.sum() }
         metrics.gauge("connections.opened") { pool.opened }
         metrics.gauge("configuration.version") { configuration.current?.version ?: 0 }
         metrics.gauge("configuration.age.milliseconds") { freshness.ageMillis() }
@@ -255,6 +259,17 @@
         metrics.gauge("peer.bytes.sent") { peers.bytesSent }
     }
 
+    /** Tells regularly what the instance costs the platform and its peers, so that a day can be accounted for. */
+    private suspend fun reportCosts() {
+        while (true) {
+            delay(COST_INTERVAL_MILLIS)
+            log.belief(
+                "calls to the store",
+                store.calls + mapOf("peerDatagrams" to peers.datagramsSent, "peerBytes" to peers.bytesSent),
+            )
+        }
+    }
+
     private suspend fun sweep() {
         while (true) {
             delay(SWEEP_MILLIS)
@@ -331,5 +346,8 @@
         const val GRACE_MARGIN_MILLIS = 500L
 
         const val SWEEP_MILLIS = 100L
+
+        /** One line in ten seconds is far below the bound of the log. */
+        const val COST_INTERVAL_MILLIS = 10_000L
     }
 }
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/control/ChangeSources.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/control/ChangeSources.kt
@@ -20,6 +20,7 @@
     private var clients = emptyMap<Peer, StoreClient>()
     private var lastHub: Peer? = null
     private var regained: CompletableDeferred<Unit>? = null
+    private val peersKnown = CompletableDeferred<Unit>()
 
     /** Whether other instances rely on this one. */
     val isHub: Boolean get() = selection.isAsked
@@ -34,6 +35,19 @@
         }
     }
 
+    /** Records that the other instances were listed. */
+    fun peersAreKnown() {
+        peersKnown.complete(Unit)
+    }
+
+    /**
+     * Waits until the other instances are known, but no longer than [limitMillis]: with a hub known from the start, no
+     * watch is sent to the store first.
+     */
+    suspend fun awaitPeers(limitMillis: Long) {
+        withTimeoutOrNull(limitMillis) { peersKnown.await() }
+    }
+
     /** Waits while the path to the store is lost, but no longer than [limitMillis]. */
     suspend fun awaitPath(limitMillis: Long) {
         withTimeoutOrNull(limitMillis) { regained?.await() }
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/control/KindWatcher.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/control/KindWatcher.kt
@@ -83,6 +83,7 @@
             listener.proven(asOf)
             lastProof = asOf
             feed.listed(listing.revision, asOf)
+            sources.awaitPeers(PEERS_LIMIT_MILLIS)
             watchFrom(listing.revision)
         }
     }
@@ -241,6 +242,9 @@
         const val FIRST_BACKOFF_MILLIS = 60L
         const val LAST_BACKOFF_MILLIS = 700L
 
+        /** A listing and a write take a few milliseconds; later a watch of the own is due. */
+        const val PEERS_LIMIT_MILLIS = 400L
+
         /** The store may serve one kind and not another. */
         const val PROBE_LIMIT_MILLIS = 2_000L
 
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/control/StoreClient.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/control/StoreClient.kt
@@ -22,6 +22,7 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.serialization.json.JsonElement
 import java.io.IOException
+import java.util.TreeMap
 
 /** Why a call to the store failed. */
 internal sealed interface StoreFailure {
@@ -67,9 +68,10 @@
 
     private val idle = ArrayDeque<Idle>()
 
-    /** Calls made so far. */
-    var calls = 0L
-        private set
+    private val callsByCause = TreeMap<String, Long>()
+
+    /** Calls made so far, by the verb and the kind of object. */
+    val calls: Map<String, Long> get() = callsByCause
 
     /** Returns all objects of [kind]. */
     suspend fun list(kind: StoreKind): Either<StoreFailure, StoreListing> {
@@ -78,7 +80,7 @@
         var firstRevision: Long? = null
         while (true) {
             val path = StoreProtocol.listPath(kind, afterName)
-            val page = call(HttpMethod.GET, path).flatMap { decode(it, StoreProtocol::decodePage) }
+            val page = call("list $kind", HttpMethod.GET, path).flatMap { decode(it, StoreProtocol::decodePage) }
             val result: StorePage = page.fold({ return it.left() }, { it })
             // Names on the first page may change while later pages are read.
             val revision = firstRevision ?: result.revision.also { firstRevision = it }
@@ -95,6 +97,7 @@
         waitMillis: Long,
     ): Either<StoreFailure, StoreChanges> =
         call(
+            "watch $kind",
             HttpMethod.GET,
             StoreProtocol.watchPath(kind, revision, waitMillis),
             timeoutMillis = waitMillis + WATCH_SLACK_MILLIS,
@@ -106,7 +109,12 @@
         name: String,
         spec: JsonElement,
     ): Either<StoreFailure, Unit> =
-        call(HttpMethod.POST, StoreProtocol.listPath(kind, null), StoreProtocol.objectBody(name, spec)).map { }
+        call(
+            "create $kind",
+            HttpMethod.POST,
+            StoreProtocol.listPath(kind, null),
+            StoreProtocol.objectBody(name, spec),
+        ).map { }
 
     /** Replaces an object whatever its revision. */
     suspend fun replace(
@@ -114,13 +122,20 @@
         name: String,
         spec: JsonElement,
     ): Either<StoreFailure, Unit> =
-        call(HttpMethod.PUT, StoreProtocol.objectPath(kind, name), StoreProtocol.objectBody(name, spec)).map { }
+        call(
+            "replace $kind",
+            HttpMethod.PUT,
+            StoreProtocol.objectPath(kind, name),
+            StoreProtocol.objectBody(name, spec),
+        ).map {
+        }
 
     /** Removes an object. */
     suspend fun delete(
         kind: StoreKind,
         name: String,
-    ): Either<StoreFailure, Unit> = call(HttpMethod.DELETE, StoreProtocol.objectPath(kind, name)).map { }
+    ): Either<StoreFailure, Unit> =
+        call("delete $kind", HttpMethod.DELETE, StoreProtocol.objectPath(kind, name)).map { }
 
     private fun <T> decode(
         text: String,
@@ -133,12 +148,13 @@
         }
 
     private suspend fun call(
+        cause: String,
         method: HttpMethod,
         path: String,
         body: String? = null,
         timeoutMillis: Long = CALL_TIMEOUT_MILLIS,
     ): Either<StoreFailure, String> {
-        calls++
+        callsByCause.merge(cause, 1L, Long::plus)
         val target = endpoint()
         var connection: BackendConnection? = null
         var isComplete = false
