Leave generations that cannot end in time to other instances during a shutdown

Any request was taken while 2.5 s or the route's timeout were left. Ruled out: a longer grace (the platform kills at its end) and moving the caller (a connection cannot be handed over). Change: ShutdownAdmission takes a generation only if its output fits into the time that is left, 1.5 s to the first token and 10 ms a token; others are refused at once with a Retry-After of 50 ms, and the caller reaches another instance. Test: ShutdownAdmissionTest, and GenerationRelayTest with an instance that leaves.

--- a/relay/src/main/kotlin/io/sequoiawheel/relay/filter/ConfigurationFilters.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/filter/ConfigurationFilters.kt
@@ -6,8 +6,12 @@
 
 import io.sequoiawheel.core.model.Clock
 import io.sequoiawheel.core.model.ResultCode
+import io.sequoiawheel.core.relay.GenerationDemand
 import io.sequoiawheel.core.relay.NotRunProof
 import io.sequoiawheel.core.relay.RelayConfiguration
+import io.sequoiawheel.core.relay.RequestKind
+import io.sequoiawheel.core.relay.ShutdownAdmission
+import io.sequoiawheel.platform.EngineProtocol
 import io.sequoiawheel.platform.Headers
 
 /** Refuses requests while no configuration is known. */
@@ -136,7 +140,8 @@
     ) {
         val remaining = remainingMillis()
         val route = checkNotNull(exchange.route)
-        if (remaining != null && remaining < minOf(route.timeoutMillis, LONGEST_SHORT_MILLIS)) {
+        val demand = if (route.kind == RequestKind.STREAM) demandOf(exchange) else null
+        if (remaining != null && !ShutdownAdmission.mayEnd(route, demand, remaining)) {
             exchange.response.closeAfter()
             exchange.refuse(
                 NotRunProof.NOTHING_SENT,
@@ -149,9 +154,9 @@
         next(exchange)
     }
 
-    private companion object {
-        /** Calls and short generations end well within this time. */
-        const val LONGEST_SHORT_MILLIS = 2_500L
+    private fun demandOf(exchange: Exchange): GenerationDemand {
+        val headers = exchange.request.headers
+        return EngineProtocol.demand(headers.get(Headers.TOKENS), headers.get(Headers.OUTPUT_ESTIMATE))
     }
 }
 
--- a/relay/src/test/kotlin/io/sequoiawheel/relay/GenerationRelayTest.kt
+++ b/relay/src/test/kotlin/io/sequoiawheel/relay/GenerationRelayTest.kt
@@ -3,6 +3,7 @@
 import io.sequoiawheel.standin.platform.ReceivedRequest
 import io.sequoiawheel.standin.platform.ReplicaAnswer
 import io.sequoiawheel.standin.platform.ReplicaStandIn
+import kotlinx.coroutines.runBlocking
 import kotlinx.serialization.json.JsonObject
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Assertions.assertEquals
@@ -174,6 +175,19 @@
         assertTrue(send().startsWith("HTTP/1.1 503"))
     }
 
+    @Test
+    fun `a generation that cannot end before the process does is refused, a short one is served`() {
+        engine("e-1")
+        fixture.configure()
+        fixture.start()
+        val leaving = Thread { runBlocking { fixture.daemon.leave() } }.also { it.start() }
+        RelayFixture.awaitTrue("the instance leaves") { !fixture.daemon.isReady }
+        assertTrue(send(tokens = "3000,900").startsWith("HTTP/1.1 503"))
+        assertEquals(0, generations("e-1").size)
+        assertWhole(send(tokens = "3000,80"))
+        leaving.join()
+    }
+
     private companion object {
         /** Prompt and output whose backup would take more of an engine's memory than backups may. */
         const val TOO_LARGE_FOR_BACKUP = "20000,9000"
