--- a/relay/src/test/kotlin/io/sequoiawheel/relay/ChangeHubTest.kt
+++ b/relay/src/test/kotlin/io/sequoiawheel/relay/ChangeHubTest.kt
@@ -5,8 +5,6 @@
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.BeforeEach
 import org.junit.jupiter.api.Test
-import java.net.DatagramSocket
-import java.net.ServerSocket
 
 /** Six instances of one zone, of which one watches the store for the others. */
 class ChangeHubTest {
@@ -18,7 +16,7 @@
     fun start() {
         replica = fixture.replica("r-1") { request, answer -> answer.whole(request, "world") }
         fixture.configure(version = 1)
-        for (number in 1..INSTANCES) instances += fixture.startInstance("entry-$number", freePort())
+        for (number in 1..INSTANCES) instances += fixture.startInstance("entry-$number", FreePorts.take())
         RelayFixture.awaitTrue("one instance watches the store") { callsWithin(WINDOW_MILLIS) <= HUB_CALLS }
     }
 
@@ -28,9 +26,6 @@
         fixture.close()
     }
 
-    private fun freePort(): Int =
-        ServerSocket(0).use { listener -> DatagramSocket(listener.localPort).use { it.localPort } }
-
     private fun callsWithin(millis: Long): Int {
         val before = fixture.store.calls
         Thread.sleep(millis)
--- a/relay/src/test/kotlin/io/sequoiawheel/relay/RelayProcessTest.kt
+++ b/relay/src/test/kotlin/io/sequoiawheel/relay/RelayProcessTest.kt
@@ -10,7 +10,6 @@
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.io.TempDir
 import java.net.HttpURLConnection
-import java.net.ServerSocket
 import java.net.URI
 import java.nio.file.Files
 import java.nio.file.Path
@@ -30,13 +29,11 @@
         fixture.close()
     }
 
-    private fun freePort() = ServerSocket(0).use { it.localPort }
-
     private fun settings(
         callers: Int,
         readiness: Int,
     ) = """{"node":"entry-1","ip":"127.0.0.1","zone":"a","listen":{"http":"127.0.0.1:$callers",
-        "ready":"127.0.0.1:$readiness"},"port_range":[${freePort()},0],"limits":{"cpu_share":1.0,"memory_mb":280},
+        "ready":"127.0.0.1:$readiness"},"port_range":[${FreePorts.take()},0],"limits":{"cpu_share":1.0,"memory_mb":280},
         "bounds":{"contact_ms":3000,"drain_ms":2000,"grace_s":8,"revoke_ms":5000,"retry_ratio":0.2,"retry_extra":54,
         "retry_window_s":10,"warmup_excess":1.5,"warmup_margin":5},
         "platform":{"addr":"127.0.0.1:${fixture.store.port}"}}"""
@@ -73,8 +70,8 @@
     fun `a process becomes ready, reloads, and ends with its work done`() {
         fixture.replica("r-1") { request, answer -> answer.whole(request, "world") }
         fixture.configure()
-        val readiness = freePort()
-        val started = start(settings(freePort(), readiness))
+        val readiness = FreePorts.take()
+        val started = start(settings(FreePorts.take(), readiness))
         RelayFixture.awaitTrue("the process is ready") { statusOf(readiness) == 200 }
         signal("HUP")
         RelayFixture.awaitTrue("the reload is logged") { hasLine("reloaded") }
@@ -89,8 +86,8 @@
 
     @Test
     fun `settings that change without a signal are applied, unreadable ones are not`() {
-        val readiness = freePort()
-        val settings = settings(freePort(), readiness)
+        val readiness = FreePorts.take()
+        val settings = settings(FreePorts.take(), readiness)
         fixture.configure()
         start(settings)
         RelayFixture.awaitTrue("the process is ready") { statusOf(readiness) == 200 }
