Hear an instance that starts again with its clock set back

Cause: found while reading the change: reports of one sender are ordered by the wall-clock time of its start, and the last report of a sender that had fallen silent was kept for that order. An instance that was restarted while its clock was set back would not have been heard again. Change: only a fresh report counts for the order. Comments of HubSelection say which zones have a hub. Test: LoadExchangeTest; it asks for the work of the new incarnation and would get 0 with the comparison as it was.

--- a/core/src/main/kotlin/io/sequoiawheel/core/relay/HeardLoads.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/HeardLoads.kt
@@ -32,9 +32,13 @@
     /** Sums of the other zones. */
     private val sums: List<ZoneReport> get() = zones.values.filter(::isFresh).map { it.message }
 
-    /** Takes a report. Returns false if a newer one of its sender is known. */
+    /**
+     * Takes a report. Returns false if a newer one of its sender is known. One of a silent sender does not count: the
+     * sender may have started again with its clock set back.
+     */
     fun take(report: PeerReport): Boolean {
-        if (reports[report.sender]?.let { report.isNotNewerThan(it.message) } == true) return false
+        val known = reports[report.sender]?.takeIf(::isFresh)
+        if (known != null && report.isNotNewerThan(known.message)) return false
         if (report.isLeaving) reports.remove(report.sender) else reports[report.sender] = heard(report)
         return true
     }
--- a/core/src/main/kotlin/io/sequoiawheel/core/relay/HubSelection.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/HubSelection.kt
@@ -1,6 +1,6 @@
 /*
  * Which instance of an availability zone watches the platform's store for the others. Watches cost one call a change
- * and instance, so in a large zone one instance, the hub, watches the store, and the others watch the hub. No agreement
+ * and instance, so in each zone one instance, the hub, watches the store, and the others watch the hub. No agreement
  * is needed: two hubs only cost calls, and an instance whose hub fails watches the store itself for a while.
  */
 package io.sequoiawheel.core.relay
@@ -12,7 +12,7 @@
 /**
  * Chooses the hub of one instance. Confined to one thread.
  *
- * @param live the other instances that reported lately
+ * @param live the other instances that were heard of or listed lately
  */
 class HubSelection(
     private val ownName: String,
--- a/core/src/test/kotlin/io/sequoiawheel/core/relay/LoadExchangeTest.kt
+++ b/core/src/test/kotlin/io/sequoiawheel/core/relay/LoadExchangeTest.kt
@@ -70,6 +70,14 @@
         assertEquals(5, remoteTokens())
     }
 
+    @Test
+    fun `an instance that starts again with its clock set back is heard`() {
+        loads.receive(report("b", 70, 300, start = 5_000))
+        nowMillis = 4_000
+        loads.receive(report("b", 1, 5, start = 3_000))
+        assertEquals(5, remoteTokens())
+    }
+
     @Test
     fun `an instance that fell silent or left counts no more`() {
         loads.receive(report("b", 1, 300))
