Write the waiting log lines before the process ends

ClassArchiveTest failed in the same way a few minutes later (fewer than two "request ended"). Lines are written by a thread of their own, and the process ended before it had written the last ones. Ruled out: a process that does not stop (its exit code was 0) and a full queue (it holds 512 lines). Change: the queue is emptied, for a second at most, before an instance or the run for the archive ends.

--- a/relay/src/main/kotlin/io/sequoiawheel/relay/ClassArchive.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/ClassArchive.kt
@@ -48,6 +48,7 @@
                 true
             } ?: false
         }
+    LogConfiguration.flush()
     exitProcess(if (isServed) 0 else 1)
 }
 
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/RelayProcess.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/RelayProcess.kt
@@ -47,6 +47,7 @@
             known = newest
         }
         runBlocking { daemon.leave() }
+        LogConfiguration.flush()
         return 0
     }
 
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/internal/LogConfiguration.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/internal/LogConfiguration.kt
@@ -9,6 +9,7 @@
 import ch.qos.logback.core.ConsoleAppender
 import ch.qos.logback.core.spi.ContextAwareBase
 import net.logstash.logback.encoder.LogstashEncoder
+import org.slf4j.LoggerFactory
 
 /**
  * Sets up JSON lines on standard output. They are written by a thread of their own; when its queue is full, lines are
@@ -50,6 +51,11 @@
         @Volatile
         var isWanted = false
 
+        /** Writes the lines that wait, for a second at most; to be called before the process ends. */
+        fun flush() {
+            (LoggerFactory.getILoggerFactory() as? LoggerContext)?.stop()
+        }
+
         private const val IGNORED = "[ignore]"
 
         /** Lines that may wait for a slow reader: several seconds of the largest volume. */
