Read the demand of a generation in one place, and sort the roster once

Found by reading the whole change again. Behaviour is the same. - The headers of a generation's demand were read by GenerationRun and again by LeavingFilter; Exchange reads them now, when first asked, so that plain calls do not pay for it. - The roster of instances was sorted by name at each question, several times in each tenth of a second; it is kept sorted. - The memory of totals and sums was computed twice for one comparison. Left: the five fields that each PeerMessage declares of its sender; one type for them would change the messages.

--- a/core/src/main/kotlin/io/sequoiawheel/core/relay/LoadExchange.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/LoadExchange.kt
@@ -149,9 +149,9 @@
         val askers = members.filter { it.wantsSums }.mapNotNull { Endpoint.parseOrNull(it.endpoint) }
         if (askers.isEmpty()) return null
         val total = (heard.work() + listOf(work)).total()
-        val hasChanged = memory(total) != lastTotal
-        if (!hasChanged && !isElapsed(totalSentMillis, TOTAL_INTERVAL_LIMIT_MILLIS)) return null
-        lastTotal = memory(total)
+        val held = memory(total)
+        if (held == lastTotal && !isElapsed(totalSentMillis, TOTAL_INTERVAL_LIMIT_MILLIS)) return null
+        lastTotal = held
         totalSentMillis = clock.nowMillis()
         val hasAddresses = totalRounds++ % ADDRESS_ROUNDS == 0L
         val report =
@@ -176,8 +176,9 @@
         if (targets.isEmpty()) return null
         val members = heard.members
         val sums = (members.map { it.work } + listOf(work)).total()
-        if (memory(sums) == lastSum && !isElapsed(sumSentMillis, HEARTBEAT_MILLIS)) return null
-        lastSum = memory(sums)
+        val held = memory(sums)
+        if (held == lastSum && !isElapsed(sumSentMillis, HEARTBEAT_MILLIS)) return null
+        lastSum = held
         sumSentMillis = clock.nowMillis()
         val endpoint = self.endpoint.toString()
         val report = ZoneReport(self.name, start, ++sequence, endpoint, self.zone.value, 1 + members.size, sums)
--- a/core/src/main/kotlin/io/sequoiawheel/core/relay/PeerRoster.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/PeerRoster.kt
@@ -1,6 +1,7 @@
 package io.sequoiawheel.core.relay
 
 import io.sequoiawheel.core.model.Clock
+import java.util.TreeMap
 
 /** The addresses of other instances, from the platform's store and from what they send. Confined to one thread. */
 internal class PeerRoster(
@@ -11,7 +12,7 @@
         val heardMillis: Long,
     )
 
-    private val known = HashMap<String, Known>()
+    private val known = TreeMap<String, Known>()
 
     val size: Int get() = known.size
 
@@ -35,7 +36,7 @@
     fun all(): List<Peer> {
         val now = clock.nowMillis()
         known.values.removeIf { now - it.heardMillis > FORGET_MILLIS }
-        return known.values.map { it.peer }.sortedBy { it.name }
+        return known.values.map { it.peer }
     }
 
     /** Returns the peers that were heard of within [millis]. */
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/filter/ConfigurationFilters.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/filter/ConfigurationFilters.kt
@@ -6,12 +6,10 @@
 
 import io.sequoiawheel.core.model.Clock
 import io.sequoiawheel.core.model.ResultCode
-import io.sequoiawheel.core.relay.GenerationDemand
 import io.sequoiawheel.core.relay.NotRunProof
 import io.sequoiawheel.core.relay.RelayConfiguration
 import io.sequoiawheel.core.relay.RequestKind
 import io.sequoiawheel.core.relay.ShutdownAdmission
-import io.sequoiawheel.platform.EngineProtocol
 import io.sequoiawheel.platform.Headers
 
 /** Refuses requests while no configuration is known. */
@@ -139,9 +137,7 @@
         next: suspend (Exchange) -> Unit,
     ) {
         val remaining = remainingMillis()
-        val route = checkNotNull(exchange.route)
-        val demand = if (route.kind == RequestKind.STREAM) demandOf(exchange) else null
-        if (remaining != null && !ShutdownAdmission.mayEnd(route, demand, remaining)) {
+        if (remaining != null && !mayEnd(exchange, remaining)) {
             exchange.response.closeAfter()
             exchange.refuse(
                 NotRunProof.NOTHING_SENT,
@@ -154,9 +150,13 @@
         next(exchange)
     }
 
-    private fun demandOf(exchange: Exchange): GenerationDemand {
-        val headers = exchange.request.headers
-        return EngineProtocol.demand(headers.get(Headers.TOKENS), headers.get(Headers.OUTPUT_ESTIMATE))
+    private fun mayEnd(
+        exchange: Exchange,
+        remaining: Long,
+    ): Boolean {
+        val route = checkNotNull(exchange.route)
+        val demand = if (route.kind == RequestKind.STREAM) exchange.demand else null
+        return ShutdownAdmission.mayEnd(route, demand, remaining)
     }
 }
 
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/filter/Exchange.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/filter/Exchange.kt
@@ -2,10 +2,12 @@
 
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.sequoiawheel.core.model.ResultCode
+import io.sequoiawheel.core.relay.GenerationDemand
 import io.sequoiawheel.core.relay.NotRunProof
 import io.sequoiawheel.core.relay.RelayConfiguration
 import io.sequoiawheel.core.relay.Route
 import io.sequoiawheel.core.relay.Workspace
+import io.sequoiawheel.platform.EngineProtocol
 import io.sequoiawheel.platform.Headers
 import io.sequoiawheel.relay.http.CallerRequest
 import io.sequoiawheel.relay.http.CallerResponse
@@ -17,6 +19,11 @@
 ) {
     val requestId: String? = request.headers.get(Headers.REQUEST_ID)
 
+    /** What the request will need if it is a generation. */
+    val demand: GenerationDemand by lazy {
+        EngineProtocol.demand(request.headers.get(Headers.TOKENS), request.headers.get(Headers.OUTPUT_ESTIMATE))
+    }
+
     var configuration: RelayConfiguration? = null
     var route: Route? = null
     var workspace: Workspace? = null
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationRun.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationRun.kt
@@ -16,7 +16,6 @@
 import io.sequoiawheel.core.relay.RelayService
 import io.sequoiawheel.core.relay.Replica
 import io.sequoiawheel.core.relay.SignalQueue
-import io.sequoiawheel.platform.EngineProtocol
 import io.sequoiawheel.platform.Headers
 import io.sequoiawheel.relay.filter.Exchange
 import kotlinx.coroutines.CoroutineScope
@@ -34,11 +33,7 @@
     private val engine = service.engine ?: PLAIN_STREAM
     private val requests = BackendRequests(context.clock)
     private val signals = SignalQueue<GenerationSignal>()
-    private val demand =
-        EngineProtocol.demand(
-            exchange.request.headers.get(Headers.TOKENS),
-            exchange.request.headers.get(Headers.OUTPUT_ESTIMATE),
-        )
+    private val demand = exchange.demand
     private val pauses = DeliveryPauses(context.clock, exchange.request.receivedAtMillis)
     private val delivery =
         Delivery(
