--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationRun.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationRun.kt
@@ -150,7 +150,7 @@
                         "request" to exchange.requestId,
                         "replica" to attempt.replica.toString(),
                         "lastEvent" to delivery.lastId,
-                    ),
+                    ) + MOVE_NOTES.associateWith { exchange.notes.remove(it) },
                 )
                 context.metrics.count("moves", "continued")
                 watch(attempt)
@@ -354,6 +354,9 @@
                 backsUpRuns = false,
             )
 
+        /** Why a run moved; once it has, they would be taken for the reason of a later end. */
+        val MOVE_NOTES = listOf("left", "lostReplica", "backup", "copyFailed", "takeOverFailed")
+
         /** Replicas that may turn one request down before the caller is told to come back. */
         const val MAXIMUM_REFUSALS = 2
 
