Tell a caller whom all replicas turned away when the first may be asked

Cause: found by reading. A call that was refused by the last replica it may ask carried the constant hint of 150 ms, also where every replica had just asked for seconds of quiet; only the next caller was told the truth. Change: ReplicaPlacement.comeBackMillis answers for both kinds of relay while all usable replicas are quiet. Ran: ReplicaNoticeTest, ReplicaPlacementTest.

--- a/core/src/main/kotlin/io/sequoiawheel/core/relay/ReplicaPlacement.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/ReplicaPlacement.kt
@@ -78,9 +78,18 @@
         usable: List<Replica>,
     ): Placement {
         if (chosen != null) return Placement.At(chosen)
-        val waitMillis = usable.filter { it.isQuiet }.minOfOrNull { it.quietMillis } ?: return Placement.Nowhere
+        val quiet = usable.filter { it.isQuiet }
+        return if (quiet.isEmpty()) Placement.Nowhere else Placement.Later(waitMillis(quiet))
+    }
+
+    /** Returns when callers may come back while all of [usable] ask for quiet, or null if not all do. */
+    fun comeBackMillis(usable: List<Replica>): Long? =
+        if (usable.isNotEmpty() && usable.all { it.isQuiet }) waitMillis(usable) else null
+
+    private fun waitMillis(quiet: List<Replica>): Long {
+        val waitMillis = quiet.minOf { it.quietMillis }
         val spreadMillis = (waitMillis * SPREAD_SHARE).coerceAtLeast(MINIMUM_SPREAD_MILLIS)
-        return Placement.Later(waitMillis + (random.nextDouble() * spreadMillis).toLong())
+        return waitMillis + (random.nextDouble() * spreadMillis).toLong()
     }
 
     private fun Replica.hasRoomForCall() = load.totalRunning < entry.slots * CALLS_PER_SLOT
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/CallRelay.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/CallRelay.kt
@@ -153,11 +153,14 @@
                 answer != null -> deliver(answer)
                 runs > 0 -> exchange.fail(ResultCode.OUTCOME_UNKNOWN, describe(attempt))
                 attempt is CallAttempt.NotRun ->
-                    exchange.refuse(attempt.proof, codeOf(attempt), attempt.detail, retryAfterMillis)
+                    exchange.refuse(attempt.proof, codeOf(attempt), attempt.detail, comeBackMillis())
                 else -> exchange.fail(ResultCode.OUTCOME_UNKNOWN, describe(attempt))
             }
         }
 
+        private fun comeBackMillis() =
+            context.placement.comeBackMillis(context.directory.usable(service.name)) ?: retryAfterMillis
+
         private fun codeOf(attempt: CallAttempt.NotRun) =
             when (attempt.proof) {
                 NotRunProof.NOTHING_SENT -> ResultCode.NO_REPLICA
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationRun.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationRun.kt
@@ -339,7 +339,8 @@
         detail: String,
     ) {
         isOver = true
-        exchange.refuse(proof, code, detail, retryAfterMillis)
+        val usable = context.directory.usable(service.name)
+        exchange.refuse(proof, code, detail, context.placement.comeBackMillis(usable) ?: retryAfterMillis)
     }
 
     private companion object {
