Apply no response of an older era that was under way when another call met the newer one

Cause: found by reading. A response of a hub, or of the store, that had arrived but was not yet applied when another call met a newer era of the store would be applied under that era; the higher revision of the older era would then keep newer configurations of the new era out. Change: both watches compare the era that the kind was listed in with the newest one before they apply a response. Ran: StoreDrillTest, ChangeHubTest, ConfigurationControllerTest. No test shows the fault: it needs two responses in one turn of the event loop, which no stand-in can order.

--- a/relay/src/main/kotlin/io/sequoiawheel/relay/control/KindWatcher.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/control/KindWatcher.kt
@@ -130,7 +130,7 @@
                 continue
             }
             succeeded()
-            if (changes.era != era) return
+            if (changes.era != era || sources.era != era) return
             revision = changes.revision
             // Without events the store answers at the end of the wait, so nothing had changed until then.
             val proof = if (changes.events.isEmpty()) asOf.plus(waitMillis) else asOf
@@ -163,6 +163,8 @@
                     return revision
                 }
         succeeded()
+        // Another call may have met a newer era while this response was under way.
+        if (sources.era != era) return null
         val proof = changes.proofOffsetMillis?.let { asOf.plus(it) }
         apply(changes, proof)
         val isStale = proof == null || freshness.now().monotonicMillis - proof.monotonicMillis > STALE_HUB_MILLIS
