Ask for one zone without building the set of all, and give the hint for quiet replicas in one place

Found by reading the whole change. The set of evacuated zones was built anew for each replica of each placement; it is asked for one zone now, and expired holds count as absent without being removed on a read. Both relays asked for the time at which the first quiet replica may be asked in the same way; RelayContext does. Behaviour is the same. Ran: the tests of zones, directory, placement, notices, drills, hubs, calls and generations, formatter and linter.

--- a/core/src/main/kotlin/io/sequoiawheel/core/relay/EvacuatedZones.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/EvacuatedZones.kt
@@ -16,11 +16,11 @@
     private val heldUntilMillis = HashMap<ZoneName, Long>()
 
     /** The zones that receive no new work now. */
-    val zones: ImmutableSet<ZoneName>
-        get() {
-            heldUntilMillis.values.removeIf { it <= clock.nowMillis() }
-            return (listed + heldUntilMillis.keys).toImmutableSet()
-        }
+    val zones: ImmutableSet<ZoneName> get() = (listed + heldUntilMillis.keys).filter { it in this }.toImmutableSet()
+
+    /** Whether [zone] receives no new work now. */
+    operator fun contains(zone: ZoneName): Boolean =
+        zone in listed || heldUntilMillis[zone]?.let { clock.nowMillis() < it } ?: false
 
     /** Replaces the list. */
     fun replaceAll(
@@ -30,6 +30,7 @@
         val before = this.zones
         if (standing == ListStanding.NEW_ERA) {
             val untilMillis = clock.nowMillis() + HOLD_MILLIS
+            heldUntilMillis.keys.retainAll(before)
             before.filter { it !in zones }.forEach { heldUntilMillis.putIfAbsent(it, untilMillis) }
         }
         listed.clear()
--- a/core/src/main/kotlin/io/sequoiawheel/core/relay/ReplicaDirectory.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/ReplicaDirectory.kt
@@ -109,7 +109,7 @@
     }
 
     /** Whether [replica] may receive work, new or moved: it is not leaving, and its zone is not taken out. */
-    fun mayReceive(replica: Replica): Boolean = !replica.isLeaving && replica.entry.zone !in evacuations.zones
+    fun mayReceive(replica: Replica): Boolean = !replica.isLeaving && replica.entry.zone !in evacuations
 
     /** Returns all known replicas. */
     fun all(): List<Replica> = replicas.values.toList()
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/CallRelay.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/CallRelay.kt
@@ -149,18 +149,16 @@
 
         private suspend fun giveUp(attempt: CallAttempt) {
             val answer = lastAnswer
+            val hintMillis = context.comeBackMillis(service) ?: retryAfterMillis
             when {
                 answer != null -> deliver(answer)
                 runs > 0 -> exchange.fail(ResultCode.OUTCOME_UNKNOWN, describe(attempt))
                 attempt is CallAttempt.NotRun ->
-                    exchange.refuse(attempt.proof, codeOf(attempt), attempt.detail, comeBackMillis())
+                    exchange.refuse(attempt.proof, codeOf(attempt), attempt.detail, hintMillis)
                 else -> exchange.fail(ResultCode.OUTCOME_UNKNOWN, describe(attempt))
             }
         }
 
-        private fun comeBackMillis() =
-            context.placement.comeBackMillis(context.directory.usable(service.name)) ?: retryAfterMillis
-
         private fun codeOf(attempt: CallAttempt.NotRun) =
             when (attempt.proof) {
                 NotRunProof.NOTHING_SENT -> ResultCode.NO_REPLICA
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationRun.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationRun.kt
@@ -339,8 +339,7 @@
         detail: String,
     ) {
         isOver = true
-        val usable = context.directory.usable(service.name)
-        exchange.refuse(proof, code, detail, context.placement.comeBackMillis(usable) ?: retryAfterMillis)
+        exchange.refuse(proof, code, detail, context.comeBackMillis(service) ?: retryAfterMillis)
     }
 
     private companion object {
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/RelayContext.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/RelayContext.kt
@@ -63,6 +63,9 @@
         excluded: Set<Replica>,
     ): List<Replica> = directory.usable(service.name).filter { it !in excluded && !it.isQuiet }
 
+    /** Returns when callers may come back while all replicas of [service] ask for quiet, or null if not all do. */
+    fun comeBackMillis(service: RelayService): Long? = placement.comeBackMillis(directory.usable(service.name))
+
     /** Whether a request may be sent to [replica] at this moment. */
     fun mayReceive(replica: Replica): Boolean = directory.mayReceive(replica) && !replica.isQuiet
 
