Log and count the request limits that replicas name

Callers saw nothing of it: replicas that named a limit received more than it, and neither logs nor metrics showed that a limit had been named, by which answer, or which requests went there.

Decodes the notice and logs every change of a limit with the answer that made it, and unreadable values. Adds a gauge of limited replicas and a counter of the requests sent to them by purpose: first attempts, retries, continuations and copies. No decision uses the limit yet.

An answer without a limit ends it only if it answers a request that was sent after the limit was last named, since answers overtake each other.

Tests: NamedRequestLimitTest, ReplicaNoticeTest (platform and relay) and CallRelayTest pass.

--- a/core/src/main/kotlin/io/sequoiawheel/core/relay/Replica.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/Replica.kt
@@ -62,6 +62,9 @@
     var leaveReason: LeaveReason? = null
         private set
 
+    /** The limit on the requests of all instances together that the replica names in its responses. */
+    val requestLimit = NamedRequestLimit(clock)
+
     private var pausedUntilMillis = Long.MIN_VALUE
 
     /** Remaining time of the pause that the replica requested from this instance; 0 if it is not paused. */
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/RelayDaemon.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/RelayDaemon.kt
@@ -282,6 +282,7 @@
         metrics.gauge("configuration.version") { configuration.current?.version ?: 0 }
         metrics.gauge("configuration.age.milliseconds") { freshness.ageMillis() }
         metrics.gauge("replicas.quiet") { directory.all().count { it.isPaused } }
+        metrics.gauge("replicas.limited") { directory.all().count { it.requestLimit.perSecond != null } }
         metrics.gauge("replicas.leaving.by.answer") { directory.announcedLeaving().size }
         metrics.gauge("store.era") { eras.current ?: 0 }
         metrics.gauge("instances.live") { liveInstances }
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/backend/BackendConnection.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/backend/BackendConnection.kt
@@ -45,8 +45,11 @@
     private var isInResponse = false
     private var headTimeout: ScheduledFuture<*>? = null
 
-    /** Called with the head of each response, including responses that belong to no request of this connection. */
-    var onHead: (HttpResponse) -> Unit = {}
+    /** Called with each response head, including those that belong to no request of this connection. */
+    var onHead: (ResponseHead) -> Unit = {}
+
+    private var sentRequestId: String? = null
+    private var sentAtMillis: Long? = null
 
     /** Whether at least one exchange was completed before. */
     var isReused = false
@@ -68,7 +71,10 @@
         context: ChannelHandlerContext,
         message: Any,
     ) {
-        if (message is HttpResponse && message.decoderResult().isSuccess) onHead(message)
+        if (message is HttpResponse && message.decoderResult().isSuccess) {
+            val answersRequest = isExchanging && message.headers().get(Headers.REQUEST_ID) == sentRequestId
+            onHead(ResponseHead(message, sentAtMillis.takeIf { answersRequest }))
+        }
         if (!isExchanging) {
             // Data received outside an exchange belongs to no request.
             ReferenceCountUtil.release(message)
@@ -114,6 +120,8 @@
             throw ConnectionEndedException("connection closed before the request was sent", isReset = false)
         }
         isExchanging = true
+        sentRequestId = request.headers().get(Headers.REQUEST_ID)
+        sentAtMillis = clock.nowMillis()
         requestWrite = channel.writeAndFlush(request)
     }
 
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/backend/BackendPool.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/backend/BackendPool.kt
@@ -1,6 +1,5 @@
 package io.sequoiawheel.relay.backend
 
-import io.netty.handler.codec.http.HttpResponse
 import io.sequoiawheel.core.relay.Endpoint
 import io.sequoiawheel.core.relay.Replica
 
@@ -11,7 +10,7 @@
  */
 internal class BackendPool(
     private val connector: Connector,
-    private val onHead: (Replica, HttpResponse) -> Unit,
+    private val onHead: (Replica, ResponseHead) -> Unit,
 ) {
     private val idle = HashMap<Replica, ArrayDeque<BackendConnection>>()
 
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/CallRelay.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/CallRelay.kt
@@ -207,6 +207,8 @@
                         return@use AttemptResult.ReplicaUnavailable
                     }
                     exchange.mayHaveRun = true
+                    val isFirst = triedReplicas.size == 1 && runs == 0 && refusals == 0
+                    context.countLimitedSend(replica, if (isFirst) SendPurpose.FIRST_ATTEMPT else SendPurpose.RETRY)
                     connection.send(requests.build(exchange, replica))
                     val head = connection.receiveHead(exchange.requestId)
                     if (head.isNotRun) return@use handleRefusal(replica, head, lease)
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationAttempt.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationAttempt.kt
@@ -96,6 +96,7 @@
     private val demand: GenerationDemand,
     val backup: Replica?,
     private val headers: Map<String, String>,
+    private val purpose: SendPurpose,
     private val signals: SendChannel<GenerationSignal>,
 ) {
     private val requests = BackendRequests(context.clock)
@@ -195,6 +196,7 @@
             return
         }
         exchange.mayHaveRun = true
+        context.countLimitedSend(replica, purpose)
         opened.send(requests.build(exchange, replica, headers))
         val head = opened.receiveHead(exchange.requestId)
         val status = head.status().code()
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationRun.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationRun.kt
@@ -277,7 +277,7 @@
         val headers = HashMap<String, String>()
         headers[Headers.CONTINUE_FROM] = copy.copy.headerValue
         headers[Headers.LAST_EVENT_ID] = (delivery.lastId ?: 0).toString()
-        successor = createAttempt(copy.destination, headers).also { it.start(scope) }
+        successor = createAttempt(copy.destination, headers, SendPurpose.CONTINUATION).also { it.start(scope) }
     }
 
     /** Copies the run's KV cache from a leaving replica to another one, so that the run can continue there. */
@@ -311,8 +311,9 @@
         val replica = (placement as? Placement.Assigned)?.replica ?: return false
         val resumeAfter = delivery.lastId?.takeIf { delivery.delivered > 0 }
         val headers = resumeAfter?.let { mapOf(Headers.LAST_EVENT_ID to it.toString()) }.orEmpty()
+        val purpose = if (runs == 0 && refusals == 0) SendPurpose.FIRST_ATTEMPT else SendPurpose.RETRY
         current =
-            createAttempt(replica, headers).also {
+            createAttempt(replica, headers, purpose).also {
                 it.start(scope)
                 watchForLeaving(it)
             }
@@ -322,10 +323,12 @@
     private fun createAttempt(
         replica: Replica,
         headers: Map<String, String>,
+        purpose: SendPurpose,
     ): GenerationAttempt {
         val backup = if (wantsBackup) copier.chooseBackup(replica, abandoned, service, demand) else null
         val backupHeader = backup?.let { mapOf(Headers.BACKUP_REPLICA to it.entry.address) }.orEmpty()
-        return GenerationAttempt(context, exchange, replica, demand, backup, headers + backupHeader, signals.sender)
+        val allHeaders = headers + backupHeader
+        return GenerationAttempt(context, exchange, replica, demand, backup, allHeaders, purpose, signals.sender)
     }
 
     private fun watchForLeaving(attempt: GenerationAttempt) {
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/RelayContext.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/RelayContext.kt
@@ -69,6 +69,14 @@
     /** Whether a request may be sent to [replica] now. */
     fun mayReceive(replica: Replica): Boolean = directory.mayReceive(replica) && !replica.isPaused
 
+    /** Counts a request that is about to be sent to [replica], if the replica names a request limit. */
+    fun countLimitedSend(
+        replica: Replica,
+        purpose: SendPurpose,
+    ) {
+        if (replica.requestLimit.perSecond != null) metrics.count("limited.replica.requests", purpose.label)
+    }
+
     private fun tryAdmit(
         replica: Replica,
         service: RelayService,
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/ReplicaNotices.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/ReplicaNotices.kt
@@ -1,10 +1,13 @@
 package io.sequoiawheel.relay.serving
 
 import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpStatusClass
 import io.sequoiawheel.core.relay.LeaveReason
 import io.sequoiawheel.core.relay.Replica
 import io.sequoiawheel.platform.Headers
 import io.sequoiawheel.platform.ReplicaNotice
+import io.sequoiawheel.platform.RequestLimitNotice
+import io.sequoiawheel.relay.backend.ResponseHead
 import io.sequoiawheel.relay.internal.DecisionLog
 import io.sequoiawheel.relay.internal.RelayMetrics
 
@@ -16,8 +19,9 @@
     /** Handles the head of any response received from [replica], including responses that no request waits for. */
     fun onResponseHead(
         replica: Replica,
-        head: HttpResponse,
+        received: ResponseHead,
     ) {
+        val head = received.response
         val respondingId = head.headers().get(Headers.REPLICA)
         if (head.isMisdirected || respondingId != null && respondingId != replica.entry.id.value) return
         replica.markReachable()
@@ -34,6 +38,38 @@
             )
         }
         notice.pauseMillis?.let { pause(replica, head, it) }
+        val isInformational = head.status().codeClass() == HttpStatusClass.INFORMATIONAL
+        if (!isInformational) recordRequestLimit(replica, received, notice.requestLimit)
+    }
+
+    private fun recordRequestLimit(
+        replica: Replica,
+        received: ResponseHead,
+        notice: RequestLimitNotice,
+    ) {
+        val before = replica.requestLimit.perSecond
+        when (notice) {
+            is RequestLimitNotice.Limited -> replica.requestLimit.name(notice.perSecond)
+            is RequestLimitNotice.None -> received.sentAtMillis?.let(replica.requestLimit::omit)
+            is RequestLimitNotice.Unreadable ->
+                log.stateChange(
+                    "replica named an unreadable request limit",
+                    mapOf("replica" to replica.toString(), "value" to notice.value, "perSecond" to before),
+                )
+        }
+        val after = replica.requestLimit.perSecond
+        if (after == before) return
+        metrics.count("replica.notices", if (after == null) "unlimited" else "limited")
+        log.stateChange(
+            "request limit of a replica changed",
+            mapOf(
+                "replica" to replica.toString(),
+                "perSecond" to after,
+                "previousPerSecond" to before,
+                "source" to "answer",
+                "request" to received.response.headers().get(Headers.REQUEST_ID),
+            ),
+        )
     }
 
     private fun markLeaving(
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/RunCopier.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/RunCopier.kt
@@ -168,6 +168,7 @@
             request.headers().set(HttpHeaderNames.CONTENT_LENGTH, content.readableBytes())
             if (body != null) request.headers().set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON)
             context.pool.use(replica, mustBeRecent = true) { lease ->
+                context.countLimitedSend(replica, SendPurpose.COPY)
                 lease.connection.send(request)
                 val head = lease.connection.receiveHead(requestId = null)
                 val text = String(lease.connection.receiveBody())
--- /dev/null
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/SendPurpose.kt
@@ -0,0 +1,15 @@
+package io.sequoiawheel.relay.serving
+
+/** Why a request is sent to a replica; [label] is the value in metrics. */
+internal enum class SendPurpose(
+    val label: String,
+) {
+    FIRST_ATTEMPT("first"),
+    RETRY("retry"),
+
+    /** Continues a generation from a copy of its KV cache. */
+    CONTINUATION("continuation"),
+
+    /** Asks a replica to copy a generation's KV cache to another one. */
+    COPY("copy"),
+}
