Make the reproduction of the overrun independent of the first choice

Calls go to the replica with the shorter expected response time. Both replicas of the test answered in 2 ms, so whichever was chosen first kept the calls of that instance, and a run could pass without a request to the limited one. The other replica now answers after 80 ms, so calls prefer the limited one; checks and bounds are as before.

--- a/relay/src/test/kotlin/io/sequoiawheel/relay/RequestLimitTest.kt
+++ b/relay/src/test/kotlin/io/sequoiawheel/relay/RequestLimitTest.kt
@@ -5,6 +5,7 @@
 import org.junit.jupiter.api.Assertions.assertNull
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
+import java.util.concurrent.ConcurrentLinkedQueue
 import java.util.concurrent.atomic.AtomicInteger
 import kotlin.concurrent.thread
 
@@ -45,7 +46,7 @@
         millis: Long,
     ): List<String> {
         val end = System.nanoTime() + millis * NANOS_PER_MILLI
-        val responses = java.util.concurrent.ConcurrentLinkedQueue<String>()
+        val responses = ConcurrentLinkedQueue<String>()
         fleet
             .mapIndexed { index, instance ->
                 thread {
@@ -63,7 +64,10 @@
     @Test
     fun `three instances together send a limited replica no more than its limit`() {
         val limited = limitedReplica("r-1").also { it.requestLimit = LIMIT_PER_SECOND.toString() }
-        fixture.replica("r-2") { request, answer -> answer.sendComplete(request, "r-2") }
+        fixture.replica("r-2") { request, answer ->
+            Thread.sleep(SLOWER_MILLIS)
+            answer.sendComplete(request, "r-2")
+        }
         meter.recordLimit(LIMIT_PER_SECOND)
         val fleet = startFleet()
         val responses = callAll(fleet, RequestLimitMeter.DEFAULT_CONTACT_MILLIS + RequestLimitMeter.WINDOW_MILLIS * 2)
@@ -75,6 +79,9 @@
     private companion object {
         const val NANOS_PER_MILLI = 1_000_000L
         const val LIMIT_PER_SECOND = 2.5
+
+        /** Longer than the response time that is assumed before the first response, so that calls prefer the other. */
+        const val SLOWER_MILLIS = 80L
         const val CALL_INTERVAL_MILLIS = 30L
     }
 }
