Keep all instances together within the limit that a replica names

Callers saw no failure of this kind, but a backend server in need received 27 to 43 requests in 4 s at 2.5 and 2.7 a second, allowed 20 and 21.

Cause: instances ignored the limit. Respecting it in each instance alone would not have been enough, since the limit is for all of them.

Change: each instance uses a share of the limit (RateShare), computed from the largest number of instances known in the last two minutes, so that shares hold without coordination while instances join, freeze, restart or are cut off. If the instances outnumber the burst that the tolerance allows, only some hold a share; otherwise idle instances would save up one request each. RequestLimiter grants every request to a limited replica immediately before it is sent: first attempts, retries, continuations of generations and requests to copy them. Nothing else is sent to replicas: there are no probes, health checks, warm-up requests or hedges on this path. Placement passes over a replica whose share is used up; the others receive only what they have room for, and the rest is refused at once with the time until a replica accepts requests again. Copies of runs avoid limited replicas. Instances report limits and their ends to one another with the age of the observation; a report that allows more must be a second newer than what is known, since reports may be late.

Limits below 0.25 a second are treated as 0.25, since only an answer can end a limit. An unreadable limit leaves the last readable one in force.

--- a/core/src/main/kotlin/io/sequoiawheel/core/relay/LoadExchange.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/LoadExchange.kt
@@ -25,11 +25,12 @@
     private val self: Peer,
     private val start: Long,
     private val clock: Clock,
-) {
+) : FleetMembership {
     /** The content of the last message that is compared to decide whether a new message is needed. */
     private data class SentContent(
         val generationTokens: Map<String, Pair<Long, Long>> = emptyMap(),
         val leaving: StartsByReplica = emptyMap(),
+        val rates: Map<String, Double?> = emptyMap(),
     )
 
     private val roster = PeerRoster(clock)
@@ -48,11 +49,17 @@
     private var lastTotals: SentContent = SentContent()
     private var lastSums: SentContent = SentContent()
     private var leaving: StartsByReplica = emptyMap()
+    private var limits: LimitsByReplica = emptyMap()
+
+    override val selfName: String get() = self.name
+    override val zone: ZoneName get() = self.zone
+    override val zoneInstances: Collection<String>
+        get() = roster.all().filter { it.zone == self.zone }.map { it.name } + self.name
 
     /**
      * Upper estimate of the number of instances, so that the shares of common limits add up to no more than the limits.
      */
-    val instanceCount: Int
+    override val instanceCount: Int
         get() {
             if (!isListed && received.isEmpty) return FleetSizeEstimate.LARGEST_PLANNED
             return fleetSize.update(maxOf(liveCount(), roster.size + 1))
@@ -73,17 +80,23 @@
     /** The replicas that announced to other instances that they are leaving. */
     val leavingReportedByPeers: StartsByReplica get() = received.leaving()
 
+    /** The request limits that other instances observed. */
+    val limitsReportedByPeers: LimitsByReplica get() = received.limits()
+
     /**
-     * Returns the messages to send now, given this instance's [work] and the replicas that announced that they are
-     * [leaving]. Call it every 100 ms.
+     * Returns the messages to send now, given this instance's [work], the replicas that announced that they are
+     * [leaving], and the request [limits] that this instance knows. Call it every 100 ms.
      */
     fun tick(
         work: WorkByReplica,
         leaving: StartsByReplica = emptyMap(),
+        limits: LimitsByReplica = emptyMap(),
     ): List<OutgoingMessage> {
         val outgoing = ArrayList<OutgoingMessage>()
-        val hasChanged = generationTokens(work) != generationTokens(sentReports.latestWork) || leaving != this.leaving
+        val hasNewNotices = leaving != this.leaving || rates(limits) != rates(this.limits)
+        val hasChanged = hasNewNotices || generationTokens(work) != generationTokens(sentReports.latestWork)
         this.leaving = leaving
+        this.limits = limits
         if (hasChanged || isElapsed(reportSentMillis, heartbeatMillis())) outgoing += newReport(work, isLeaving = false)
         if (!aggregators.isRequested && !isAggregator()) return outgoing
         if (isElapsed(totalsSentMillis, totalsIntervalMillis())) newTotals(work)?.let { outgoing += it }
@@ -158,7 +171,18 @@
         val endpoint = self.endpoint.toString()
         val wantsTotals = !isMesh() && !isLeaving
         val report =
-            PeerReport(self.name, start, ++sequence, endpoint, work, isLeaving, self.zone.value, wantsTotals, leaving)
+            PeerReport(
+                self.name,
+                start,
+                ++sequence,
+                endpoint,
+                work,
+                isLeaving,
+                self.zone.value,
+                wantsTotals,
+                leaving,
+                ReportedLimit.of(limits, clock.nowMillis()),
+            )
         sentReports.add(report)
         reportSentMillis = clock.nowMillis()
         return OutgoingMessage((if (isMesh()) meshPeers() else aggregators.current()).map { it.endpoint }, report)
@@ -170,7 +194,8 @@
         val requesters = reports.filter { it.wantsTotals }.mapNotNull { Endpoint.parseOrNull(it.endpoint) }
         if (requesters.isEmpty()) return null
         val totals = (received.work() + listOf(work)).sumByReplica()
-        val content = SentContent(generationTokens(totals), leaving + received.reportedLeaving())
+        val allLimits = listOf(limits, received.reportedLimits()).latestByReplica()
+        val content = SentContent(generationTokens(totals), leaving + received.reportedLeaving(), rates(allLimits))
         if (content == lastTotals && !isElapsed(totalsSentMillis, TOTALS_INTERVAL_LIMIT_MILLIS)) return null
         lastTotals = content
         totalsSentMillis = clock.nowMillis()
@@ -187,6 +212,7 @@
                 reports.associate { it.sender to it.sequence },
                 if (hasAddresses) reports.associate { it.sender to it.endpoint } else emptyMap(),
                 content.leaving,
+                ReportedLimit.of(allLimits, clock.nowMillis()),
             )
         totalsBytes = (report.work.size + report.members.size) * BYTES_PER_ENTRY
         return OutgoingMessage(requesters, report)
@@ -198,8 +224,9 @@
         if (targets.isEmpty()) return null
         val reports = received.localReports
         val sums = (reports.map { it.work } + listOf(work)).sumByReplica()
-        val content =
-            SentContent(generationTokens(sums), reports.fold(leaving) { known, member -> known + member.leaving })
+        val zoneLimits = listOf(limits, received.localLimits()).latestByReplica()
+        val zoneLeaving = reports.fold(leaving) { known, member -> known + member.leaving }
+        val content = SentContent(generationTokens(sums), zoneLeaving, rates(zoneLimits))
         if (content == lastSums && !isElapsed(sumsSentMillis, HEARTBEAT_MILLIS)) return null
         lastSums = content
         sumsSentMillis = clock.nowMillis()
@@ -214,6 +241,7 @@
                 1 + reports.size,
                 sums,
                 leaving = content.leaving,
+                limits = ReportedLimit.of(zoneLimits, clock.nowMillis()),
             )
         return OutgoingMessage(targets.map { it.endpoint }, report)
     }
@@ -264,6 +292,8 @@
     private fun generationTokens(work: WorkByReplica): Map<String, Pair<Long, Long>> =
         work.mapValues { it.value.tokens to it.value.promptTokens }.filterValues { it.first > 0 }
 
+    private fun rates(limits: LimitsByReplica): Map<String, Double?> = limits.mapValues { it.value.perSecond }
+
     companion object {
         /** Returns the load of this instance on [replicas]; idle replicas are omitted. */
         fun work(replicas: Collection<Replica>): WorkByReplica =
--- a/core/src/main/kotlin/io/sequoiawheel/core/relay/PeerMessage.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/PeerMessage.kt
@@ -75,6 +75,7 @@
  * @property zone the sender's availability zone
  * @property leaving replicas that announced in a response, to one of the instances whose load the message includes,
  *   that they are leaving
+ * @property limits request limits that replicas named, by replica id
  */
 @Serializable
 sealed interface PeerMessage {
@@ -84,6 +85,7 @@
     val endpoint: String
     val zone: String
     val leaving: StartsByReplica
+    val limits: Map<String, ReportedLimit>
 
     /** Whether this message is not newer than [other], a message of the same sender. */
     fun isNotNewerThan(other: PeerMessage): Boolean =
@@ -92,8 +94,11 @@
     fun encode(): String = Json.encodeToString(serializer(), this)
 
     companion object {
+        /** Messages of later versions may have more fields. */
+        private val json = Json { ignoreUnknownKeys = true }
+
         /** Decodes the message in [text], or throws [SerializationException]. */
-        fun decode(text: String): PeerMessage = Json.decodeFromString(serializer(), text)
+        fun decode(text: String): PeerMessage = json.decodeFromString(serializer(), text)
     }
 }
 
@@ -114,6 +119,7 @@
     @SerialName("z") override val zone: String = "",
     @SerialName("a") val wantsTotals: Boolean = false,
     @SerialName("q") override val leaving: StartsByReplica = emptyMap(),
+    @SerialName("r") override val limits: Map<String, ReportedLimit> = emptyMap(),
 ) : PeerMessage
 
 /**
@@ -134,6 +140,7 @@
     @SerialName("w") val work: WorkByReplica,
     @SerialName("f") val isForwarded: Boolean = false,
     @SerialName("q") override val leaving: StartsByReplica = emptyMap(),
+    @SerialName("r") override val limits: Map<String, ReportedLimit> = emptyMap(),
 ) : PeerMessage
 
 /**
@@ -156,4 +163,5 @@
     @SerialName("m") val members: Map<String, Long>,
     @SerialName("d") val addresses: Map<String, String> = emptyMap(),
     @SerialName("q") override val leaving: StartsByReplica = emptyMap(),
+    @SerialName("r") override val limits: Map<String, ReportedLimit> = emptyMap(),
 ) : PeerMessage
--- a/core/src/main/kotlin/io/sequoiawheel/core/relay/ReceivedLoads.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/ReceivedLoads.kt
@@ -84,6 +84,21 @@
     /** Returns the replicas that announced that they are leaving, from all messages. */
     fun leaving(): StartsByReplica = reportedLeaving() + totals?.leaving.orEmpty()
 
+    /** Returns the request limits that instances of the local zone reported. */
+    fun localLimits(): LimitsByReplica = limitsOf(reports.values.filter { it.message.zone == ownZone.value })
+
+    /** Returns the request limits from the reports of instances and zones. */
+    fun reportedLimits(): LimitsByReplica = limitsOf(reports.values + zones.values)
+
+    /** Returns the request limits from all messages. */
+    fun limits(): LimitsByReplica = limitsOf(reports.values + zones.values + listOfNotNull(fleet))
+
+    private fun limitsOf(messages: Collection<Received<out PeerMessage>>): LimitsByReplica =
+        messages
+            .filter(::isFresh)
+            .map { received -> received.message.limits.mapValues { it.value.received(received.atMillis) } }
+            .latestByReplica()
+
     private fun reportsOfZonesWithoutSums(): List<PeerReport> {
         val known = sums.map { it.zone } + ownZone.value
         return freshReports.filter { it.zone !in known }
--- a/core/src/main/kotlin/io/sequoiawheel/core/relay/ReplicaDirectory.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/ReplicaDirectory.kt
@@ -104,6 +104,23 @@
             .mapNotNull { replica -> replica.entry.startedAtMillis?.let { replica.entry.id.value to it } }
             .toMap()
 
+    /** Applies the request limits that other instances observed. Returns the replicas whose limit changed. */
+    fun applyReportedLimits(limits: LimitsByReplica): List<Replica> =
+        limits.mapNotNull { (id, limit) ->
+            val replica = replicas[InstanceId(id)]?.takeIf { it.entry.startedAtMillis == limit.startedAtMillis }
+            val before = replica?.requestLimit?.perSecond
+            replica?.takeIf { it.requestLimit.applyReport(limit) && it.requestLimit.perSecond != before }
+        }
+
+    /** Returns the request limits of the replicas, for the other instances. */
+    fun observedLimits(): LimitsByReplica =
+        replicas.values
+            .mapNotNull { replica ->
+                replica.entry.startedAtMillis
+                    ?.let(replica.requestLimit::observation)
+                    ?.let { replica.entry.id.value to it }
+            }.toMap()
+
     /** Returns the replicas of [service] that may currently receive new work. */
     fun usable(service: ServiceName): List<Replica> {
         expire()
--- a/core/src/main/kotlin/io/sequoiawheel/core/relay/ReplicaPlacement.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/ReplicaPlacement.kt
@@ -13,7 +13,7 @@
         val replica: Replica,
     ) : Placement
 
-    /** No replica is available now; a paused replica accepts requests again after at most [retryAfterMillis]. */
+    /** No replica is available now; one is expected to accept requests again after [retryAfterMillis]. */
     class Deferred(
         val retryAfterMillis: Long,
     ) : Placement
@@ -25,12 +25,14 @@
 /**
  * Places requests among the usable replicas of a service. Confined to one thread.
  *
+ * @param limiter the request limits that replicas name; consulted, not consumed
  * @param tryAdmit consumes one request of the rate limit of a cold replica, or returns false if it is exhausted; always
  *   returns true for warm replicas
  */
 class ReplicaPlacement(
     private val selection: ReplicaSelection,
     private val random: UniformRandomProvider,
+    private val limiter: RequestLimiter,
     private val tryAdmit: (Replica, RelayService) -> Boolean,
 ) {
     /**
@@ -47,7 +49,7 @@
     ): Placement {
         val candidates = candidates(usable, tried, mayReuseTried) { it.hasRoomForCall() }
         val ready = candidates.filter { tryAdmit(it, service) }
-        return place(selection.forCall(ready.ifEmpty { candidates.filter { !it.isCold } }), usable)
+        return place(selection.forCall(ready.ifEmpty { candidates.filter { !it.isCold } }), usable, FULL_CALLS_MILLIS)
     }
 
     /** Places a generation of [demand]; replicas in [excluded] are used only if there is no other. */
@@ -60,7 +62,7 @@
     ): Placement {
         val candidates = candidates(usable, excluded, mayReuseTried = true) { it.hasRoomFor(demand, engine) }
         val ready = candidates.filter { tryAdmit(it, service) }
-        return place(selection.forGeneration(ready, demand, engine), usable)
+        return place(selection.forGeneration(ready, demand, engine), usable, FULL_GENERATIONS_MILLIS)
     }
 
     private fun candidates(
@@ -69,27 +71,36 @@
         mayReuseTried: Boolean,
         hasRoom: (Replica) -> Boolean,
     ): List<Replica> {
-        val unpaused = usable.filter { !it.isPaused }
-        val untried = unpaused.filter { it !in excluded }
-        val candidates = if (untried.isEmpty() && mayReuseTried) unpaused else untried
-        return if (unpaused.size == usable.size) candidates else candidates.filter(hasRoom)
+        val open = usable.filter(::isOpen)
+        val untried = open.filter { it !in excluded }
+        val candidates = if (untried.isEmpty() && mayReuseTried) open else untried
+        return if (open.size == usable.size) candidates else candidates.filter(hasRoom)
     }
 
+    /**
+     * @param fullMillis time after which a replica that is full now is expected to accept a request
+     */
     private fun place(
         chosen: Replica?,
         usable: List<Replica>,
+        fullMillis: Long,
     ): Placement {
         if (chosen != null) return Placement.Assigned(chosen)
-        val paused = usable.filter { it.isPaused }
-        return if (paused.isEmpty()) Placement.Unavailable else Placement.Deferred(waitMillis(paused))
+        if (usable.all(::isOpen)) return Placement.Unavailable
+        return Placement.Deferred(waitMillis(usable.map { if (isOpen(it)) fullMillis else closedMillis(it) }))
     }
 
-    /** Returns the time after which callers may retry if all of [usable] are paused, or null if they are not. */
+    /** Returns the time after which callers may retry if none of [usable] accepts requests now, or null if one does. */
     fun retryAfterMillis(usable: List<Replica>): Long? =
-        if (usable.isNotEmpty() && usable.all { it.isPaused }) waitMillis(usable) else null
+        if (usable.isNotEmpty() && usable.none(::isOpen)) waitMillis(usable.map(::closedMillis)) else null
+
+    /** Whether [replica] accepts a request now: it requested no pause, and its limit allows a request. */
+    private fun isOpen(replica: Replica) = !replica.isPaused && limiter.mayAdmit(replica)
 
-    private fun waitMillis(paused: List<Replica>): Long {
-        val waitMillis = paused.minOf { it.remainingPauseMillis }
+    private fun closedMillis(replica: Replica) = maxOf(replica.remainingPauseMillis, limiter.waitMillis(replica))
+
+    private fun waitMillis(waits: List<Long>): Long {
+        val waitMillis = waits.min()
         val jitterMillis = (waitMillis * JITTER_SHARE).coerceAtLeast(MINIMUM_JITTER_MILLIS)
         return waitMillis + (random.nextDouble() * jitterMillis).toLong()
     }
@@ -108,6 +119,12 @@
          */
         const val CALLS_PER_SLOT = 2
 
+        /** Time within which the calls that currently fill the replicas' queues have finished. */
+        const val FULL_CALLS_MILLIS = 150L
+
+        /** About one running generation ends per second, which frees a slot. */
+        const val FULL_GENERATIONS_MILLIS = 700L
+
         /** Jitter as a share of the wait, so that callers refused together do not retry at the same time. */
         const val JITTER_SHARE = 0.5
         const val MINIMUM_JITTER_MILLIS = 200.0
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/RelayDaemon.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/RelayDaemon.kt
@@ -103,7 +103,7 @@
             metrics,
             random,
             settings.bounds,
-            instanceCount = loads::instanceCount,
+            fleet = loads,
         )
     private val peers = PeerController(self, directory, loads, store, random, log)
     private val hubSelection = HubSelection(settings.name, settings.zone, monotonic, random, loads::live)
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/control/PeerController.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/control/PeerController.kt
@@ -12,6 +12,7 @@
 import io.sequoiawheel.core.relay.OutgoingMessage
 import io.sequoiawheel.core.relay.Peer
 import io.sequoiawheel.core.relay.PeerMessage
+import io.sequoiawheel.core.relay.Replica
 import io.sequoiawheel.core.relay.ReplicaDirectory
 import io.sequoiawheel.core.routing.Backoff
 import io.sequoiawheel.platform.PeerEntryCodec
@@ -85,10 +86,22 @@
             delay(TICK_MILLIS)
             exchange.apply(directory.all())
             directory.markReportedLeaving(exchange.leavingReportedByPeers)
-            send(exchange.tick(LoadExchange.work(directory.all()), directory.announcedLeaving()))
+            directory.applyReportedLimits(exchange.limitsReportedByPeers).forEach(::logReportedLimit)
+            val work = LoadExchange.work(directory.all())
+            send(exchange.tick(work, directory.announcedLeaving(), directory.observedLimits()))
         }
     }
 
+    private fun logReportedLimit(replica: Replica) =
+        log.stateChange(
+            "request limit of a replica changed",
+            mapOf(
+                "replica" to replica.toString(),
+                "perSecond" to replica.requestLimit.perSecond,
+                "source" to "peer",
+            ),
+        )
+
     /** Announces to the other instances that this one is leaving, and removes its entry from the store. */
     suspend fun deregister() {
         send(listOf(exchange.leave()))
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/CallRelay.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/CallRelay.kt
@@ -31,7 +31,7 @@
         val detail: String,
     ) : AttemptResult
 
-    /** The replica started leaving or requested a pause before the call was sent, so nothing was sent. */
+    /** The replica stopped accepting requests before the call was sent, so nothing was sent. */
     data object ReplicaUnavailable : AttemptResult
 
     /** The call may have run, but no valid response arrived. */
@@ -202,13 +202,13 @@
                     if (!connection.isOpen) {
                         return@use AttemptResult.NotRun(NotRunProof.NOTHING_SENT, "connection closed")
                     }
-                    if (!context.mayReceive(replica)) {
+                    val isFirst = runs == 0 && refusals == 0
+                    val purpose = if (isFirst) SendPurpose.FIRST_ATTEMPT else SendPurpose.RETRY
+                    if (!context.tryAdmit(replica, purpose)) {
                         lease.complete()
                         return@use AttemptResult.ReplicaUnavailable
                     }
                     exchange.mayHaveRun = true
-                    val isFirst = triedReplicas.size == 1 && runs == 0 && refusals == 0
-                    context.countLimitedSend(replica, if (isFirst) SendPurpose.FIRST_ATTEMPT else SendPurpose.RETRY)
                     connection.send(requests.build(exchange, replica))
                     val head = connection.receiveHead(exchange.requestId)
                     if (head.isNotRun) return@use handleRefusal(replica, head, lease)
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationAttempt.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationAttempt.kt
@@ -49,8 +49,7 @@
     /**
      * The replica did not run the request.
      *
-     * @property isUnavailable whether nothing was sent because the replica was leaving, its zone was evacuated, or it
-     *     had requested a pause
+     * @property isUnavailable whether nothing was sent because the replica accepted no requests at the time
      */
     class NotRun(
         override val attempt: GenerationAttempt,
@@ -175,19 +174,19 @@
     /**
      * Waits until a replica that holds a copy of the run accepts requests again, if that is soon enough for the caller.
      */
-    private suspend fun awaitPauseEnd() {
-        if (!needsPrefill) delay(replica.remainingPauseMillis.takeIf { it <= MAXIMUM_PAUSE_WAIT_MILLIS } ?: 0)
+    private suspend fun awaitAcceptance() {
+        if (!needsPrefill) delay(context.waitMillis(replica).takeIf { it <= MAXIMUM_ACCEPTANCE_WAIT_MILLIS } ?: 0)
     }
 
     private suspend fun sendAndReceive() {
-        awaitPauseEnd()
+        awaitAcceptance()
         val opened = context.pool.acquire(replica, mustBeRecent = true)
         connection = opened
         if (!opened.isOpen) {
             signals.trySend(GenerationSignal.NotRun(this, NotRunProof.NOTHING_SENT, "connection closed"))
             return
         }
-        if (!context.mayReceive(replica)) {
+        if (!context.tryAdmit(replica, purpose)) {
             isExchangeComplete = true
             val detail = "$replica no longer accepts generations"
             signals.trySend(
@@ -196,7 +195,6 @@
             return
         }
         exchange.mayHaveRun = true
-        context.countLimitedSend(replica, purpose)
         opened.send(requests.build(exchange, replica, headers))
         val head = opened.receiveHead(exchange.requestId)
         val status = head.status().code()
@@ -249,7 +247,7 @@
         val SUCCESS = 200..299
 
         /** Streaming callers time out after two seconds without an event at the earliest. */
-        const val MAXIMUM_PAUSE_WAIT_MILLIS = 1_500L
+        const val MAXIMUM_ACCEPTANCE_WAIT_MILLIS = 1_500L
 
         /** A few hundred events: a restarted run may resend that many before the first new one. */
         const val MAXIMUM_STALE_BYTES = 262_144
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/RelayContext.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/RelayContext.kt
@@ -3,12 +3,14 @@
 import io.sequoiawheel.core.model.Clock
 import io.sequoiawheel.core.model.ServiceName
 import io.sequoiawheel.core.relay.ColdShare
+import io.sequoiawheel.core.relay.FleetMembership
 import io.sequoiawheel.core.relay.RelayConfiguration
 import io.sequoiawheel.core.relay.RelayService
 import io.sequoiawheel.core.relay.Replica
 import io.sequoiawheel.core.relay.ReplicaDirectory
 import io.sequoiawheel.core.relay.ReplicaPlacement
 import io.sequoiawheel.core.relay.ReplicaSelection
+import io.sequoiawheel.core.relay.RequestLimiter
 import io.sequoiawheel.core.relay.Route
 import io.sequoiawheel.core.relay.ServiceBounds
 import io.sequoiawheel.core.relay.SlidingWindowRetryBudget
@@ -27,12 +29,14 @@
     val metrics: RelayMetrics,
     private val random: UniformRandomProvider,
     private val bounds: ServiceBounds,
-    private val instanceCount: () -> Int,
+    private val fleet: FleetMembership,
 ) {
     private val retryBudgets = HashMap<ServiceName, SlidingWindowRetryBudget>()
 
+    private val limiter = RequestLimiter(fleet)
+
     /** Selects the replica for each request. */
-    val placement = ReplicaPlacement(selection, random, ::tryAdmit)
+    val placement = ReplicaPlacement(selection, random, limiter, ::tryAdmitCold)
 
     /** Returns the limit on the retries that this instance may send to [service]. */
     fun retryBudget(service: ServiceName): SlidingWindowRetryBudget =
@@ -41,7 +45,7 @@
         }
 
     private fun extraRetriesPerInstance(): Int =
-        (bounds.retryExtra / instanceCount().coerceAtLeast(MINIMUM_ASSUMED_INSTANCES)).coerceAtLeast(1)
+        (bounds.retryExtra / fleet.instanceCount.coerceAtLeast(MINIMUM_ASSUMED_INSTANCES)).coerceAtLeast(1)
 
     /** Selects the target service of a request at random, by the weights of the route's targets. */
     fun chooseService(
@@ -57,32 +61,52 @@
         return configuration.services[route.targets.last().service]
     }
 
-    /** Returns the replicas of [service] that may currently receive a copy of a run, except those in [excluded]. */
+    /**
+     * Returns the replicas of [service] that may currently receive a copy of a run, except those in [excluded]. A run
+     * may have to continue on its copy, so replicas that name a request limit are returned only if there are no others.
+     */
     fun copyCandidates(
         service: RelayService,
         excluded: Set<Replica>,
-    ): List<Replica> = directory.usable(service.name).filter { it !in excluded && !it.isPaused }
+    ): List<Replica> {
+        val open = directory.usable(service.name).filter { it !in excluded && waitMillis(it) == 0L }
+        return open.filter { it.requestLimit.perSecond == null }.ifEmpty { open }
+    }
 
-    /** Returns the delay before callers should retry if all replicas of [service] requested a pause, or null if not. */
+    /** Returns the delay before callers should retry if no replica of [service] accepts requests now, or null. */
     fun retryAfterMillis(service: RelayService): Long? = placement.retryAfterMillis(directory.usable(service.name))
 
-    /** Whether a request may be sent to [replica] now. */
-    fun mayReceive(replica: Replica): Boolean = directory.mayReceive(replica) && !replica.isPaused
+    /** Returns the time until [replica] accepts a request from this instance: the end of its pause, or its limit. */
+    fun waitMillis(replica: Replica): Long = maxOf(replica.remainingPauseMillis, limiter.waitMillis(replica))
 
-    /** Counts a request that is about to be sent to [replica], if the replica names a request limit. */
-    fun countLimitedSend(
+    /**
+     * Consumes the permission to send a caller's request to [replica] now. Returns false if the request must not be
+     * sent. Call it immediately before sending, since the replica may have left or become limited in the meantime.
+     */
+    fun tryAdmit(
         replica: Replica,
         purpose: SendPurpose,
-    ) {
-        if (replica.requestLimit.perSecond != null) metrics.count("limited.replica.requests", purpose.label)
+    ): Boolean = directory.mayReceive(replica) && tryAdmitControl(replica, purpose)
+
+    /** Like [tryAdmit], for requests of this instance itself, which leaving replicas accept too. */
+    fun tryAdmitControl(
+        replica: Replica,
+        purpose: SendPurpose,
+    ): Boolean {
+        if (replica.isPaused) return false
+        val isAdmitted = limiter.tryAdmit(replica)
+        if (replica.requestLimit.perSecond != null) {
+            metrics.count(if (isAdmitted) "limited.replica.requests" else "limited.replica.deferrals", purpose.label)
+        }
+        return isAdmitted
     }
 
-    private fun tryAdmit(
+    private fun tryAdmitCold(
         replica: Replica,
         service: RelayService,
     ): Boolean {
         if (!replica.isCold || service.coldRequestsPerSecond <= 0) return true
-        val share = ColdShare.of(service.coldRequestsPerSecond, bounds, instanceCount())
+        val share = ColdShare.of(service.coldRequestsPerSecond, bounds, fleet.instanceCount)
         return replica.coldRate.tryTake(share.perSecond, share.burst)
     }
 
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/RunCopier.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/RunCopier.kt
@@ -103,7 +103,7 @@
         source: Replica,
         destination: Replica,
     ): CopyResult {
-        if (source.isPaused) return CopyResult.Refused("$source requested a pause")
+        if (context.waitMillis(source) > 0) return CopyResult.Refused("$source accepts no requests now")
         val startedMillis = context.clock.nowMillis()
         val first = copy(requestId, source, destination)
         val firstMillis = context.clock.nowMillis() - startedMillis
@@ -168,7 +168,10 @@
             request.headers().set(HttpHeaderNames.CONTENT_LENGTH, content.readableBytes())
             if (body != null) request.headers().set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON)
             context.pool.use(replica, mustBeRecent = true) { lease ->
-                context.countLimitedSend(replica, SendPurpose.COPY)
+                if (!context.tryAdmitControl(replica, SendPurpose.COPY)) {
+                    lease.complete()
+                    return@use NO_RESPONSE to "$replica accepts no requests now"
+                }
                 lease.connection.send(request)
                 val head = lease.connection.receiveHead(requestId = null)
                 val text = String(lease.connection.receiveBody())
