Spread the first requests of all instances to a replica that becomes cold again

Not seen by callers; found by looking for other limits that instances share. While a replica was warm, the bucket of each instance filled up to one whole request, also where its share is a quarter of one. When the replica became cold again, 74 instances could send it 74 requests at once, 60.5 allowed in a second at 37 a second (TokenBucketTest, failed before).

The bucket now returns to its initial state, with a phase of its own in each instance, when a warm replica becomes cold. Idle instances can still save up one request within one cold time; see docs/platform.md.

--- a/core/src/main/kotlin/io/sequoiawheel/core/relay/Replica.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/Replica.kt
@@ -112,6 +112,8 @@
 
     /** Treats the replica as cold for [millis] from now. */
     fun coldFor(millis: Long) {
+        // Tokens from before would let all instances send at once.
+        if (!isCold) coldRate.reset()
         coldUntilMillis = maxOf(coldUntilMillis, clock.nowMillis() + millis)
     }
 
--- a/core/src/main/kotlin/io/sequoiawheel/core/relay/TokenBucket.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/TokenBucket.kt
@@ -42,6 +42,12 @@
         return if (missing <= 0) 0 else ceil(missing * MILLIS_PER_SECOND / perSecond).toLong()
     }
 
+    /** Returns the bucket to its initial state. */
+    fun reset() {
+        tokens = null
+        refilledMillis = clock.nowMillis()
+    }
+
     private fun refill(
         perSecond: Double,
         burst: Double,
--- a/core/src/test/kotlin/io/sequoiawheel/core/relay/TokenBucketTest.kt
+++ b/core/src/test/kotlin/io/sequoiawheel/core/relay/TokenBucketTest.kt
@@ -1,5 +1,8 @@
 package io.sequoiawheel.core.relay
 
+import io.sequoiawheel.core.model.InstanceId
+import io.sequoiawheel.core.model.ServiceName
+import io.sequoiawheel.core.model.ZoneName
 import org.apache.commons.rng.simple.RandomSource
 import org.junit.jupiter.api.Assertions.assertFalse
 import org.junit.jupiter.api.Assertions.assertTrue
@@ -32,6 +35,22 @@
     @Test
     fun `74 instances together stay within the limit of a cold replica in any second`() = assertWithinBound(74)
 
+    // Shares below one request add up beyond the limit if every idle instance saves up one request.
+    @Test
+    fun `74 instances stay within the limit of a replica that becomes cold after an idle time`() {
+        val share = ColdShare.of(COLD_PER_SECOND, bounds, instances = 74)
+        val random = RandomSource.XO_RO_SHI_RO_128_PP.create(11L)
+        val entry = ReplicaEntry(InstanceId("r"), ServiceName("s"), "h", 1, ZoneName("a"), 6, false, 0, 1)
+        val replicas = List(74) { Replica(entry, random.nextDouble()) { nowMillis } }
+        repeat(2) {
+            nowMillis += 60_000
+            replicas.forEach { it.coldFor(5_000) }
+            val admitted = replicas.count { it.coldRate.tryTake(share.perSecond, share.burst) }
+            val allowed = COLD_PER_SECOND * bounds.coldExcess + bounds.coldMargin
+            assertTrue(admitted <= allowed, "$admitted requests at once, $allowed allowed in a second")
+        }
+    }
+
     @Test
     fun `an empty bucket refills at the given rate`() {
         val bucket = TokenBucket({ nowMillis })
