Divide the extra retries so that large fleets stay within their number

Not seen by callers; found by looking for other limits that instances share. Each instance used at least one extra retry in a window, so more instances than extra retries exceeded the number together: 340 instances used 340 of 54 (SlidingWindowRetryBudgetTest, failed before).

If there are fewer extra retries than instances, some instances hold one each, selected as for the request limits.

--- a/core/src/main/kotlin/io/sequoiawheel/core/relay/FleetMembership.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/FleetMembership.kt
@@ -9,6 +9,9 @@
 
     val zone: ZoneName
 
+    /** Whether the other instances were listed or heard of; until then [instanceCount] is that of the largest fleet. */
+    val isKnown: Boolean
+
     /** Upper estimate of the number of instances, this one included. */
     val instanceCount: Int
 
--- a/core/src/main/kotlin/io/sequoiawheel/core/relay/LoadExchange.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/LoadExchange.kt
@@ -52,6 +52,7 @@
     private var limits: LimitsByReplica = emptyMap()
 
     override val selfName: String get() = self.name
+    override val isKnown: Boolean get() = isListed || !received.isEmpty
     override val zone: ZoneName get() = self.zone
     override val zoneInstances: Collection<String>
         get() = roster.all().filter { it.zone == self.zone }.map { it.name } + self.name
@@ -61,7 +62,7 @@
      */
     override val instanceCount: Int
         get() {
-            if (!isListed && received.isEmpty) return FleetSizeEstimate.LARGEST_PLANNED
+            if (!isKnown) return FleetSizeEstimate.LARGEST_PLANNED
             return fleetSize.update(maxOf(liveCount(), roster.size + 1))
         }
 
--- a/core/src/main/kotlin/io/sequoiawheel/core/relay/SlidingWindowRetryBudget.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/SlidingWindowRetryBudget.kt
@@ -42,8 +42,26 @@
         while (retries.isNotEmpty() && retries.first() < oldest) retries.removeFirst()
     }
 
-    private companion object {
+    companion object {
+        /**
+         * Returns the part of [total] extra retries to the service [key] that this instance may use. If there are fewer
+         * retries than instances, some instances hold one each. An instance that has just started and does not know the
+         * others yet may use one, since callers that it cannot serve would retry at the others.
+         */
+        fun extraShare(
+            key: String,
+            total: Int,
+            fleet: FleetMembership,
+        ): Int {
+            if (!fleet.isKnown) return 1
+            val equalShare = total / fleet.instanceCount.coerceAtLeast(MINIMUM_ASSUMED_INSTANCES)
+            return if (equalShare > 0) equalShare else RateShare.of(key, 0.0, total.toDouble(), fleet).burst.toInt()
+        }
+
+        /** Number of instances to assume at least, since more may exist than are known at startup. */
+        private const val MINIMUM_ASSUMED_INSTANCES = 8
+
         /** Safety margin, since a request and its retry may fall into different windows where they are counted. */
-        const val SAFETY_SHARE = 0.8
+        private const val SAFETY_SHARE = 0.8
     }
 }
--- a/core/src/test/kotlin/io/sequoiawheel/core/relay/FixedFleet.kt
+++ b/core/src/test/kotlin/io/sequoiawheel/core/relay/FixedFleet.kt
@@ -9,6 +9,7 @@
     private val zones: Int = 1,
 ) : FleetMembership {
     override val selfName = name(index)
+    override val isKnown = true
     override val zone = ZoneName("zone-${index % zones}")
     override val zoneInstances = (0..<instanceCount).filter { it % zones == index % zones }.map(::name)
 
--- a/core/src/test/kotlin/io/sequoiawheel/core/relay/SlidingWindowRetryBudgetTest.kt
+++ b/core/src/test/kotlin/io/sequoiawheel/core/relay/SlidingWindowRetryBudgetTest.kt
@@ -40,4 +40,20 @@
         extra = 3
         assertEquals(2, (1..100).count { changing.tryRetry() })
     }
+
+    // At least one retry for each instance is more than the common number in a large fleet.
+    @Test
+    fun `the extra retries of 7 to 340 instances add up to no more than the common number`() {
+        for (instances in listOf(7, 18, 60, 95, 340)) {
+            val shares =
+                List(instances) { index ->
+                    SlidingWindowRetryBudget.extraShare("desk", EXTRA, FixedFleet(instances, index, zones = 5))
+                }
+            assertTrue(shares.sum() in 1..EXTRA, "${shares.sum()} retries of $instances instances")
+        }
+    }
+
+    private companion object {
+        const val EXTRA = 54
+    }
 }
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/RelayContext.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/RelayContext.kt
@@ -41,12 +41,14 @@
     /** Returns the limit on the retries that this instance may send to [service]. */
     fun retryBudget(service: ServiceName): SlidingWindowRetryBudget =
         retryBudgets.getOrPut(service) {
-            SlidingWindowRetryBudget(clock, bounds.retryRatio, ::extraRetriesPerInstance, bounds.retryWindowMillis)
+            SlidingWindowRetryBudget(
+                clock,
+                bounds.retryRatio,
+                { SlidingWindowRetryBudget.extraShare(service.value, bounds.retryExtra, fleet) },
+                bounds.retryWindowMillis,
+            )
         }
 
-    private fun extraRetriesPerInstance(): Int =
-        (bounds.retryExtra / fleet.instanceCount.coerceAtLeast(MINIMUM_ASSUMED_INSTANCES)).coerceAtLeast(1)
-
     /** Selects the target service of a request at random, by the weights of the route's targets. */
     fun chooseService(
         route: Route,
@@ -109,9 +111,4 @@
         val share = ColdShare.of(service.coldRequestsPerSecond, bounds, fleet.instanceCount)
         return replica.coldRate.tryTake(share.perSecond, share.burst)
     }
-
-    private companion object {
-        /** Number of instances to assume at least, since more may exist than are known at startup. */
-        const val MINIMUM_ASSUMED_INSTANCES = 8
-    }
 }
