--- a/core/src/main/kotlin/io/sequoiawheel/core/relay/NamedRequestLimit.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/NamedRequestLimit.kt
@@ -5,9 +5,12 @@
 /**
  * What an instance knows of the request rate that one incarnation of a replica accepts from all instances together. It
  * learns the rate from the responses that it receives and from the reports of other instances. Confined to one thread.
+ *
+ * @param onStart called when a limit is named after none was
  */
 class NamedRequestLimit(
     private val clock: Clock,
+    private val onStart: () -> Unit = {},
 ) {
     private var observedAtMillis: Long? = null
     private var endedAtMillis: Long? = null
@@ -52,6 +55,7 @@
         newPerSecond: Double?,
         atMillis: Long,
     ) {
+        if (newPerSecond != null && perSecond == null) onStart()
         if (newPerSecond == null && perSecond != null) endedAtMillis = clock.nowMillis()
         perSecond = newPerSecond
         observedAtMillis = atMillis
--- a/core/src/main/kotlin/io/sequoiawheel/core/relay/Replica.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/Replica.kt
@@ -62,12 +62,12 @@
     var leaveReason: LeaveReason? = null
         private set
 
-    /** The limit on the requests of all instances together that the replica names in its responses. */
-    val requestLimit = NamedRequestLimit(clock)
-
     /** Limits the requests of this instance while the replica names a request limit. */
     val limitedRate = TokenBucket(clock, startsEmpty = true)
 
+    /** The limit on the requests of all instances together that the replica names in its responses. */
+    val requestLimit = NamedRequestLimit(clock, onStart = limitedRate::reset)
+
     private var pausedUntilMillis = Long.MIN_VALUE
 
     /** Remaining time of the pause that the replica requested from this instance; 0 if it is not paused. */
--- a/core/src/test/kotlin/io/sequoiawheel/core/relay/NamedRequestLimitTest.kt
+++ b/core/src/test/kotlin/io/sequoiawheel/core/relay/NamedRequestLimitTest.kt
@@ -6,7 +6,7 @@
 
 class NamedRequestLimitTest {
     private var nowMillis = 1_000L
-    private val limit = NamedRequestLimit { nowMillis }
+    private val limit = NamedRequestLimit({ nowMillis })
 
     @Test
     fun `a response without a limit ends it`() {
--- a/relay/src/test/kotlin/io/sequoiawheel/relay/RequestLimitTest.kt
+++ b/relay/src/test/kotlin/io/sequoiawheel/relay/RequestLimitTest.kt
@@ -2,6 +2,7 @@
 
 import io.sequoiawheel.standin.platform.RequestLimitMeter
 import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertNull
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
@@ -76,6 +77,70 @@
         assertTrue(limited.requests.size >= LIMIT_PER_SECOND, "${limited.requests.size} requests")
     }
 
+    private fun call() = fixture.send(fixture.request("/unsafe/a", "entry-1/${ids.incrementAndGet()}"))
+
+    private fun retryAfterMillis(response: String) =
+        Regex("Retry-After: ([0-9.]+)", RegexOption.IGNORE_CASE)
+            .find(response)
+            ?.let { (it.groupValues[1].toDouble() * MILLIS_PER_SECOND).toLong() } ?: 0
+
+    // A call that the limit does not allow must not wait for its deadline.
+    @Test
+    fun `a caller that a limited replica cannot serve is refused at once, and served after the Retry-After`() {
+        limitedReplica("r-1").requestLimit = LIMIT_PER_SECOND.toString()
+        fixture.configure()
+        fixture.start()
+        assertTrue(call().startsWith("HTTP/1.1 200"))
+        val startedNanos = System.nanoTime()
+        val refusal = call()
+        val elapsedMillis = (System.nanoTime() - startedNanos) / NANOS_PER_MILLI
+        assertTrue(refusal.startsWith("HTTP/1.1 503"), refusal)
+        assertTrue(elapsedMillis <= MAXIMUM_REFUSAL_MILLIS, "refused after $elapsedMillis ms")
+        assertTrue(retryAfterMillis(refusal) in 1..MAXIMUM_RETRY_AFTER_MILLIS, refusal)
+        Thread.sleep(retryAfterMillis(refusal))
+        assertTrue(call().startsWith("HTTP/1.1 200"))
+    }
+
+    @Test
+    fun `a response without the limit ends it`() {
+        val replica = limitedReplica("r-1").also { it.requestLimit = LIMIT_PER_SECOND.toString() }
+        fixture.configure()
+        fixture.start()
+        assertTrue(call().startsWith("HTTP/1.1 200"))
+        replica.requestLimit = null
+        RelayFixture.awaitTrue("the replica is asked again") { call().startsWith("HTTP/1.1 200") }
+        assertTrue(List(UNLIMITED_CALLS) { call() }.all { it.startsWith("HTTP/1.1 200") })
+    }
+
+    // Requests to copy and continue a generation count as the requests of callers do.
+    @Test
+    fun `a generation is not copied from a limited replica that accepts no requests`() {
+        val engines = listOf("e-1", "e-2").associateWith { id -> engine(id) }
+        engines.values.forEach { it.requestLimit = "0" }
+        fixture.configure()
+        fixture.start()
+        val stream = thread { fixture.send(fixture.request("/stream/a", "s-1", extra = "X-Token-Usage: 300,90\r\n")) }
+        RelayFixture.awaitTrue("the stream has started") { engines.values.any { it.requests.isNotEmpty() } }
+        val (id, source) = engines.entries.single { it.value.requests.isNotEmpty() }
+        fixture.register(id, RelayFixture.ENGINE, source, state = "draining")
+        stream.join()
+        assertEquals(listOf("/stream/a"), source.requests.map { it.target })
+    }
+
+    private fun engine(id: String) =
+        fixture.replica(id, RelayFixture.ENGINE) { request, answer ->
+            if (request.target == "/v1/kv-move") {
+                answer.sendComplete(request, """{"session":"h-1","created":1}""")
+            } else {
+                answer.startStream(request)
+                for (event in 1..EVENTS) {
+                    answer.sendEvent(event)
+                    Thread.sleep(EVENT_MILLIS)
+                }
+                answer.endStream()
+            }
+        }
+
     private companion object {
         const val NANOS_PER_MILLI = 1_000_000L
         const val LIMIT_PER_SECOND = 2.5
@@ -83,5 +148,15 @@
         /** Longer than the response time that is assumed before the first response, so that calls prefer the other. */
         const val SLOWER_MILLIS = 80L
         const val CALL_INTERVAL_MILLIS = 30L
+        const val MILLIS_PER_SECOND = 1_000.0
+
+        /** Far below any deadline, with tolerance for a busy machine. */
+        const val MAXIMUM_REFUSAL_MILLIS = 200L
+
+        /** The time until the next request at the limit, half of it for spread, and the minimum spread of 200 ms. */
+        const val MAXIMUM_RETRY_AFTER_MILLIS = 800L
+        const val UNLIMITED_CALLS = 20
+        const val EVENTS = 20
+        const val EVENT_MILLIS = 20L
     }
 }
