Tell instances of a small fleet that it has grown

Not seen by callers; found with the first run of a test with 20 real instances, which never agreed on their number.

Cause: up to 16 instances report to each other; an instance that starts later knows more and reports to an aggregator only. The earlier ones never hear of it and go on with a fleet of 16, so their shares of common limits (request limits, cold rates, retries) are too large. In virtual time, 60 instances that start one at a time believed in 16 or 60 instances, 20 s after the last start; ruled out: load on the machine, which the simulation does not have.

An aggregator in a large fleet now sends its totals, with the addresses of its members, to every instance of its zone that reports to it, asked for or not.

--- a/core/src/main/kotlin/io/sequoiawheel/core/relay/LoadExchange.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/LoadExchange.kt
@@ -189,10 +189,14 @@
         return OutgoingMessage((if (isMesh()) meshPeers() else aggregators.current()).map { it.endpoint }, report)
     }
 
-    /** Returns the totals for the instances that requested them, or null if there are none or nothing changed. */
+    /**
+     * Returns the totals for the instances that requested them, or null if there are none or nothing changed. In a large
+     * fleet, instances that still take it for a small one receive them too: those that started later do not report to
+     * them, so only the addresses in the totals make these instances known to them.
+     */
     private fun newTotals(work: WorkByReplica): OutgoingMessage? {
         val reports = received.localReports
-        val requesters = reports.filter { it.wantsTotals }.mapNotNull { Endpoint.parseOrNull(it.endpoint) }
+        val requesters = reports.filter { it.wantsTotals || !isMesh() }.mapNotNull { Endpoint.parseOrNull(it.endpoint) }
         if (requesters.isEmpty()) return null
         val totals = (received.work() + listOf(work)).sumByReplica()
         val allLimits = listOf(limits, received.reportedLimits()).latestByReplica()
--- a/relay/src/test/kotlin/io/sequoiawheel/relay/LimitedFleet.kt
+++ b/relay/src/test/kotlin/io/sequoiawheel/relay/LimitedFleet.kt
@@ -1,7 +1,7 @@
 /*
  * A simulation in virtual time of instances that send calls to replicas, some of which name a request limit. The
  * instances run the product's placement, limiter and load exchange. The network delays, reorders and loses datagrams;
- * instances can start late, freeze, restart and be cut off from the others.
+ * instances can start late, leave, freeze, restart and be cut off from the others.
  */
 package io.sequoiawheel.relay
 
@@ -141,6 +141,13 @@
             replicas.forEach { it.meter.excuse(name) }
         }
 
+        /** Shuts the instance down: it announces this to the others and takes no more calls. */
+        fun leave() {
+            val message = exchange.leave()
+            message.destinations.forEach { send(it, message.message) }
+            all -= this
+        }
+
         fun tick() {
             if (isFrozen) return
             held.forEach(::process)
--- a/relay/src/test/kotlin/io/sequoiawheel/relay/LimitedFleetTest.kt
+++ b/relay/src/test/kotlin/io/sequoiawheel/relay/LimitedFleetTest.kt
@@ -31,7 +31,7 @@
         replicas.first().limit = "2.5"
         repeat(FAULT_ROUNDS) {
             val instance = all[random.nextInt(all.size)]
-            when (random.nextInt(8)) {
+            when (random.nextInt(9)) {
                 0 -> instance.freeze(500L + random.nextInt(5_000))
                 1 -> instance.restart()
                 2 -> if (all.size < MAXIMUM_INSTANCES) add()
@@ -42,6 +42,7 @@
                 4 -> isCut = { _, _ -> false }
                 5 -> replicas[random.nextInt(2)].limit = LIMITS[random.nextInt(LIMITS.size)]
                 6 -> maximumDelayMillis = if (random.nextBoolean()) 20 else 3_000
+                7 -> if (all.size > MINIMUM_INSTANCES) instance.leave()
                 else -> Unit
             }
             run(500L + random.nextInt(2_500))
@@ -84,7 +85,7 @@
     }
 
     @Test
-    fun `joins, freezes, restarts, cuts and late reports do not exceed changing limits`() {
+    fun `joins, leaves, freezes, restarts, cuts and late reports do not exceed changing limits`() {
         for (seed in 1L..SEEDS) {
             val fleet = fleet(seed = seed)
             fleet.runFaults(seed)
@@ -132,6 +133,20 @@
         }
     }
 
+    // Instances that started while the fleet was small must learn of those that report to an aggregator only.
+    @Test
+    fun `a fleet that grows by one instance at a time knows its size and stays within a limit`() {
+        val fleet = LimitedFleet(1, zones = 1, callsPerSecond = 150.0, skew = 1.0)
+        repeat(GROWN_INSTANCES - 1) {
+            fleet.add()
+            fleet.run(100)
+        }
+        fleet.replicas[0].limit = "2.5"
+        fleet.run(20_000)
+        assertEquals(setOf(GROWN_INSTANCES), fleet.all.map { it.exchange.instanceCount }.toSet())
+        fleet.assertWithinLimits()
+    }
+
     @Test
     fun `instances learn of the end of a limit from one another`() {
         val fleet = fleet()
@@ -202,6 +217,8 @@
         const val SEEDS = 12L
         const val SETTLE_MILLIS = 3_000L
         const val FAULT_ROUNDS = 20
+        const val GROWN_INSTANCES = 60
+        const val MINIMUM_INSTANCES = 4
         const val MAXIMUM_INSTANCES = 12
 
         /** The latency objective of plain calls, and the timeout of their routes. */
--- a/relay/src/test/kotlin/io/sequoiawheel/relay/RequestLimitTest.kt
+++ b/relay/src/test/kotlin/io/sequoiawheel/relay/RequestLimitTest.kt
@@ -32,11 +32,11 @@
             meter.recordResponse(sender)
         }
 
-    private fun startFleet(): List<RelayDaemon> {
+    private fun startFleet(size: Int): List<RelayDaemon> {
         fixture.configure()
         fixture.startOnPort(FreePorts.allocate())
-        for (name in listOf("entry-2", "entry-3")) others += fixture.startInstance(name, FreePorts.allocate())
-        val fleet = others + fixture.daemon
+        for (number in 2..size) others += fixture.startInstance("entry-$number", FreePorts.allocate())
+        val fleet = listOf(fixture.daemon) + others
         RelayFixture.awaitTrue("all instances are live") { fleet.all { it.liveInstances == fleet.size } }
         return fleet
     }
@@ -61,20 +61,35 @@
         return responses.toList()
     }
 
-    // Each of several instances may keep to a limit that their requests exceed together.
-    @Test
-    fun `three instances together send a limited replica no more than its limit`() {
-        val limited = limitedReplica("r-1").also { it.requestLimit = LIMIT_PER_SECOND.toString() }
+    /** Lets [instances] call at once for three windows, and returns the responses. */
+    private fun callFromFleet(instances: Int): List<String> {
+        limitedReplica("r-1").requestLimit = LIMIT_PER_SECOND.toString()
         fixture.replica("r-2") { request, answer ->
             Thread.sleep(SLOWER_MILLIS)
             answer.sendComplete(request, "r-2")
         }
         meter.recordLimit(LIMIT_PER_SECOND)
-        val fleet = startFleet()
-        val responses = callAll(fleet, RequestLimitMeter.DEFAULT_CONTACT_MILLIS + RequestLimitMeter.WINDOW_MILLIS * 2)
+        val fleet = startFleet(instances)
+        return callAll(fleet, RequestLimitMeter.DEFAULT_CONTACT_MILLIS + RequestLimitMeter.WINDOW_MILLIS * 2)
+    }
+
+    // Each of several instances may keep to a limit that their requests exceed together.
+    @Test
+    fun `three instances together send a limited replica no more than its limit`() {
+        val responses = callFromFleet(instances = 3)
         assertNull(meter.worstExcess())
         assertTrue(responses.all { it.startsWith("HTTP/1.1 200") }, "the other replica has capacity for all calls")
-        assertTrue(limited.requests.size >= LIMIT_PER_SECOND, "${limited.requests.size} requests")
+        assertTrue(responses.count { it.endsWith("r-1") } >= LIMIT_PER_SECOND)
+    }
+
+    // With more instances than the tolerance has requests, a share for each would exceed the limit.
+    @Test
+    fun `a large fleet sends a limited replica no more than its limit, and refuses the rest at once`() {
+        val responses = callFromFleet(Integer.getInteger(FLEET_PROPERTY, FLEET_SIZE))
+        assertNull(meter.worstExcess())
+        assertTrue(responses.count { it.endsWith("r-1") } >= LIMIT_PER_SECOND)
+        val others = responses.filterNot { it.startsWith("HTTP/1.1 200") }
+        assertTrue(others.all { it.startsWith("HTTP/1.1 503") && retryAfterMillis(it) > 0 }, others.toString())
     }
 
     private fun call() = fixture.send(fixture.request("/unsafe/a", "entry-1/${ids.incrementAndGet()}"))
@@ -145,6 +160,12 @@
         const val NANOS_PER_MILLI = 1_000_000L
         const val LIMIT_PER_SECOND = 2.5
 
+        /** More instances than exchange their load with each other directly. */
+        const val FLEET_SIZE = 20
+
+        /** System property for larger fleets, as many as the machine bears. */
+        const val FLEET_PROPERTY = "sequoiawheel.limit.instances"
+
         /** Longer than the response time that is assumed before the first response, so that calls prefer the other. */
         const val SLOWER_MILLIS = 80L
         const val CALL_INTERVAL_MILLIS = 30L
