--- a/core/src/main/kotlin/io/sequoiawheel/core/relay/LoadExchange.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/LoadExchange.kt
@@ -190,9 +190,9 @@
     }
 
     /**
-     * Returns the totals for the instances that requested them, or null if there are none or nothing changed. In a large
-     * fleet, instances that still take it for a small one receive them too: those that started later do not report to
-     * them, so only the addresses in the totals make these instances known to them.
+     * Returns the totals for the instances that requested them, or null if there are none or nothing changed. In a
+     * large fleet, instances that still take it for a small one receive them too: later instances do not report to
+     * them, so only the addresses in the totals make these known.
      */
     private fun newTotals(work: WorkByReplica): OutgoingMessage? {
         val reports = received.localReports
