List at once when an answer states a new era of the store

An answer that states a new era interrupts all watches, also the one whose answer it was. That watch then counted as failed and waited for its backoff of up to 0.7 s, and the other two for it, before they listed the objects of the new era: listed 0.71 s after the era was known in one run of StoreRestoreTest.

A watch that fails after the era has changed is no failure now: the kind is listed at once, from the store and from a hub alike.

--- a/relay/src/main/kotlin/io/sequoiawheel/relay/control/KindWatcher.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/control/KindWatcher.kt
@@ -122,6 +122,8 @@
             val waitMillis = waitMillis(isHubInvolved = sources.isHub)
             val changes =
                 watch { sources.store.watch(kind, revision, waitMillis) }.fold({ failure ->
+                    // The call was interrupted because another response, or its own, stated a new era.
+                    if (sources.era != era) return
                     if (failure is StoreFailure.HistoryGone) {
                         log.stateChange("store history truncated", mapOf("kind" to kind.name, "revision" to revision))
                         return
@@ -160,7 +162,8 @@
         val changes =
             watch { sources.watch(hub, kind, revision, waitMillis, era) }
                 .getOrElse { failure ->
-                    if (failure is StoreFailure.HistoryGone && !isJustListed) return null
+                    val isHistoryGone = failure is StoreFailure.HistoryGone && !isJustListed
+                    if (isHistoryGone || sources.era != era) return null
                     sources.reportHubFailure(hub, failure)
                     onFailure()
                     // The hub may have failed because the store is down, which also lets the replicas' entries expire.
