Trace both known failures of StoreRestoreTest to its stand-in and its waits

"a key revoked before a restore ..." failed if no watch was waiting when the store went down. The stand-in went on answering waiting watches while it was down: normally one of them delivered the revocation, so that the test did not show what its name says; if none did, a watch that waited in the second outage confirmed the older configuration 3.9 s after the revocation, beyond the time within which the operator repeats lost writes. A store that is down does not answer the watches that it holds; the stand-in now ends them with 503, so the test always takes the path of its name.

"a replica removed before a restore ..." began the restore when any replica had answered, which the removed one does too, so the instance could lack the removal. It now waits until the instance's watch is past the removal. All checks and bounds are as before.

--- a/relay/src/test/kotlin/io/sequoiawheel/relay/StoreRestoreTest.kt
+++ b/relay/src/test/kotlin/io/sequoiawheel/relay/StoreRestoreTest.kt
@@ -132,7 +132,7 @@
         val newReplica = fixture.replica("r-2") { request, answer -> answer.sendComplete(request, "world") }
         start(1)
         fixture.store.remove("servers", "r-1")
-        RelayFixture.awaitTrue("the other replica serves") { status(instances.single(), "key-1") == "200" }
+        RelayFixture.awaitTrue("the removal is applied") { fixture.store.isWatchedToEnd("servers") }
         val requestsBefore = replica.requests.size
         val lostWrites = fixture.store.restore(copy, OUTAGE_MILLIS)
         val end = System.nanoTime() + WINDOW_MILLIS * NANOS_PER_MILLI
@@ -158,7 +158,7 @@
         val lostWrites = fixture.store.restore(copy, OUTAGE_MILLIS)
         repeat(CALLS) { status(instances.single(), "key-1") }
         fixture.store.replay(lostWrites)
-        Thread.sleep(REWRITE_MILLIS)
+        RelayFixture.awaitTrue("the repeated write is applied") { fixture.store.isWatchedToEnd("evacuations") }
         repeat(CALLS) { status(instances.single(), "key-1") }
         assertEquals(requestsBefore, replica.requests.size)
         fixture.store.remove("evacuations", "a")
--- a/standin/src/main/kotlin/io/sequoiawheel/standin/platform/PlatformStoreStandIn.kt
+++ b/standin/src/main/kotlin/io/sequoiawheel/standin/platform/PlatformStoreStandIn.kt
@@ -59,12 +59,19 @@
     private var era = 1L
     private var revision = 1L
     private var firstRevision = 1L
+    private val watchedRevisions = HashMap<String, Long>()
     private val executor = Executors.newCachedThreadPool()
     private val server = HttpServer.create(InetSocketAddress("127.0.0.1", 0), 0)
 
-    /** While set, every call is answered with 503. */
+    /** While set, every call is answered with 503, also the watches that were already waiting. */
     @Volatile
     var isDown = false
+        set(value) {
+            lock.withLock {
+                field = value
+                changed.signalAll()
+            }
+        }
 
     /** While set, no call is answered. */
     @Volatile
@@ -111,6 +118,16 @@
     /** Returns the names of the objects of [kind]. */
     fun names(kind: String): List<String> = lock.withLock { objects.keys.filter { it.first == kind }.map { it.second } }
 
+    /**
+     * Whether the latest watch of [kind] started after the last change of that kind, so that the client that sent it
+     * has applied the change.
+     */
+    fun isWatchedToEnd(kind: String): Boolean =
+        lock.withLock {
+            val lastChange = allChanges.lastOrNull { it.kind == kind }?.revision ?: 0
+            (watchedRevisions[kind] ?: -1) >= lastChange
+        }
+
     /** Expires the change history, so that watches from earlier revisions get 410. */
     fun expireHistory() =
         lock.withLock {
@@ -144,6 +161,7 @@
                 if (change.isDeleted) objects.remove(key) else objects[key] = change.target
             }
             era++
+            watchedRevisions.clear()
             isDown = false
             changed.signalAll()
             lost
@@ -227,7 +245,9 @@
             val start = query.getValue("watch").toLong()
             val startEra = era
             var nanos = TimeUnit.MILLISECONDS.toNanos(query["wait_ms"]?.toLong() ?: 0)
+            watchedRevisions[kind] = start
             while (true) {
+                if (isDown) return UNAVAILABLE to "{}"
                 if (start < firstRevision || start > revision || era != startEra) return GONE to "{}"
                 val events = history.filter { it.kind == kind && it.revision > start }
                 if (events.isNotEmpty() || nanos <= 0) return OK to changes(events)
