Refuse generations in a shutdown by their longest possible length

Cause: the refusal of generations that may not end in time counted the caller's estimate of the length, which is often far too short: with 3.3 s left, only an estimate of at most 183 tokens is admitted, and such requests have about 930 in the mean. Ruled out: a wrong start of the grace (logged 6 ms after the signal) and a silent replica (it was at work when cut).

The longest length that the request allows counts now. The expected length still decides on placement.

ShutdownAdmissionTest has the case, and failed to compile before, as the maximum was not known to the decision.

--- a/core/src/main/kotlin/io/sequoiawheel/core/relay/ReplicaSelection.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/ReplicaSelection.kt
@@ -7,10 +7,15 @@
 import io.sequoiawheel.core.model.ZoneName
 import org.apache.commons.rng.UniformRandomProvider
 
-/** The expected size of a generation, which needs [tokens] of memory when it ends. */
+/**
+ * The expected size of a generation, which needs [tokens] of memory when it ends.
+ *
+ * @property maximumOutputTokens the output after which the generation ends at the latest
+ */
 data class GenerationDemand(
     val promptTokens: Int,
     val outputTokens: Int,
+    val maximumOutputTokens: Int = outputTokens,
 ) {
     val tokens: Long get() = promptTokens.toLong() + outputTokens
 }
--- a/core/src/main/kotlin/io/sequoiawheel/core/relay/ShutdownAdmission.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/ShutdownAdmission.kt
@@ -6,7 +6,8 @@
  */
 object ShutdownAdmission {
     /**
-     * Returns whether a request received [remainingMillis] before the process exits is expected to finish in time.
+     * Returns whether a request received [remainingMillis] before the process exits is expected to finish in time. For
+     * generations the maximum length counts, since callers' estimates are often far too short.
      *
      * @param demand expected size of a generation; null for other requests
      */
@@ -17,7 +18,7 @@
     ): Boolean = remainingMillis >= minOf(route.timeoutMillis, estimatedMillis(demand))
 
     private fun estimatedMillis(demand: GenerationDemand?): Long =
-        if (demand == null) CALL_MILLIS else FIRST_TOKEN_MILLIS + demand.outputTokens * TOKEN_MILLIS
+        if (demand == null) CALL_MILLIS else FIRST_TOKEN_MILLIS + demand.maximumOutputTokens * TOKEN_MILLIS
 
     /** Calls finish well within this time, including retries. */
     private const val CALL_MILLIS = 2_500L
--- a/core/src/test/kotlin/io/sequoiawheel/core/relay/ShutdownAdmissionTest.kt
+++ b/core/src/test/kotlin/io/sequoiawheel/core/relay/ShutdownAdmissionTest.kt
@@ -30,8 +30,9 @@
         kind: RequestKind,
         timeoutMillis: Long,
         outputTokens: Int? = null,
+        maximumOutputTokens: Int? = outputTokens,
     ): Boolean {
-        val demand = outputTokens?.let { GenerationDemand(3_000, it) }
+        val demand = outputTokens?.let { GenerationDemand(3_000, it, maximumOutputTokens ?: it) }
         return ShutdownAdmission.canFinish(route(kind, timeoutMillis), demand, REMAINING_MILLIS)
     }
 
@@ -41,6 +42,12 @@
         assertFalse(canFinish(RequestKind.STREAM, 6_000, outputTokens = 940))
     }
 
+    // A caller's estimate may be far below the actual length, and the process would exit within the generation.
+    @Test
+    fun `a generation that is estimated as short but may become long is refused`() {
+        assertFalse(canFinish(RequestKind.STREAM, 39_000, outputTokens = 120, maximumOutputTokens = 1_600))
+    }
+
     @Test
     fun `short generations and calls are admitted`() {
         assertTrue(canFinish(RequestKind.STREAM, 6_000, outputTokens = 12))
