Skip an extra response that arrives after the next request was sent

Callers of calls that may not be repeated got 502 if a replica sent an extra response, without a request id, while their request was already on the same connection.

A response without an id on a reused connection belongs to an earlier request, since replicas name the request in each response. It is skipped, and the expected response has to follow within 300 ms; on a new connection it still fails at once. The connection is not reused.

CallRelayTest has the case with a fixed order: failed before, passes now; three runs of the class passed.

--- a/relay/src/main/kotlin/io/sequoiawheel/relay/backend/BackendConnection.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/backend/BackendConnection.kt
@@ -125,10 +125,14 @@
         requestWrite = channel.writeAndFlush(request)
     }
 
-    /** Returns the head of the response to [requestId], skipping earlier responses to other requests. */
+    /**
+     * Returns the head of the response to [requestId], skipping earlier responses to other requests. On a reused
+     * connection, a response without an id belongs to an earlier request; the expected one has to follow it soon.
+     */
     suspend fun receiveHead(requestId: String?): HttpResponse {
+        var isExtraSkipped = false
         repeat(MAXIMUM_HEADS) {
-            val message = receiveMessage()
+            val message = if (isExtraSkipped) receiveAfterExtra() else receiveMessage()
             val head = message as? HttpResponse
             if (head == null) {
                 ReferenceCountUtil.release(message)
@@ -138,7 +142,8 @@
             updateKeepAlive(head)
             val echoedId = head.headers().get(Headers.REQUEST_ID)
             if (requestId == null || echoedId == requestId) return head
-            if (echoedId == null) throw InvalidResponseException("response without a request id")
+            if (echoedId == null && !isReused) throw InvalidResponseException("response without a request id")
+            isExtraSkipped = isExtraSkipped || echoedId == null
             isPersistent = false
             skipBody()
         }
@@ -218,6 +223,10 @@
         channel.reset()
     }
 
+    private suspend fun receiveAfterExtra(): HttpObject =
+        withTimeoutOrNull(EXTRA_RESPONSE_TIMEOUT_MILLIS) { receiveMessage() }
+            ?: throw InvalidResponseException("only a response without a request id")
+
     private suspend fun receiveMessage(): HttpObject {
         val message = inbound.receive()
         if (message.decoderResult().isFailure) {
@@ -284,6 +293,9 @@
         /** A head arrives in one or two packets; a lost packet is retransmitted within a second. */
         const val HEAD_TIMEOUT_MILLIS = 2_000L
 
+        /** Several times the usual response time, so that a response that never names its request fails soon. */
+        const val EXTRA_RESPONSE_TIMEOUT_MILLIS = 300L
+
         /** Limits the informational responses and late responses to other requests that precede the expected one. */
         const val MAXIMUM_HEADS = 32
     }
--- a/relay/src/test/kotlin/io/sequoiawheel/relay/CallRelayTest.kt
+++ b/relay/src/test/kotlin/io/sequoiawheel/relay/CallRelayTest.kt
@@ -11,6 +11,7 @@
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicBoolean
+import java.util.concurrent.atomic.AtomicInteger
 
 class CallRelayTest {
     private val fixture = RelayFixture()
@@ -172,6 +173,24 @@
         repeat(5) { assertTrue(fixture.send(fixture.request("/safe/a", id = "id-$it")).endsWith("id-$it")) }
     }
 
+    // A replica may send the extra response when the next request is already on its way.
+    @Test
+    fun `an extra response that follows the next request is skipped`() {
+        val answered = AtomicInteger()
+        val replica =
+            fixture.replica("r-1") { request, answer ->
+                if (answered.getAndIncrement() > 0) {
+                    answer.write("HTTP/1.1 200 OK\r\nX-Response-Signature: s\r\nContent-Length: 5\r\n\r\nwrong")
+                }
+                answer.sendComplete(request, request.header("X-Request-Id").orEmpty())
+            }
+        fixture.configure()
+        fixture.start()
+        assertTrue(fixture.send(fixture.request("/unsafe/a", id = "id-1")).endsWith("id-1"))
+        assertTrue(fixture.send(fixture.request("/unsafe/a", id = "id-2")).endsWith("id-2"))
+        assertEquals(2, replica.requests.size)
+    }
+
     @Test
     fun `a response without a length that ends in a reset is not a success`() {
         fixture.replica("r-1") { request, answer ->
