Keep the calls that a limited replica does not accept from overloading the next

Not seen by callers; found by playing large fleets against a limit in virtual time. With 95 instances, 500 calls a second and one of two replicas limited to 2.5 a second, calls waited up to 3.27 s at the other replica, with a timeout of 1.2 s (LimitedFleetTest, "a large fleet does not queue calls beyond the timeout at a replica without a limit").

Cause: instances give the other replicas only what they have room for, but know each other's calls from reports that are up to a second old. Within that time all of them see the same free slots. Reports that are sent for each call were ruled out: their number would grow with the calls.

While a replica of the service is paused or limited, each instance now adapts the rate of its calls to the others (OverflowLimiter): an equal share of the capacity, computed from slots and response time, is always allowed; calls that end within the objective raise the rate, late and refused ones halve it. What is not allowed is refused at once, as before. A limited replica that accepts a request at the moment no longer lifts the check of the others. An instance that knows no other yet takes itself for the only one; with the share of the largest fleet, three cases of ReplicaNoticeTest refused their first callers.

--- a/core/src/main/kotlin/io/sequoiawheel/core/relay/Replica.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/Replica.kt
@@ -62,6 +62,12 @@
     var leaveReason: LeaveReason? = null
         private set
 
+    /** Calls that the replica executes and queues while each still meets its objective. */
+    val callCapacity: Int get() = entry.slots * CALLS_PER_SLOT
+
+    /** Limits the calls of this instance while other replicas of the service are restricted. */
+    val overflowRate = OverflowRate(clock)
+
     /** Limits the requests of this instance while the replica names a request limit. */
     val limitedRate = TokenBucket(clock, startsEmpty = true)
 
@@ -131,6 +137,12 @@
     override fun toString(): String = entry.id.value
 
     private companion object {
+        /**
+         * As many calls may be queued on a replica as it executes; waiting for one response time still meets the
+         * objective.
+         */
+        const val CALLS_PER_SLOT = 2
+
         /**
          * Initial backoff; the doublings cover the time until a crashed replica's entry expires or its process
          * restarts.
--- a/core/src/main/kotlin/io/sequoiawheel/core/relay/ReplicaPlacement.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/ReplicaPlacement.kt
@@ -1,6 +1,7 @@
 /*
- * Placement of requests on replicas. A replica that requested a pause receives no requests until it ends; its share
- * goes to the other replicas only while they have capacity, to avoid a cascading overload.
+ * Placement of requests on replicas. A replica that requested a pause receives no requests until it ends, and one that
+ * names a request limit only what the limit allows; the rest goes to the other replicas only while they have capacity,
+ * to avoid a cascading overload.
  */
 package io.sequoiawheel.core.relay
 
@@ -26,6 +27,7 @@
  * Places requests among the usable replicas of a service. Confined to one thread.
  *
  * @param limiter the request limits that replicas name; consulted, not consumed
+ * @param overflow the limits on calls to replicas that take those of a restricted one
  * @param tryAdmit consumes one request of the rate limit of a cold replica, or returns false if it is exhausted; always
  *   returns true for warm replicas
  */
@@ -33,6 +35,7 @@
     private val selection: ReplicaSelection,
     private val random: UniformRandomProvider,
     private val limiter: RequestLimiter,
+    private val overflow: OverflowLimiter,
     private val tryAdmit: (Replica, RelayService) -> Boolean,
 ) {
     /**
@@ -47,9 +50,11 @@
         mayReuseTried: Boolean,
         service: RelayService,
     ): Placement {
-        val candidates = candidates(usable, tried, mayReuseTried) { it.hasRoomForCall() }
+        val candidates = candidates(usable, tried, mayReuseTried, ::hasRoomForCall)
         val ready = candidates.filter { tryAdmit(it, service) }
-        return place(selection.forCall(ready.ifEmpty { candidates.filter { !it.isCold } }), usable, FULL_CALLS_MILLIS)
+        val chosen = selection.forCall(ready.ifEmpty { candidates.filter { !it.isCold } })
+        if (chosen != null && !isRestricted(chosen) && usable.any(::isRestricted)) overflow.admit(chosen)
+        return place(chosen, usable, FULL_CALLS_MILLIS)
     }
 
     /** Places a generation of [demand]; replicas in [excluded] are used only if there is no other. */
@@ -74,7 +79,7 @@
         val open = usable.filter(::isOpen)
         val untried = open.filter { it !in excluded }
         val candidates = if (untried.isEmpty() && mayReuseTried) open else untried
-        return if (open.size == usable.size) candidates else candidates.filter(hasRoom)
+        return if (usable.any(::isRestricted)) candidates.filter(hasRoom) else candidates
     }
 
     /**
@@ -97,6 +102,9 @@
     /** Whether [replica] accepts a request now: it requested no pause, and its limit allows a request. */
     private fun isOpen(replica: Replica) = !replica.isPaused && limiter.mayAdmit(replica)
 
+    /** Whether [replica] accepts fewer requests than it has capacity for, so that the others receive more. */
+    private fun isRestricted(replica: Replica) = replica.isPaused || replica.requestLimit.perSecond != null
+
     private fun closedMillis(replica: Replica) = maxOf(replica.remainingPauseMillis, limiter.waitMillis(replica))
 
     private fun waitMillis(waits: List<Long>): Long {
@@ -105,7 +113,8 @@
         return waitMillis + (random.nextDouble() * jitterMillis).toLong()
     }
 
-    private fun Replica.hasRoomForCall() = load.totalRunning < entry.slots * CALLS_PER_SLOT
+    private fun hasRoomForCall(replica: Replica) =
+        replica.load.totalRunning < replica.callCapacity && (isRestricted(replica) || overflow.mayAdmit(replica))
 
     private fun Replica.hasRoomFor(
         demand: GenerationDemand,
@@ -113,12 +122,6 @@
     ) = load.totalRunning < engine.slots && load.totalTokens + demand.tokens <= engine.memoryTokens
 
     private companion object {
-        /**
-         * As many calls may be queued on a replica as it executes; waiting for one response time still meets the
-         * objective.
-         */
-        const val CALLS_PER_SLOT = 2
-
         /** Time within which the calls that currently fill the replicas' queues have finished. */
         const val FULL_CALLS_MILLIS = 150L
 
--- a/core/src/test/kotlin/io/sequoiawheel/core/relay/ReplicaPlacementTest.kt
+++ b/core/src/test/kotlin/io/sequoiawheel/core/relay/ReplicaPlacementTest.kt
@@ -13,8 +13,11 @@
     private var nowMillis = 0L
     private val random = RandomSource.XO_RO_SHI_RO_128_PP.create(7L)
     private val fleet = FixedFleet(instanceCount = 1)
+    private val overflow = OverflowLimiter(fleet)
     private val placement =
-        ReplicaPlacement(ReplicaSelection(ZoneName("a"), random), random, RequestLimiter(fleet)) { _, _ -> true }
+        ReplicaPlacement(ReplicaSelection(ZoneName("a"), random), random, RequestLimiter(fleet), overflow) { _, _ ->
+            true
+        }
     private val engine = EngineProfile(24, 34_000, 163_840, 4, supportsMigration = true, supportsBackup = true)
     private val longPrompt = GenerationDemand(promptTokens = 3_000, outputTokens = 940)
     private val service = RelayService(ServiceName("desk"), "/healthz", 100, 0.0, 0.0, engine)
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/CallRelay.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/CallRelay.kt
@@ -224,9 +224,18 @@
                 return AttemptResult.Unknown("$replica: ${failure.message}")
             } finally {
                 replica.load.end(0)
+                // A call that was cancelled at its timeout has no response to record.
+                val elapsedMillis = context.clock.nowMillis() - startedMillis
+                if (elapsedMillis > route.objectiveMillis) recordEnd(replica, elapsedMillis)
             }
         }
 
+        private fun recordEnd(
+            replica: Replica,
+            elapsedMillis: Long,
+            isRefused: Boolean = false,
+        ) = context.overflow.recordCall(replica, elapsedMillis, route.objectiveMillis, isRefused)
+
         private fun classifyResponse(
             replica: Replica,
             head: HttpResponse,
@@ -241,7 +250,9 @@
             ) {
                 return AttemptResult.Unknown("$replica sent status $status without the required header")
             }
-            replica.load.recordResponseTime(context.clock.nowMillis() - startedMillis)
+            val elapsedMillis = context.clock.nowMillis() - startedMillis
+            replica.load.recordResponseTime(elapsedMillis)
+            recordEnd(replica, elapsedMillis)
             return AttemptResult.Responded(head, body)
         }
 
@@ -252,6 +263,7 @@
             lease: ConnectionLease,
         ): AttemptResult {
             if (head.isMisdirected) replica.leave(LeaveReason.REPLACED)
+            recordEnd(replica, elapsedMillis = 0, isRefused = true)
             if (runs == 0) exchange.mayHaveRun = false
             val bodyError = lease.connection.skipErrorBody()
             if (bodyError == null) lease.complete() else exchange.logFields["refusalBody"] = bodyError
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/RelayContext.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/RelayContext.kt
@@ -4,6 +4,7 @@
 import io.sequoiawheel.core.model.ServiceName
 import io.sequoiawheel.core.relay.ColdShare
 import io.sequoiawheel.core.relay.FleetMembership
+import io.sequoiawheel.core.relay.OverflowLimiter
 import io.sequoiawheel.core.relay.RelayConfiguration
 import io.sequoiawheel.core.relay.RelayService
 import io.sequoiawheel.core.relay.Replica
@@ -35,8 +36,11 @@
 
     private val limiter = RequestLimiter(fleet)
 
+    /** Limits the calls to replicas that take those of a restricted one. */
+    val overflow = OverflowLimiter(fleet)
+
     /** Selects the replica for each request. */
-    val placement = ReplicaPlacement(selection, random, limiter, ::tryAdmitCold)
+    val placement = ReplicaPlacement(selection, random, limiter, overflow, ::tryAdmitCold)
 
     /** Returns the limit on the retries that this instance may send to [service]. */
     fun retryBudget(service: ServiceName): SlidingWindowRetryBudget =
--- a/relay/src/test/kotlin/io/sequoiawheel/relay/LimitedFleet.kt
+++ b/relay/src/test/kotlin/io/sequoiawheel/relay/LimitedFleet.kt
@@ -11,6 +11,7 @@
 import io.sequoiawheel.core.model.ZoneName
 import io.sequoiawheel.core.relay.Endpoint
 import io.sequoiawheel.core.relay.LoadExchange
+import io.sequoiawheel.core.relay.OverflowLimiter
 import io.sequoiawheel.core.relay.Peer
 import io.sequoiawheel.core.relay.PeerMessage
 import io.sequoiawheel.core.relay.Placement
@@ -113,6 +114,7 @@
         lateinit var exchange: LoadExchange
         lateinit var directory: ReplicaDirectory
         private lateinit var limiter: RequestLimiter
+        private lateinit var overflow: OverflowLimiter
         private lateinit var placement: ReplicaPlacement
         private var incarnation = 0L
         var frozenUntilMillis = 0L
@@ -131,7 +133,8 @@
             directory = ReplicaDirectory(clock)
             replicas.forEach { directory.put(it.entry) }
             limiter = RequestLimiter(exchange)
-            placement = ReplicaPlacement(ReplicaSelection(zone, random), random, limiter) { _, _ -> true }
+            overflow = OverflowLimiter(exchange)
+            placement = ReplicaPlacement(ReplicaSelection(zone, random), random, limiter, overflow) { _, _ -> true }
             exchange.addListedPeers(all.map { it.peer })
         }
 
@@ -196,6 +199,7 @@
                 if (sender != incarnation) return@schedule
                 chosen.load.end(0)
                 chosen.load.recordResponseTime(nowMillis - sentAtMillis)
+                overflow.recordCall(chosen, nowMillis - sentAtMillis, OBJECTIVE_MILLIS)
                 val header = listOfNotNull(target.limit)
                 val notice = ReplicaNotice.decode(OK) { if (it == Headers.REQUEST_LIMIT) header else emptyList() }
                 if (isLimiting) apply(notice.requestLimit, chosen, sentAtMillis)
@@ -257,6 +261,9 @@
     companion object {
         const val SLOTS = 6
         const val RESPONSE_MILLIS = 30L
+
+        /** The latency objective of the calls. */
+        const val OBJECTIVE_MILLIS = 150L
         private const val TICK_MILLIS = 100L
         private const val MILLIS_PER_SECOND = 1_000.0
         private const val OK = 200
--- a/relay/src/test/kotlin/io/sequoiawheel/relay/LimitedFleetTest.kt
+++ b/relay/src/test/kotlin/io/sequoiawheel/relay/LimitedFleetTest.kt
@@ -25,8 +25,14 @@
     private fun LimitedFleet.assertWithinLimits() =
         replicas.forEach { replica -> assertNull(replica.meter.worstExcess(), replica.id) }
 
-    /** Random faults of all kinds with limits that appear, rise, fall, end or become unreadable. */
-    private fun LimitedFleet.runFaults(seed: Long) {
+    /**
+     * Random faults of all kinds with limits that appear, rise, fall, end or become unreadable. In [sizes] instances
+     * join and leave.
+     */
+    private fun LimitedFleet.runFaults(
+        seed: Long,
+        sizes: IntRange = MINIMUM_INSTANCES..MAXIMUM_INSTANCES,
+    ) {
         val random = java.util.Random(seed)
         replicas.first().limit = "2.5"
         repeat(FAULT_ROUNDS) {
@@ -34,7 +40,7 @@
             when (random.nextInt(9)) {
                 0 -> instance.freeze(500L + random.nextInt(5_000))
                 1 -> instance.restart()
-                2 -> if (all.size < MAXIMUM_INSTANCES) add()
+                2 -> if (all.size < sizes.last) add()
                 3 -> {
                     val cut = instance
                     isCut = { from, to -> from === cut || to === cut }
@@ -42,7 +48,7 @@
                 4 -> isCut = { _, _ -> false }
                 5 -> replicas[random.nextInt(2)].limit = LIMITS[random.nextInt(LIMITS.size)]
                 6 -> maximumDelayMillis = if (random.nextBoolean()) 20 else 3_000
-                7 -> if (all.size > MINIMUM_INSTANCES) instance.leave()
+                7 -> if (all.size > sizes.first) instance.leave()
                 else -> Unit
             }
             run(500L + random.nextInt(2_500))
@@ -93,6 +99,28 @@
         }
     }
 
+    @Test
+    fun `faults in a fleet in which some instances hold no share do not exceed changing limits`() {
+        for (seed in 1L..LARGE_FLEET_SEEDS) {
+            val fleet = fleet(LARGE_FLEET, seed, callsPerSecond = 200.0)
+            fleet.runFaults(seed, sizes = LARGE_FLEET / 2..LARGE_FLEET * 2)
+            fleet.assertWithinLimits()
+        }
+    }
+
+    // Calls that a limited replica does not accept must not overload the next one, whatever the size of the fleet.
+    @Test
+    fun `a large fleet does not queue calls beyond the timeout at a replica without a limit`() {
+        val fleet = LimitedFleet(LARGE_FLEET, replicas = 2, callsPerSecond = 500.0, skew = 1.0)
+        fleet.run(SETTLE_MILLIS)
+        fleet.replicas[0].limit = "2.5"
+        fleet.run(10_000)
+        fleet.replicas.forEach { it.longestMillis = 0 }
+        fleet.run(10_000)
+        assertTrue(fleet.deferred > 0)
+        assertTrue(fleet.replicas.all { it.longestMillis <= TIMEOUT_MILLIS }, "${fleet.replicas[1].longestMillis} ms")
+    }
+
     @Test
     fun `the random faults detect instances that ignore limits`() {
         val found =
@@ -221,8 +249,13 @@
         const val MINIMUM_INSTANCES = 4
         const val MAXIMUM_INSTANCES = 12
 
-        /** The latency objective of plain calls, and the timeout of their routes. */
-        const val OBJECTIVE_MILLIS = 150L
+        /** Far more instances than requests that the tolerance of a limit allows at once. */
+        const val LARGE_FLEET = 95
+        const val LARGE_FLEET_SEEDS = 4L
+
+        const val OBJECTIVE_MILLIS = LimitedFleet.OBJECTIVE_MILLIS
+
+        /** The timeout of the routes of plain calls. */
         const val TIMEOUT_MILLIS = 1_200L
         val LIMITS = listOf("0", "0.4", "2.5", "2.7", "8", "20", "many", null)
     }
