Read load messages that exceed the default receive buffer

Not seen by callers; found by hand with 120 instances in one process, which never agreed on their number: 164 lines "peer message unreadable", and 175 in a run with 60, which agreed by shorter messages.

Cause: datagram channels receive into 2,048 bytes unless told otherwise, so longer messages arrived truncated and were dropped. The totals of a zone with 25 instances and 33 replicas exceed that by their names and addresses, and hold the load and the request limits of all instances. Ruled out: loss on loopback and the time that the instances need to start, since the lines name truncated JSON.

The receive buffer now takes the largest datagram.

--- a/relay/src/main/kotlin/io/sequoiawheel/relay/control/PeerController.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/control/PeerController.kt
@@ -4,7 +4,9 @@
 import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
 import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelOption
 import io.netty.channel.EventLoop
+import io.netty.channel.FixedRecvByteBufAllocator
 import io.netty.channel.SimpleChannelInboundHandler
 import io.netty.channel.socket.DatagramPacket
 import io.netty.channel.socket.nio.NioDatagramChannel
@@ -53,6 +55,7 @@
             Bootstrap()
                 .group(eventLoop)
                 .channel(NioDatagramChannel::class.java)
+                .option(ChannelOption.RECVBUF_ALLOCATOR, FixedRecvByteBufAllocator(MAXIMUM_DATAGRAM_BYTES))
                 .handler(Receiver())
                 .bind(self.endpoint.host, self.endpoint.port)
         bound.awaitDone()
@@ -153,5 +156,8 @@
     private companion object {
         /** Short enough that the other instances learn of a new generation before many more arrive. */
         const val TICK_MILLIS = 100L
+
+        /** Largest payload of a UDP datagram; the default receive buffer would truncate the totals of a large fleet. */
+        const val MAXIMUM_DATAGRAM_BYTES = 65_507
     }
 }
