Keep one copy of the wait and retry times of replicas

No change of behaviour. The time until a replica accepts a request was computed in ReplicaPlacement and RelayContext, the retry times of full replicas stood in ReplicaPlacement, CallRelay and GenerationRun, and the assumed response time in two places. The tests of placement, notices, calls, generations and limits pass.

--- a/core/src/main/kotlin/io/sequoiawheel/core/relay/OverflowLimiter.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/OverflowLimiter.kt
@@ -91,15 +91,12 @@
     }
 
     private fun capacityPerSecond(replica: Replica): Double =
-        replica.entry.slots * MILLIS_PER_SECOND / (replica.load.responseMillis ?: INITIAL_RESPONSE_MILLIS)
+        replica.entry.slots * MILLIS_PER_SECOND / replica.load.expectedResponseMillis
 
     private companion object {
         const val MILLIS_PER_SECOND = 1_000.0
 
         /** Sum of all bursts in capacities of the replica; instances seldom use theirs at the same time. */
         const val BURST_FACTOR = 4.0
-
-        /** Assumed response time before the first measurement. */
-        const val INITIAL_RESPONSE_MILLIS = 40.0
     }
 }
--- a/core/src/main/kotlin/io/sequoiawheel/core/relay/ReplicaLoad.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/ReplicaLoad.kt
@@ -35,6 +35,9 @@
     var responseMillis: Double? = null
         private set
 
+    /** Expected response time of a plain call in milliseconds. */
+    val expectedResponseMillis: Double get() = responseMillis ?: INITIAL_RESPONSE_MILLIS
+
     val totalRunning: Int get() = running + remoteRunning
     val totalTokens: Long get() = tokens + remoteTokens
     val totalPromptTokens: Long get() = promptTokens + remotePromptTokens
@@ -86,6 +89,9 @@
         /** Weight of the newest outcome: about the last eight outcomes contribute. */
         const val OUTCOME_WEIGHT = 0.12
 
+        /** Assumed response time of a plain call before the first measurement. */
+        const val INITIAL_RESPONSE_MILLIS = 40.0
+
         /** Weight of the newest response time: about the last five times contribute. */
         const val TIME_WEIGHT = 0.2
     }
--- a/core/src/main/kotlin/io/sequoiawheel/core/relay/ReplicaPlacement.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/ReplicaPlacement.kt
@@ -92,12 +92,15 @@
     ): Placement {
         if (chosen != null) return Placement.Assigned(chosen)
         if (usable.all(::isOpen)) return Placement.Unavailable
-        return Placement.Deferred(waitMillis(usable.map { if (isOpen(it)) fullMillis else closedMillis(it) }))
+        return Placement.Deferred(earliest(usable.map { if (isOpen(it)) fullMillis else waitMillis(it) }))
     }
 
     /** Returns the time after which callers may retry if none of [usable] accepts requests now, or null if one does. */
     fun retryAfterMillis(usable: List<Replica>): Long? =
-        if (usable.isNotEmpty() && usable.none(::isOpen)) waitMillis(usable.map(::closedMillis)) else null
+        if (usable.isNotEmpty() && usable.none(::isOpen)) earliest(usable.map(::waitMillis)) else null
+
+    /** Returns the time until [replica] accepts a request from this instance: the end of its pause, or its limit. */
+    fun waitMillis(replica: Replica): Long = maxOf(replica.remainingPauseMillis, limiter.waitMillis(replica))
 
     /** Whether [replica] accepts a request now: it requested no pause, and its limit allows a request. */
     private fun isOpen(replica: Replica) = !replica.isPaused && limiter.mayAdmit(replica)
@@ -105,9 +108,8 @@
     /** Whether [replica] accepts fewer requests than it has capacity for, so that the others receive more. */
     private fun isRestricted(replica: Replica) = replica.isPaused || replica.requestLimit.perSecond != null
 
-    private fun closedMillis(replica: Replica) = maxOf(replica.remainingPauseMillis, limiter.waitMillis(replica))
-
-    private fun waitMillis(waits: List<Long>): Long {
+    /** Returns the shortest of [waits] with jitter. */
+    private fun earliest(waits: List<Long>): Long {
         val waitMillis = waits.min()
         val jitterMillis = (waitMillis * JITTER_SHARE).coerceAtLeast(MINIMUM_JITTER_MILLIS)
         return waitMillis + (random.nextDouble() * jitterMillis).toLong()
@@ -121,7 +123,7 @@
         engine: EngineProfile,
     ) = load.totalRunning < engine.slots && load.totalTokens + demand.tokens <= engine.memoryTokens
 
-    private companion object {
+    companion object {
         /** Time within which the calls that currently fill the replicas' queues have finished. */
         const val FULL_CALLS_MILLIS = 150L
 
@@ -129,7 +131,7 @@
         const val FULL_GENERATIONS_MILLIS = 700L
 
         /** Jitter as a share of the wait, so that callers refused together do not retry at the same time. */
-        const val JITTER_SHARE = 0.5
-        const val MINIMUM_JITTER_MILLIS = 200.0
+        private const val JITTER_SHARE = 0.5
+        private const val MINIMUM_JITTER_MILLIS = 200.0
     }
 }
--- a/core/src/main/kotlin/io/sequoiawheel/core/relay/ReplicaSelection.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/ReplicaSelection.kt
@@ -89,7 +89,7 @@
         val load = replica.load
         val slots = replica.entry.slots.coerceAtLeast(1)
         val queueing = maxOf(0.0, (load.totalRunning + 1.0) / slots - QUEUE_FREE_SHARE)
-        val base = load.responseMillis ?: INITIAL_RESPONSE_MILLIS
+        val base = load.expectedResponseMillis
         val failurePenalty = load.failureShare * FAILURE_COST_MILLIS
         val zonePenalty = if (replica.entry.zone == ownZone) 0.0 else ZONE_COST_MILLIS
         val coldPenalty = if (replica.isCold) COLD_COST_MILLIS else 0.0
@@ -122,9 +122,6 @@
         /** Share of the slots that may be in use before queueing is expected. */
         const val QUEUE_FREE_SHARE = 0.5
 
-        /** Assumed response time of a plain call before the first measurement. */
-        const val INITIAL_RESPONSE_MILLIS = 40.0
-
         /** Cost of a failed call to the caller, expressed as time. */
         const val FAILURE_COST_MILLIS = 400.0
 
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/CallRelay.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/CallRelay.kt
@@ -12,6 +12,7 @@
 import io.sequoiawheel.core.relay.Placement
 import io.sequoiawheel.core.relay.RelayService
 import io.sequoiawheel.core.relay.Replica
+import io.sequoiawheel.core.relay.ReplicaPlacement
 import io.sequoiawheel.relay.backend.ConnectFailedException
 import io.sequoiawheel.relay.backend.ConnectionLease
 import io.sequoiawheel.relay.filter.Exchange
@@ -61,7 +62,7 @@
                 NotRunProof.NOTHING_SENT,
                 ResultCode.DEADLINE_BEFORE_DISPATCH,
                 "no replica accepted the call before the deadline",
-                RETRY_AFTER_MILLIS,
+                ReplicaPlacement.FULL_CALLS_MILLIS,
             )
         }
     }
@@ -76,13 +77,14 @@
         private var runs = 0
         private var refusals = 0
         private var earlierResponse: AttemptResult.Responded? = null
-        private var retryAfterMillis = RETRY_AFTER_MILLIS
+        private var retryAfterMillis = ReplicaPlacement.FULL_CALLS_MILLIS
 
         suspend fun run() {
             while (true) {
                 val placement = place()
                 if (placement !is Placement.Assigned) {
-                    retryAfterMillis = (placement as? Placement.Deferred)?.retryAfterMillis ?: RETRY_AFTER_MILLIS
+                    retryAfterMillis =
+                        (placement as? Placement.Deferred)?.retryAfterMillis ?: ReplicaPlacement.FULL_CALLS_MILLIS
                     giveUp(
                         AttemptResult.NotRun(NotRunProof.NOTHING_SENT, "no replica of ${service.name} accepts calls"),
                     )
@@ -286,8 +288,5 @@
 
         /** Several times the usual response time; after it a repeatable call is retried on another replica. */
         const val RETRYABLE_ATTEMPT_TIMEOUT_MILLIS = 320L
-
-        /** Time within which the calls that currently fill the replicas' queues have finished. */
-        const val RETRY_AFTER_MILLIS = 150L
     }
 }
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationRun.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationRun.kt
@@ -17,6 +17,7 @@
 import io.sequoiawheel.core.relay.Placement
 import io.sequoiawheel.core.relay.RelayService
 import io.sequoiawheel.core.relay.Replica
+import io.sequoiawheel.core.relay.ReplicaPlacement
 import io.sequoiawheel.core.relay.SignalQueue
 import io.sequoiawheel.platform.Headers
 import io.sequoiawheel.relay.filter.Exchange
@@ -71,7 +72,7 @@
     private var refusals = 0
     private var moveCount = 0
     private var isFinished = false
-    private var retryAfterMillis = RETRY_AFTER_MILLIS
+    private var retryAfterMillis = ReplicaPlacement.FULL_GENERATIONS_MILLIS
 
     /** Handles the request until it ends. */
     suspend fun run() {
@@ -307,7 +308,8 @@
     private fun startAttempt(excluded: Set<Replica>): Boolean {
         val usable = context.directory.usable(service.name)
         val placement = context.placement.forGeneration(usable, excluded, demand, engine, service)
-        retryAfterMillis = (placement as? Placement.Deferred)?.retryAfterMillis ?: RETRY_AFTER_MILLIS
+        retryAfterMillis =
+            (placement as? Placement.Deferred)?.retryAfterMillis ?: ReplicaPlacement.FULL_GENERATIONS_MILLIS
         val replica = (placement as? Placement.Assigned)?.replica ?: return false
         val resumeAfter = delivery.lastId?.takeIf { delivery.delivered > 0 }
         val headers = resumeAfter?.let { mapOf(Headers.LAST_EVENT_ID to it.toString()) }.orEmpty()
@@ -375,9 +377,6 @@
         /** Refusals after which the request is retried; the next refusal is reported to the caller. */
         const val MAXIMUM_REFUSED_RETRIES = 2
 
-        /** About one running generation ends per second, which frees a slot. */
-        const val RETRY_AFTER_MILLIS = 700L
-
         /** Interval between checks of a stream that delivers no events. */
         const val STALL_CHECK_MILLIS = 150L
 
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/RelayContext.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/RelayContext.kt
@@ -83,7 +83,7 @@
     fun retryAfterMillis(service: RelayService): Long? = placement.retryAfterMillis(directory.usable(service.name))
 
     /** Returns the time until [replica] accepts a request from this instance: the end of its pause, or its limit. */
-    fun waitMillis(replica: Replica): Long = maxOf(replica.remainingPauseMillis, limiter.waitMillis(replica))
+    fun waitMillis(replica: Replica): Long = placement.waitMillis(replica)
 
     /**
      * Consumes the permission to send a caller's request to [replica] now. Returns false if the request must not be
