Show that a failed hub extends the use of a removed replica

After its hub fails, an instance treats removals of the next 2 s as entries that expired in an outage of the store, which are used for another 2.3 s.

--- a/relay/src/test/kotlin/io/sequoiawheel/relay/ChangeHubTest.kt
+++ b/relay/src/test/kotlin/io/sequoiawheel/relay/ChangeHubTest.kt
@@ -2,6 +2,7 @@
 
 import io.sequoiawheel.standin.platform.ReplicaStandIn
 import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.BeforeEach
 import org.junit.jupiter.api.Test
@@ -85,7 +86,30 @@
         while (System.nanoTime() < end) assertTrue(instances.all { status(it, "key-1") == "200" })
     }
 
+    // The failure of the hub must not count as an outage of the store, after which removed replicas stay in use.
+    @Test
+    fun `a replica that is removed soon after the hub stopped receives no request beyond the drain bound`() {
+        fixture.replica("r-2") { request, answer -> answer.sendComplete(request, "world") }
+        RelayFixture.awaitTrue("both replicas are followed") { fixture.store.isWatchedToEnd("servers") }
+        instances.removeFirst().close()
+        Thread.sleep(HUB_LOSS_MILLIS)
+        fixture.store.remove("servers", "r-1")
+        Thread.sleep(DRAIN_MILLIS)
+        val requestsBefore = replica.requests.size
+        repeat(CALLS) { instances.forEach { status(it, "key-1") } }
+        assertEquals(requestsBefore, replica.requests.size)
+    }
+
     private companion object {
+        /** Time after which the members have left a stopped hub and watch the store. */
+        const val HUB_LOSS_MILLIS = 300L
+
+        /** The drain bound in the settings of the fixture. */
+        const val DRAIN_MILLIS = 2_000L
+
+        /** Calls of each instance; with two replicas, one that is still in use receives some of them. */
+        const val CALLS = 8
+
         /** Longer than the time for which entries missing after an outage are kept. */
         const val OBSERVATION_MILLIS = 3_000L
 
