Count only a time without contact to the store as an outage

Cause: any failed call, and the failure of a hub, counted as the end of an outage with the next response. Removals of the following 2 s were then taken for entries that had expired, which stay in use for 2.3 s. A watch that is cut off, or an instance that is stopped, is enough.

StoreContact decides by the proofs that the store was reached, by this instance or by its hub: 3 s without one are an outage. Without an outage they are at most 2.4 s apart; after the loss of a hub the probe asks the store at once, so that the loss does not open a gap. Entries cannot expire within a shorter gap, since they outlive three missed heartbeats.

--- a/relay/src/main/kotlin/io/sequoiawheel/relay/RelayDaemon.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/RelayDaemon.kt
@@ -21,6 +21,7 @@
 import io.sequoiawheel.core.relay.ReplicaDirectory
 import io.sequoiawheel.core.relay.ReplicaSelection
 import io.sequoiawheel.core.relay.RequestKind
+import io.sequoiawheel.core.relay.StoreContact
 import io.sequoiawheel.core.relay.StoreEras
 import io.sequoiawheel.platform.StoreKind
 import io.sequoiawheel.relay.backend.BackendPool
@@ -85,6 +86,7 @@
     private val store = StoreClient(connector, eras, ::onStoreRestored) { settings.store }
     private val freshness =
         Freshness(monotonic, wall, (settings.bounds.revokeMillis * FRESH_SHARE).toLong())
+    private val contact = StoreContact(monotonic)
     private val directory = ReplicaDirectory(monotonic, coldPhase = random.nextDouble())
     private val self = Peer(settings.name, settings.zone, Endpoint(settings.host, settings.peerPorts.first))
     private val loads = LoadExchange(self, start = wall.nowMillis(), monotonic)
@@ -242,7 +244,7 @@
         waitMillis: Long,
         listener: KindListener,
         onFailure: () -> Unit,
-    ) = KindWatcher(sources, feeds.getValue(kind), waitMillis, listener, freshness, random, log, onFailure)
+    ) = KindWatcher(sources, feeds.getValue(kind), waitMillis, listener, freshness, contact, random, log, onFailure)
 
     private suspend fun relay(exchange: Exchange) {
         val route = checkNotNull(exchange.route)
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/control/KindWatcher.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/control/KindWatcher.kt
@@ -7,6 +7,7 @@
 import io.sequoiawheel.core.relay.Freshness
 import io.sequoiawheel.core.relay.ListReliability
 import io.sequoiawheel.core.relay.Peer
+import io.sequoiawheel.core.relay.StoreContact
 import io.sequoiawheel.core.routing.Backoff
 import io.sequoiawheel.platform.StoreChanges
 import io.sequoiawheel.platform.StoreEvent
@@ -55,6 +56,7 @@
     private val waitMillis: Long,
     private val listener: KindListener,
     private val freshness: Freshness,
+    private val contact: StoreContact,
     private val random: UniformRandomProvider,
     private val log: DecisionLog,
     private val onFailure: () -> Unit = {},
@@ -68,9 +70,9 @@
         private set
 
     private var consecutiveFailures = 0
-    private var outageEndedMillis: Long? = null
     private var era: Long? = null
     private var lastConfirmedAt: ClockReading? = null
+    private var hasLostHub = false
     private var pendingWatch: Deferred<Either<StoreFailure, StoreChanges>>? = null
 
     /** Lists and watches the kind until cancelled. */
@@ -83,7 +85,7 @@
                 awaitRetry()
                 continue
             }
-            recordSuccess()
+            recordStoreResponse()
             listener.onListed(listing, reliabilityOf(listing.era))
             isListed = true
             era = listing.era
@@ -103,7 +105,7 @@
     private fun reliabilityOf(listedEra: Long?) =
         when {
             isListed && listedEra != era -> ListReliability.NEW_ERA
-            isAfterOutage() -> ListReliability.AFTER_OUTAGE
+            contact.isAfterOutage -> ListReliability.AFTER_OUTAGE
             else -> ListReliability.CERTAIN
         }
 
@@ -136,7 +138,7 @@
                 awaitRetry()
                 continue
             }
-            recordSuccess()
+            recordStoreResponse()
             if (changes.era != era || sources.era != era) return
             revision = changes.revision
             // A response without events is sent at the end of the wait, so nothing changed until then.
@@ -166,14 +168,14 @@
                     if (isHistoryGone || sources.era != era) return null
                     sources.reportHubFailure(hub, failure)
                     onFailure()
-                    // The hub may have failed because the store is down, which also lets the replicas' entries expire.
-                    outageEndedMillis = freshness.now().monotonicMillis
+                    hasLostHub = true
                     return revision
                 }
-        recordSuccess()
+        recordResponse()
         // Another call may have observed a newer era while this response was in flight.
         if (sources.era != era) return null
         val confirmedAt = changes.confirmationOffsetMillis?.let { asOf.plus(it) }
+        confirmedAt?.let { contact.recordProof(it.monotonicMillis) }
         apply(changes, confirmedAt)
         val isStale =
             confirmedAt == null || freshness.now().monotonicMillis - confirmedAt.monotonicMillis > STALE_HUB_MILLIS
@@ -188,19 +190,20 @@
         changes: StoreChanges,
         confirmedAt: ClockReading?,
     ) {
-        changes.events.forEach { listener.onChanged(it, isAfterOutage()) }
+        changes.events.forEach { listener.onChanged(it, contact.isAfterOutage) }
         lastConfirmedAt = confirmedAt ?: lastConfirmedAt
         if (confirmedAt != null) listener.onConfirmed(confirmedAt)
     }
 
     /**
      * Returns how long the response to a watch may be delayed. After a failed call the response must not wait for a
-     * change, so that the end of an outage and a new era are detected at once. The probe uses a shorter wait in the
+     * change, so that the end of an outage and a new era are detected at once; after the loss of a hub the probe must
+     * not wait either, so that the loss does not count as an outage of the store. The probe uses a shorter wait in the
      * watches of a hub and of the instances that watch it.
      */
     private fun waitMillis(isHubInvolved: Boolean) =
         when {
-            consecutiveFailures > 0 -> 0
+            consecutiveFailures > 0 || isProbe && hasLostHub -> 0
             isProbe && isHubInvolved -> minOf(waitMillis, HUB_WAIT_MILLIS)
             else -> waitMillis
         }
@@ -235,17 +238,17 @@
         }
     }
 
-    private fun recordSuccess() {
+    private fun recordStoreResponse() {
+        contact.recordProof(freshness.now().monotonicMillis)
+        recordResponse()
+    }
+
+    private fun recordResponse() {
+        hasLostHub = false
         if (isProbe) sources.setStoreUnreachable(false)
         if (consecutiveFailures == 0) return
         log.dependency("store available again", mapOf("kind" to kind.name, "failures" to consecutiveFailures))
         consecutiveFailures = 0
-        outageEndedMillis = freshness.now().monotonicMillis
-    }
-
-    private fun isAfterOutage(): Boolean {
-        val ended = outageEndedMillis ?: return false
-        return freshness.now().monotonicMillis - ended <= REREGISTRATION_MILLIS
     }
 
     /**
@@ -294,8 +297,5 @@
 
         /** Limits the wait for the probe, since the store may serve one kind of object and not another. */
         const val STORE_RECOVERY_TIMEOUT_MILLIS = 2_000L
-
-        /** Live replicas register again within about 2 s after the store becomes available. */
-        const val REREGISTRATION_MILLIS = 2_000L
     }
 }
