--- /dev/null
+++ b/relay/src/test/kotlin/io/sequoiawheel/relay/KindWatcherTest.kt
@@ -0,0 +1,100 @@
+package io.sequoiawheel.relay
+
+import io.netty.channel.MultiThreadIoEventLoopGroup
+import io.netty.channel.nio.NioIoHandler
+import io.sequoiawheel.core.model.Clock
+import io.sequoiawheel.core.model.ZoneName
+import io.sequoiawheel.core.relay.Endpoint
+import io.sequoiawheel.core.relay.Freshness
+import io.sequoiawheel.core.relay.HubSelection
+import io.sequoiawheel.core.relay.ListReliability
+import io.sequoiawheel.core.relay.StoreEras
+import io.sequoiawheel.platform.StoreEvent
+import io.sequoiawheel.platform.StoreKind
+import io.sequoiawheel.relay.backend.Connector
+import io.sequoiawheel.relay.control.ChangeFeed
+import io.sequoiawheel.relay.control.ChangeSources
+import io.sequoiawheel.relay.control.KindListener
+import io.sequoiawheel.relay.control.KindWatcher
+import io.sequoiawheel.relay.control.StoreClient
+import io.sequoiawheel.relay.control.StoreListing
+import io.sequoiawheel.relay.internal.DecisionLog
+import io.sequoiawheel.standin.platform.PlatformStoreStandIn
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.asCoroutineDispatcher
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.launch
+import kotlinx.serialization.json.JsonObject
+import org.apache.commons.rng.simple.RandomSource
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Test
+import java.util.concurrent.ConcurrentLinkedQueue
+
+/** A watcher whose listener fails for some objects. */
+class KindWatcherTest {
+    private val store = PlatformStoreStandIn()
+    private val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
+    private val eventLoop = group.next()
+    private val scope = CoroutineScope(SupervisorJob() + eventLoop.asCoroutineDispatcher())
+    private val clock = Clock { System.nanoTime() / 1_000_000 }
+    private val log = DecisionLog(clock)
+    private val random = RandomSource.XO_RO_SHI_RO_128_PP.create(SEED)
+    private val applied = ConcurrentLinkedQueue<String>()
+
+    @AfterEach
+    fun close() {
+        scope.cancel()
+        group.shutdownGracefully()
+        store.close()
+    }
+
+    private fun watch(listener: KindListener) {
+        val eras = StoreEras(clock)
+        val connector = Connector(eventLoop, clock)
+        val client = StoreClient(connector, eras) { Endpoint("127.0.0.1", store.port) }
+        val selection = HubSelection("entry-1", ZoneName("a"), clock, random) { emptyList() }
+        val sources = ChangeSources(client, connector, selection, eras, log)
+        sources.completePeerDiscovery()
+        val freshness = Freshness(clock, { System.currentTimeMillis() }, FRESH_MILLIS)
+        val feed = ChangeFeed(StoreKind.REPLICAS)
+        val watcher = KindWatcher(sources, feed, WAIT_MILLIS, listener, freshness, random, log)
+        scope.launch { watcher.run() }
+    }
+
+    private fun put(name: String) = store.put("servers", name, JsonObject(emptyMap()))
+
+    // The first object that failed ended the watcher, and the objects behind it were lost with it.
+    @Test
+    fun `a change that cannot be applied does not lose the other changes of the same response`() {
+        watch(
+            object : KindListener {
+                override fun onListed(
+                    listing: StoreListing,
+                    reliability: ListReliability,
+                ) {
+                    applied += "listed"
+                }
+
+                override fun onChanged(
+                    event: StoreEvent,
+                    afterOutage: Boolean,
+                ) {
+                    check(!event.target.name.startsWith("odd")) { "planted failure" }
+                    applied += event.target.name
+                }
+            },
+        )
+        RelayFixture.awaitTrue("the kind is watched") { "listed" in applied && store.isWatchedToEnd("servers") }
+        for (name in listOf("odd-1", "r-1", "odd-2", "r-2")) put(name)
+        RelayFixture.awaitTrue("the other changes are applied") { applied.containsAll(listOf("r-1", "r-2")) }
+        put("r-3")
+        RelayFixture.awaitTrue("later changes are applied") { "r-3" in applied }
+    }
+
+    private companion object {
+        const val SEED = 30L
+        const val FRESH_MILLIS = 5_000L
+        const val WAIT_MILLIS = 2_000L
+    }
+}
