Count the entries of replicas that cannot be read

An entry that could not be read left a log line and nothing in the metrics. The line now has the kind and the revision; objects.unreadable counts each time one is read, replicas.unreadable shows how many listed entries are unreadable now.

--- a/relay/src/main/kotlin/io/sequoiawheel/relay/RelayDaemon.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/RelayDaemon.kt
@@ -91,7 +91,7 @@
     private val notices = ReplicaNotices(log, metrics)
     private val pool = BackendPool(connector, notices::onResponseHead)
     private val configuration = ConfigurationController(store, freshness, ConfigurationOrder(monotonic), scope, log)
-    private val replicas = ReplicaController(directory, log)
+    private val replicas = ReplicaController(directory, log, metrics)
     private val evacuations = EvacuationController(directory, log)
     private val context =
         RelayContext(
@@ -284,6 +284,7 @@
         metrics.gauge("replicas.quiet") { directory.all().count { it.isPaused } }
         metrics.gauge("replicas.limited") { directory.all().count { it.requestLimit.perSecond != null } }
         metrics.gauge("replicas.leaving.by.answer") { directory.announcedLeaving().size }
+        metrics.gauge("replicas.unreadable") { replicas.unreadableCount }
         metrics.gauge("store.era") { eras.current ?: 0 }
         metrics.gauge("instances.live") { liveInstances }
         metrics.gauge("peer.datagrams.sent") { peers.datagramsSent }
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/control/ReplicaController.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/control/ReplicaController.kt
@@ -7,19 +7,28 @@
 import io.sequoiawheel.core.relay.ReplicaEntry
 import io.sequoiawheel.platform.ReplicaEntryCodec
 import io.sequoiawheel.platform.StoreEvent
+import io.sequoiawheel.platform.StoreKind
 import io.sequoiawheel.platform.StoreObject
 import io.sequoiawheel.platform.UnreadableDocumentException
 import io.sequoiawheel.relay.internal.DecisionLog
+import io.sequoiawheel.relay.internal.RelayMetrics
 
 /** Keeps the directory of replicas in sync with the platform's list. Replicas with unreadable entries are not used. */
 internal class ReplicaController(
     private val directory: ReplicaDirectory,
     private val log: DecisionLog,
+    private val metrics: RelayMetrics,
 ) : KindListener {
+    private val unreadable = HashSet<String>()
+
+    /** Number of listed entries that cannot be read. */
+    val unreadableCount: Int get() = unreadable.size
+
     override fun onListed(
         listing: StoreListing,
         reliability: ListReliability,
     ) {
+        unreadable.clear()
         directory.replaceAll(listing.objects.mapNotNull(::decode), reliability)
         log.stateChange(
             "replicas listed",
@@ -31,6 +40,7 @@
         event: StoreEvent,
         afterOutage: Boolean,
     ) {
+        unreadable.remove(event.target.name)
         val entry = if (event.isDeleted) null else decode(event.target)
         val id = InstanceId(event.target.name)
         if (entry == null) directory.remove(id, afterOutage && event.isDeleted) else directory.put(entry)
@@ -50,12 +60,19 @@
         try {
             ReplicaEntryCodec.decode(
                 target.name,
-                target.spec ?: throw UnreadableDocumentException("spec is not an object"),
+                target.spec ?: throw UnreadableDocumentException("spec is not an object or nested too deeply"),
             )
-        } catch (unreadable: UnreadableDocumentException) {
+        } catch (failure: UnreadableDocumentException) {
+            unreadable += target.name
+            metrics.count("objects.unreadable", StoreKind.REPLICAS.name)
             log.stateChange(
                 "replica entry unreadable, replica not used",
-                mapOf("replica" to target.name, "detail" to unreadable.message),
+                mapOf(
+                    "kind" to StoreKind.REPLICAS.name,
+                    "replica" to target.name,
+                    "revision" to target.revision,
+                    "detail" to failure.message,
+                ),
             )
             null
         }
