--- a/relay/src/main/kotlin/io/sequoiawheel/relay/control/StoreClient.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/control/StoreClient.kt
@@ -107,7 +107,9 @@
             val revision = (first ?: result.also { first = it }).revision
             objects += result.objects
             if (!result.hasMore || result.objects.isEmpty()) return StoreListing(objects, revision, era).right()
-            afterName = result.objects.last().name
+            val last = result.objects.last().name
+            if (last == afterName) return StoreFailure.Unavailable("a page repeats the previous one").left()
+            afterName = last
         }
     }
 
