Ignore load messages that name no address to send to

One datagram with port 70000 as its sender's port ended the load reports of an instance until its next start: others then count it as terminated, and place their requests without knowing its load.

Cause: ports were not checked. The peer was recorded, and the next report failed with an IllegalArgumentException from InetSocketAddress, which ended the coroutine. A host name would be looked up on the event loop, which blocks all requests.

Messages whose sender or members have no IPv4 address with a port of 1 to 65535 are counted, logged and ignored.

--- a/core/src/main/kotlin/io/sequoiawheel/core/relay/InstanceSettings.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/InstanceSettings.kt
@@ -11,14 +11,23 @@
     val host: String,
     val port: Int,
 ) {
+    /** Whether the host is an IPv4 address. Resolving a name would block the event loop. */
+    val isAddress: Boolean get() = ADDRESS.matches(host)
+
+    /** Whether connections and datagrams can be sent here; port 0 only lets a listener bind any free port. */
+    val isReachable: Boolean get() = isAddress && port > 0
+
     override fun toString(): String = "$host:$port"
 
     companion object {
         /** Parses [text] as `host:port`; returns null if it has no valid port. */
         fun parseOrNull(text: String): Endpoint? {
-            val port = text.substringAfterLast(':', "").toIntOrNull() ?: return null
+            val port = text.substringAfterLast(':', "").toIntOrNull()?.takeIf { it in PORTS } ?: return null
             return Endpoint(text.substringBeforeLast(':'), port)
         }
+
+        private val ADDRESS = Regex("""(25[0-5]|2[0-4]\d|1?\d?\d)(\.(25[0-5]|2[0-4]\d|1?\d?\d)){3}""")
+        private val PORTS = 0..65_535
     }
 }
 
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/RelayDaemon.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/RelayDaemon.kt
@@ -105,7 +105,7 @@
             settings.bounds,
             fleet = loads,
         )
-    private val peers = PeerController(self, directory, loads, store, random, log)
+    private val peers = PeerController(self, directory, loads, store, random, log, metrics)
     private val hubSelection = HubSelection(settings.name, settings.zone, monotonic, random, loads::live)
     private val sources = ChangeSources(store, connector, hubSelection, eras, log)
     private val feeds =
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/control/PeerController.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/control/PeerController.kt
@@ -10,6 +10,8 @@
 import io.netty.channel.SimpleChannelInboundHandler
 import io.netty.channel.socket.DatagramPacket
 import io.netty.channel.socket.nio.NioDatagramChannel
+import io.sequoiawheel.core.relay.Endpoint
+import io.sequoiawheel.core.relay.FleetReport
 import io.sequoiawheel.core.relay.LoadExchange
 import io.sequoiawheel.core.relay.OutgoingMessage
 import io.sequoiawheel.core.relay.Peer
@@ -21,6 +23,7 @@
 import io.sequoiawheel.platform.StoreKind
 import io.sequoiawheel.relay.backend.awaitDone
 import io.sequoiawheel.relay.internal.DecisionLog
+import io.sequoiawheel.relay.internal.RelayMetrics
 import kotlinx.coroutines.delay
 import kotlinx.serialization.SerializationException
 import org.apache.commons.rng.UniformRandomProvider
@@ -38,6 +41,7 @@
     private val store: StoreClient,
     private val random: UniformRandomProvider,
     private val log: DecisionLog,
+    private val metrics: RelayMetrics,
 ) {
     private var channel: Channel? = null
 
@@ -137,12 +141,19 @@
                 try {
                     PeerMessage.decode(String(bytes))
                 } catch (unreadable: SerializationException) {
-                    log.stateChange("peer message unreadable", mapOf("detail" to unreadable.message))
-                    return
+                    return logUnreadable(unreadable.message)
                 }
+            val addresses = listOf(message.endpoint) + (message as? FleetReport)?.addresses.orEmpty().values
+            val invalid = addresses.firstOrNull { Endpoint.parseOrNull(it)?.isReachable != true }
+            if (invalid != null) return logUnreadable("no address with a port: ${invalid.take(SHOWN_CHARACTERS)}")
             send(exchange.receive(message))
         }
 
+        private fun logUnreadable(detail: String?) {
+            metrics.count("peer.messages", "unreadable")
+            log.stateChange("peer message unreadable", mapOf("detail" to detail?.take(MAXIMUM_DETAIL_CHARACTERS)))
+        }
+
         override fun exceptionCaught(
             context: ChannelHandlerContext,
             cause: Throwable,
@@ -159,5 +170,7 @@
 
         /** Largest payload of a UDP datagram; the default receive buffer would truncate the totals of a large fleet. */
         const val MAXIMUM_DATAGRAM_BYTES = 65_507
+        const val MAXIMUM_DETAIL_CHARACTERS = 200
+        const val SHOWN_CHARACTERS = 64
     }
 }
