Start background loops again that ended by an exception

The watchers, the load reports, the maintenance, the registration and the traffic log ran as coroutines of a supervisor without an exception handler. One that ended by an exception or an error stayed ended: the instance went on serving with an old list for ever, without a log line.

LoopSupervisor logs and counts such an end and starts the loop again with backoff, up to 2 s; a watcher then lists its kind anew, and meanwhile serves no other instance. A change whose listener fails is logged and counted, and the other changes of the response apply. store.kinds.unfollowed shows kinds whose list may be out of date. Readiness does not depend on it: an object that fails one instance fails all of them, and a deployment without any ready instance is worse than one with an old list.

--- a/relay/src/main/kotlin/io/sequoiawheel/relay/RelayDaemon.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/RelayDaemon.kt
@@ -32,6 +32,7 @@
 import io.sequoiawheel.relay.control.EvacuationController
 import io.sequoiawheel.relay.control.KindListener
 import io.sequoiawheel.relay.control.KindWatcher
+import io.sequoiawheel.relay.control.LoopSupervisor
 import io.sequoiawheel.relay.control.PeerController
 import io.sequoiawheel.relay.control.ReplicaController
 import io.sequoiawheel.relay.control.StoreClient
@@ -124,6 +125,8 @@
         watcher(StoreKind.CONFIGURATION, configurationWaitMillis(), configuration) {
             longWatchers.forEach(KindWatcher::interrupt)
         }
+    private val watchers = longWatchers + configurationWatcher
+    private val loops = LoopSupervisor(scope, monotonic, random, log, metrics)
     private val calls = CallRelay(context)
     private val generations = GenerationRelay(context)
     private val filters =
@@ -166,7 +169,7 @@
                 "started",
                 mapOf("instance" to settings.name, "zone" to settings.zone.value, "store" to settings.store.toString()),
             )
-            (longWatchers + configurationWatcher).forEach { scope.launch { it.run() } }
+            watchers.forEach { watcher -> loops.start("watch ${watcher.kind}") { watcher.run() } }
             callerPort = server.start(settings.callers, MAXIMUM_HEADER_BYTES)
             val statusServer = StatusServer(eventLoop, scope) { status(it.substringBefore('?')) }
             statusServer.start(settings.readiness)
@@ -175,9 +178,9 @@
             publishGauges()
             peers.start(eventLoop)
             register()
-            scope.launch { peers.report() }
-            scope.launch { maintain() }
-            scope.launch { logTraffic() }
+            loops.start("load reports") { peers.report() }
+            loops.start("maintenance") { maintain() }
+            loops.start("traffic log") { logTraffic() }
             Unit
         }
 
@@ -224,7 +227,7 @@
     private fun register() {
         registration?.cancel()
         registration =
-            scope.launch {
+            loops.start("registration") {
                 peers.register()
                 sources.completePeerDiscovery()
             }
@@ -233,7 +236,7 @@
     private fun onStoreRestored() {
         metrics.count("store.eras", "new")
         log.dependency("store restored from an older copy", mapOf("era" to eras.current))
-        (longWatchers + configurationWatcher).forEach(KindWatcher::interrupt)
+        watchers.forEach(KindWatcher::interrupt)
         register()
     }
 
@@ -285,6 +288,8 @@
         metrics.gauge("replicas.limited") { directory.all().count { it.requestLimit.perSecond != null } }
         metrics.gauge("replicas.leaving.by.answer") { directory.announcedLeaving().size }
         metrics.gauge("replicas.unreadable") { replicas.unreadableCount }
+        metrics.gauge("store.kinds.unfollowed") { watchers.count { !it.isFollowed } }
+        metrics.gauge("objects.failed") { watchers.sumOf { it.failedObjects } }
         metrics.gauge("store.era") { eras.current ?: 0 }
         metrics.gauge("instances.live") { liveInstances }
         metrics.gauge("peer.datagrams.sent") { peers.datagramsSent }
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/control/KindWatcher.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/control/KindWatcher.kt
@@ -59,7 +59,7 @@
     private val log: DecisionLog,
     private val onFailure: () -> Unit = {},
 ) {
-    private val kind = feed.kind
+    val kind = feed.kind
     private val isProbe = kind == StoreKind.CONFIGURATION
     private val backoff = Backoff(INITIAL_BACKOFF_MILLIS, MAXIMUM_BACKOFF_MILLIS)
 
@@ -67,14 +67,32 @@
     var isListed = false
         private set
 
+    /** Whether the kind was listed and its changes arrive. */
+    val isFollowed: Boolean get() = isListed && isRunning && consecutiveFailures < STORE_LOST_FAILURES
+
+    /** Number of changes that the listener failed to apply. */
+    var failedObjects = 0L
+        private set
+
+    private var isRunning = false
     private var consecutiveFailures = 0
     private var outageEndedMillis: Long? = null
     private var era: Long? = null
     private var lastConfirmedAt: ClockReading? = null
     private var pendingWatch: Deferred<Either<StoreFailure, StoreChanges>>? = null
 
-    /** Lists and watches the kind until cancelled. */
+    /** Lists and watches the kind until cancelled, or until an exception; it can be called again then. */
     suspend fun run() {
+        isRunning = true
+        try {
+            listAndWatch()
+        } finally {
+            isRunning = false
+            feed.stop()
+        }
+    }
+
+    private suspend fun listAndWatch() {
         while (true) {
             val asOf = freshness.now()
             val listing = sources.store.list(kind).fold({ recordFailure(it).let { null } }, { it })
@@ -188,11 +206,24 @@
         changes: StoreChanges,
         confirmedAt: ClockReading?,
     ) {
-        changes.events.forEach { listener.onChanged(it, isAfterOutage()) }
+        changes.events.forEach(::applyEvent)
         lastConfirmedAt = confirmedAt ?: lastConfirmedAt
         if (confirmedAt != null) listener.onConfirmed(confirmedAt)
     }
 
+    /** Applies one change. If the listener fails, the other changes of the response still count. */
+    private fun applyEvent(event: StoreEvent) {
+        try {
+            listener.onChanged(event, isAfterOutage())
+        } catch (failure: RuntimeException) {
+            failedObjects++
+            log.dependency(
+                "change not applied",
+                mapOf("kind" to kind.name, "name" to event.target.name, "detail" to failure.toString()),
+            )
+        }
+    }
+
     /**
      * Returns how long the response to a watch may be delayed. After a failed call the response must not wait for a
      * change, so that the end of an outage and a new era are detected at once. The probe uses a shorter wait in the
--- /dev/null
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/control/LoopSupervisor.kt
@@ -0,0 +1,60 @@
+package io.sequoiawheel.relay.control
+
+import io.sequoiawheel.core.model.Clock
+import io.sequoiawheel.core.routing.Backoff
+import io.sequoiawheel.relay.internal.DecisionLog
+import io.sequoiawheel.relay.internal.RelayMetrics
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.ensureActive
+import kotlinx.coroutines.launch
+import org.apache.commons.rng.UniformRandomProvider
+
+/**
+ * Runs the background loops of an instance and starts a loop that failed again, with backoff, since the instance goes
+ * on serving with the state that the loop keeps. Confined to the event loop.
+ */
+internal class LoopSupervisor(
+    private val scope: CoroutineScope,
+    private val clock: Clock,
+    private val random: UniformRandomProvider,
+    private val log: DecisionLog,
+    private val metrics: RelayMetrics,
+) {
+    private val backoff = Backoff(INITIAL_BACKOFF_MILLIS, MAXIMUM_BACKOFF_MILLIS)
+
+    /** Runs [body] until it returns or the job is cancelled. [name] is one of few, as a label of metrics. */
+    fun start(
+        name: String,
+        body: suspend () -> Unit,
+    ): Job =
+        scope.launch {
+            var failures = 0
+            while (true) {
+                val startedAtMillis = clock.nowMillis()
+                try {
+                    return@launch body()
+                } catch (failure: Throwable) {
+                    // A cancellation that does not come from this job, such as that of a call, is a failure too.
+                    ensureActive()
+                    if (clock.nowMillis() - startedAtMillis >= STABLE_MILLIS) failures = 0
+                    failures++
+                    metrics.count("loops.failed", name)
+                    log.dependency(
+                        "background loop failed, starting again",
+                        mapOf("loop" to name, "failures" to failures, "detail" to failure.toString()),
+                    )
+                }
+                delay(backoff.delayMillis(failures, random))
+            }
+        }
+
+    private companion object {
+        const val INITIAL_BACKOFF_MILLIS = 100L
+        const val MAXIMUM_BACKOFF_MILLIS = 2_000L
+
+        /** A loop that ran this long before it failed starts again with the shortest backoff. */
+        const val STABLE_MILLIS = 10_000L
+    }
+}
--- /dev/null
+++ b/relay/src/test/kotlin/io/sequoiawheel/relay/LoopSupervisorTest.kt
@@ -0,0 +1,68 @@
+package io.sequoiawheel.relay
+
+import io.sequoiawheel.core.model.Clock
+import io.sequoiawheel.relay.control.LoopSupervisor
+import io.sequoiawheel.relay.internal.DecisionLog
+import io.sequoiawheel.relay.internal.RelayMetrics
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.awaitCancellation
+import kotlinx.coroutines.cancel
+import org.apache.commons.rng.simple.RandomSource
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import java.util.concurrent.atomic.AtomicInteger
+
+class LoopSupervisorTest {
+    private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default.limitedParallelism(1))
+    private val clock = Clock { System.nanoTime() / 1_000_000 }
+    private val metrics = RelayMetrics()
+    private val random = RandomSource.XO_RO_SHI_RO_128_PP.create(SEED)
+    private val loops = LoopSupervisor(scope, clock, random, DecisionLog(clock), metrics)
+
+    @AfterEach
+    fun close() = scope.cancel()
+
+    // A loop that ended stayed ended, and nothing said so.
+    @Test
+    fun `a loop that ends by an exception, an error or a cancelled call is counted and started again`() {
+        val starts = AtomicInteger()
+        loops.start("planted") {
+            when (starts.incrementAndGet()) {
+                1 -> error("planted failure")
+                2 -> throw StackOverflowError()
+                3 -> throw CancellationException("a call was cancelled")
+                else -> awaitCancellation()
+            }
+        }
+        RelayFixture.awaitTrue("the loop was started again after each failure") { starts.get() == 4 }
+        assertTrue(metrics.scrape().contains("""sequoiawheel_loops_failed_total{reason="planted"} 3.0"""))
+    }
+
+    @Test
+    fun `a loop that returns or is cancelled is not started again`() {
+        val starts = AtomicInteger()
+        val returned = loops.start("returns") { starts.incrementAndGet() }
+        val cancelled =
+            loops.start("cancelled") {
+                starts.incrementAndGet()
+                awaitCancellation()
+            }
+        RelayFixture.awaitTrue("both started") { starts.get() == 2 }
+        cancelled.cancel()
+        RelayFixture.awaitTrue("both ended") { returned.isCompleted && cancelled.isCompleted }
+        Thread.sleep(SETTLE_MILLIS)
+        assertEquals(2, starts.get())
+    }
+
+    private companion object {
+        const val SEED = 30L
+
+        /** Longer than the first backoff. */
+        const val SETTLE_MILLIS = 300L
+    }
+}
