Reject load messages with impossible numbers or deep nesting

Datagrams may come from any process. A deeply nested message can overflow the stack of the event loop before the parser's limit.

Such messages are now unreadable; they are counted, logged and ignored.

--- a/core/src/main/kotlin/io/sequoiawheel/core/relay/PeerMessage.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/PeerMessage.kt
@@ -5,6 +5,7 @@
  */
 package io.sequoiawheel.core.relay
 
+import io.sequoiawheel.core.model.NestingLimit
 import kotlinx.serialization.KSerializer
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
@@ -49,6 +50,10 @@
 /** Encodes the values as a list to keep messages small; they may list all replicas and cross availability zones. */
 internal object PeerWorkSerializer : KSerializer<PeerWork> {
     private const val VALUE_COUNT = 3
+
+    /** Far above the load on any replica; sums of a large fleet's values do not overflow. */
+    private const val MAXIMUM_RUNNING = 100_000L
+    private const val MAXIMUM_TOKENS = 100_000_000_000L
     private val listSerializer = LongArraySerializer()
     override val descriptor: SerialDescriptor = listSerializer.descriptor
 
@@ -60,6 +65,9 @@
     override fun deserialize(decoder: Decoder): PeerWork {
         val values = listSerializer.deserialize(decoder)
         if (values.size != VALUE_COUNT) throw SerializationException("work has ${values.size} values")
+        if (values[0] !in 0..MAXIMUM_RUNNING || values[1] !in 0..MAXIMUM_TOKENS || values[2] !in 0..MAXIMUM_TOKENS) {
+            throw SerializationException("work is out of range: ${values.joinToString()}")
+        }
         return PeerWork(values[0].toInt(), values[1], values[2])
     }
 }
@@ -98,7 +106,23 @@
         private val json = Json { ignoreUnknownKeys = true }
 
         /** Decodes the message in [text], or throws [SerializationException]. */
-        fun decode(text: String): PeerMessage = json.decodeFromString(serializer(), text)
+        fun decode(text: String): PeerMessage {
+            if (NestingLimit.isExceededBy(text)) {
+                throw SerializationException("nested more than ${NestingLimit.MAXIMUM_DEPTH} deep")
+            }
+            val message = json.decodeFromString(serializer(), text)
+            val instances =
+                when (message) {
+                    is PeerReport -> 1
+                    is ZoneReport -> message.instanceCount
+                    is FleetReport -> message.instanceCount
+                }
+            if (instances !in 1..MAXIMUM_INSTANCES) throw SerializationException("message of $instances instances")
+            return message
+        }
+
+        /** Far above the size of any fleet. */
+        private const val MAXIMUM_INSTANCES = 100_000
     }
 }
 
