--- a/relay/src/main/kotlin/io/sequoiawheel/relay/RelayDaemon.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/RelayDaemon.kt
@@ -33,6 +33,7 @@
 import io.sequoiawheel.relay.control.EvacuationController
 import io.sequoiawheel.relay.control.KindListener
 import io.sequoiawheel.relay.control.KindWatcher
+import io.sequoiawheel.relay.control.LoopSupervisor
 import io.sequoiawheel.relay.control.PeerController
 import io.sequoiawheel.relay.control.ReplicaController
 import io.sequoiawheel.relay.control.StoreClient
@@ -93,7 +94,7 @@
     private val notices = ReplicaNotices(log, metrics)
     private val pool = BackendPool(connector, notices::onResponseHead)
     private val configuration = ConfigurationController(store, freshness, ConfigurationOrder(monotonic), scope, log)
-    private val replicas = ReplicaController(directory, log)
+    private val replicas = ReplicaController(directory, log, metrics)
     private val evacuations = EvacuationController(directory, log)
     private val context =
         RelayContext(
@@ -107,7 +108,7 @@
             settings.bounds,
             fleet = loads,
         )
-    private val peers = PeerController(self, directory, loads, store, random, log)
+    private val peers = PeerController(self, directory, loads, store, random, log, metrics)
     private val hubSelection = HubSelection(settings.name, settings.zone, monotonic, random, loads::live)
     private val sources = ChangeSources(store, connector, hubSelection, eras, log)
     private val feeds =
@@ -126,6 +127,8 @@
         watcher(StoreKind.CONFIGURATION, configurationWaitMillis(), configuration) {
             longWatchers.forEach(KindWatcher::interrupt)
         }
+    private val watchers = longWatchers + configurationWatcher
+    private val loops = LoopSupervisor(scope, monotonic, random, log, metrics)
     private val calls = CallRelay(context)
     private val generations = GenerationRelay(context)
     private val filters =
@@ -168,7 +171,7 @@
                 "started",
                 mapOf("instance" to settings.name, "zone" to settings.zone.value, "store" to settings.store.toString()),
             )
-            (longWatchers + configurationWatcher).forEach { scope.launch { it.run() } }
+            watchers.forEach { watcher -> loops.start("watch ${watcher.kind}") { watcher.run() } }
             callerPort = server.start(settings.callers, MAXIMUM_HEADER_BYTES)
             val statusServer = StatusServer(eventLoop, scope) { status(it.substringBefore('?')) }
             statusServer.start(settings.readiness)
@@ -177,9 +180,9 @@
             publishGauges()
             peers.start(eventLoop)
             register()
-            scope.launch { peers.report() }
-            scope.launch { maintain() }
-            scope.launch { logTraffic() }
+            loops.start("load reports") { peers.report() }
+            loops.start("maintenance") { maintain() }
+            loops.start("traffic log") { logTraffic() }
             Unit
         }
 
@@ -226,7 +229,7 @@
     private fun register() {
         registration?.cancel()
         registration =
-            scope.launch {
+            loops.start("registration") {
                 peers.register()
                 sources.completePeerDiscovery()
             }
@@ -235,7 +238,7 @@
     private fun onStoreRestored() {
         metrics.count("store.eras", "new")
         log.dependency("store restored from an older copy", mapOf("era" to eras.current))
-        (longWatchers + configurationWatcher).forEach(KindWatcher::interrupt)
+        watchers.forEach(KindWatcher::interrupt)
         register()
     }
 
@@ -286,6 +289,9 @@
         metrics.gauge("replicas.quiet") { directory.all().count { it.isPaused } }
         metrics.gauge("replicas.limited") { directory.all().count { it.requestLimit.perSecond != null } }
         metrics.gauge("replicas.leaving.by.answer") { directory.announcedLeaving().size }
+        metrics.gauge("replicas.unreadable") { replicas.unreadableCount }
+        metrics.gauge("store.kinds.unfollowed") { watchers.count { !it.isFollowed } }
+        metrics.gauge("objects.failed") { watchers.sumOf { it.failedObjects } }
         metrics.gauge("store.era") { eras.current ?: 0 }
         metrics.gauge("instances.live") { liveInstances }
         metrics.gauge("peer.datagrams.sent") { peers.datagramsSent }
