Allow one head and one end for each response to a caller

Callers would see the head and text of an error inside a stream, or after the end of a response where the next one is due, if any path ended a response twice: CallerResponse took a second head, a body without a head, bytes after the end, and counted as complete after a reset. No path of the relay was found that does so; Exchange.refuse and reject relied on being called before the response starts.

CallerResponse now has a state, and any call out of order throws before it sends. Exchange ends a begun response by a reset, whether it refuses, rejects or fails. A reset has no effect on a complete response. A deadline that expires between the end of a stream and that of its coroutines no longer resets it; that window was found by reading.

--- a/relay/src/main/kotlin/io/sequoiawheel/relay/filter/Exchange.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/filter/Exchange.kt
@@ -50,7 +50,7 @@
         result = code
         logFields["proof"] = proof.name
         logFields["detail"] = detail
-        response.sendError(HttpResponseStatus.SERVICE_UNAVAILABLE, code, detail, retryAfterMillis)
+        endWithError(HttpResponseStatus.SERVICE_UNAVAILABLE, code, detail, retryAfterMillis)
     }
 
     /** Rejects a request that the configuration does not allow. */
@@ -60,20 +60,24 @@
     ) {
         result = code
         logFields["detail"] = detail
-        response.sendError(HttpResponseStatus.valueOf(code.httpStatus), code, detail)
+        endWithError(HttpResponseStatus.valueOf(code.httpStatus), code, detail)
     }
 
-    /** Fails a request that may have run. Aborts the response if it has already started. */
+    /** Fails a request that may have run. */
     suspend fun fail(
         code: ResultCode,
         detail: String,
     ) {
         result = code
         logFields["detail"] = detail
-        if (response.isStarted) {
-            response.abort()
-        } else {
-            response.sendError(HttpResponseStatus.valueOf(code.httpStatus), code, detail)
-        }
+        endWithError(HttpResponseStatus.valueOf(code.httpStatus), code, detail)
     }
+
+    /** Sends an error response, or aborts the response if it has already started. */
+    private suspend fun endWithError(
+        status: HttpResponseStatus,
+        code: ResultCode,
+        detail: String,
+        retryAfterMillis: Long? = null,
+    ) = if (response.isStarted) response.abort() else response.sendError(status, code, detail, retryAfterMillis)
 }
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/http/CallerResponse.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/http/CallerResponse.kt
@@ -15,8 +15,13 @@
 import kotlinx.serialization.json.buildJsonObject
 import java.util.Locale
 
+/** How far a response has got; the names are written to the log. */
+internal enum class ResponseProgress { NOT_STARTED, STARTED, COMPLETE, ABORTED }
+
 /**
- * The response to one request. It is complete after [sendComplete], [sendError] or [finish]; otherwise it is truncated.
+ * The response to one request. It has one head and one end: [sendComplete], [sendError] and [finish] complete it, and
+ * [abort] truncates it visibly. Any other order of calls is an error in the relay and throws [IllegalStateException]
+ * before anything is sent.
  */
 internal class CallerResponse(
     private val connection: CallerConnection,
@@ -27,11 +32,13 @@
     var keepsConnection = keepsConnection
         private set
 
-    var isStarted = false
+    /** How far the response has got. */
+    var progress = ResponseProgress.NOT_STARTED
         private set
 
-    var isComplete = false
-        private set
+    val isStarted: Boolean get() = progress != ResponseProgress.NOT_STARTED
+
+    val isComplete: Boolean get() = progress == ResponseProgress.COMPLETE
 
     /** The status code that was sent, or 0. */
     var status = 0
@@ -48,12 +55,13 @@
         headers: HttpHeaders?,
         body: ByteArray,
     ) {
+        expect(ResponseProgress.NOT_STARTED)
         val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.wrappedBuffer(body))
         headers?.let { response.headers().set(it) }
         response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.size)
         prepareHead(status, response.headers())
         connection.write(response)
-        isComplete = true
+        progress = ResponseProgress.COMPLETE
         connection.awaitWritable()
     }
 
@@ -81,6 +89,7 @@
         status: HttpResponseStatus,
         headers: HttpHeaders,
     ) {
+        expect(ResponseProgress.NOT_STARTED)
         val response = DefaultHttpResponse(HttpVersion.HTTP_1_1, status)
         response.headers().set(headers)
         response.headers().remove(HttpHeaderNames.CONTENT_LENGTH)
@@ -91,6 +100,7 @@
 
     /** Sends a chunk of the body, and waits until the write buffer of a slow caller has room again. */
     suspend fun write(bytes: ByteArray) {
+        expect(ResponseProgress.STARTED)
         connection.writeContent(bytes)
         connection.awaitWritable()
     }
@@ -100,18 +110,29 @@
 
     /** Sends the last chunk. */
     fun finish() {
+        expect(ResponseProgress.STARTED)
         connection.write(LastHttpContent.EMPTY_LAST_CONTENT)
-        isComplete = true
+        progress = ResponseProgress.COMPLETE
+    }
+
+    /**
+     * Resets the connection, so that the caller can tell that the response is incomplete. Has no effect on a complete
+     * response.
+     */
+    fun abort() {
+        if (isComplete) return
+        progress = ResponseProgress.ABORTED
+        connection.abort()
     }
 
-    /** Resets the connection, so that the caller can tell that the response is incomplete. */
-    fun abort() = connection.abort()
+    private fun expect(expected: ResponseProgress) =
+        check(progress == expected) { "the response is $progress, not $expected" }
 
     private fun prepareHead(
         status: HttpResponseStatus,
         headers: HttpHeaders,
     ) {
-        isStarted = true
+        progress = ResponseProgress.STARTED
         this.status = status.code()
         if (isLeaving()) keepsConnection = false
         if (!keepsConnection) headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationRelay.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationRelay.kt
@@ -30,7 +30,8 @@
                     }
                 }
             }
-        if (completed != null) return
+        // The deadline may expire between the end of the response and that of the coroutines.
+        if (completed != null || exchange.response.isComplete) return
         when {
             exchange.response.isStarted || exchange.mayHaveRun ->
                 exchange.fail(ResultCode.DEADLINE_AFTER_DISPATCH, "the stream did not end before the deadline")
