Log why a stream broke off, and count broken responses

A request's line said neither how the response ended for the caller nor, after a timeout or a disconnect, which replica and how many events there were, and each failure replaced the one before. Each failure after the response has begun now has a line with replica, role, cause and last event; the end has its fields however the request ended, with the response's state; sequoiawheel_responses_broken_total counts by cause or result code.

--- a/core/src/main/kotlin/io/sequoiawheel/core/relay/RelayConfiguration.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/RelayConfiguration.kt
@@ -109,7 +109,20 @@
     val tokensPerEvent: Int,
     val supportsMigration: Boolean,
     val supportsBackup: Boolean,
-)
+) {
+    companion object {
+        /** Profile of a streaming service without a model engine, which needs no KV cache to be reserved. */
+        val NONE =
+            EngineProfile(
+                slots = Int.MAX_VALUE,
+                memoryTokens = Int.MAX_VALUE,
+                bytesPerToken = 0,
+                tokensPerEvent = 1,
+                supportsMigration = false,
+                supportsBackup = false,
+            )
+    }
+}
 
 /** Limits on the size and duration of caller requests, and on idle connections. */
 data class CallerLimits(
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/filter/Exchange.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/filter/Exchange.kt
@@ -37,6 +37,9 @@
     /** The result code for the log and the metrics, or null if none has been set yet. */
     var result: ResultCode? = null
 
+    /** Why the response was last interrupted after it had begun, one of a few names, or null. */
+    var interruption: String? = null
+
     /** Additional fields for the request log that explain the result. */
     val logFields = LinkedHashMap<String, Any?>()
 
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/filter/OutcomeFilter.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/filter/OutcomeFilter.kt
@@ -34,6 +34,10 @@
         val durationMillis = clock.nowMillis() - exchange.request.receivedAtMillis
         val result = exchange.result ?: ResultCode.OK
         metrics.recordRequest(exchange.route?.kind?.name ?: "NONE", result.name, durationMillis)
+        if (exchange.response.isStarted && !exchange.response.isComplete) {
+            val interruption = exchange.interruption?.takeIf { result == ResultCode.STREAM_INTERRUPTED }
+            metrics.count("responses.broken", (interruption ?: result.name).lowercase())
+        }
         val fields =
             mapOf(
                 "request" to exchange.requestId,
@@ -43,6 +47,7 @@
                 "code" to result.number,
                 "result" to result.name,
                 "status" to exchange.response.status,
+                "response" to exchange.response.progress.name,
                 "milliseconds" to durationMillis,
             )
         log.request("request ended", fields + exchange.logFields)
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationAttempt.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationAttempt.kt
@@ -23,6 +23,9 @@
 internal sealed interface GenerationSignal {
     val attempt: GenerationAttempt
 
+    /** Why the attempt failed, or null if it did not. */
+    val failure: AttemptFailure? get() = null
+
     /** The replica accepted the request and its response stream started. */
     class Started(
         override val attempt: GenerationAttempt,
@@ -44,7 +47,9 @@
         override val attempt: GenerationAttempt,
         val head: HttpResponse,
         val body: ByteArray,
-    ) : GenerationSignal
+    ) : GenerationSignal {
+        override val failure get() = AttemptFailure(FailureCause.ERROR_RESPONSE, "responded with ${head.status()}")
+    }
 
     /**
      * The replica did not run the request.
@@ -56,13 +61,18 @@
         val proof: NotRunProof,
         val detail: String,
         val isUnavailable: Boolean = false,
-    ) : GenerationSignal
+    ) : GenerationSignal {
+        override val failure get() = AttemptFailure(FailureCause.REFUSAL, detail)
+    }
 
     /** The connection closed or delivered invalid data; the replica may or may not still be running the request. */
     class ConnectionFailed(
         override val attempt: GenerationAttempt,
         val detail: String,
-    ) : GenerationSignal
+        private val cause: FailureCause = FailureCause.CONNECTION,
+    ) : GenerationSignal {
+        override val failure get() = AttemptFailure(cause, detail)
+    }
 
     class ReplicaLeaving(
         override val attempt: GenerationAttempt,
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationRun.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationRun.kt
@@ -33,11 +33,10 @@
     private val scope: CoroutineScope,
 ) {
     private val route = checkNotNull(exchange.route)
-    private val engine = service.engine ?: NO_ENGINE
+    private val engine = service.engine ?: EngineProfile.NONE
     private val requests = BackendRequests(context.clock)
     private val signals = SignalQueue<GenerationSignal>()
     private val demand = exchange.demand
-    private val timing = DeliveryTiming(context.clock, exchange.request.receivedAtMillis)
     private val delivery =
         Delivery(
             exchange.request.headers
@@ -46,6 +45,8 @@
                 ?.toLongOrNull(),
         )
 
+    private val log = GenerationLog(context, exchange, delivery)
+
     /** Only generations whose streams cannot be resumed are backed up to another replica. */
     private val wantsBackup = !route.isResumable && exchange.requestId != null
 
@@ -70,7 +71,6 @@
     /** Number of attempts that a replica may have executed, without those that continued from a copy. */
     private var runs = 0
     private var refusals = 0
-    private var moveCount = 0
     private var isFinished = false
     private var retryAfterMillis = ReplicaPlacement.FULL_GENERATIONS_MILLIS
 
@@ -85,14 +85,11 @@
             val signal = signals.receiveWithin(STALL_CHECK_MILLIS)
             if (signal == null) checkForStall() else handle(signal)
         }
-        exchange.logFields["moves"] = moveCount.takeIf { it > 0 }
-        exchange.logFields["events"] = delivery.delivered
-        exchange.logFields += timing.logFields()
-        exchange.logFields["replica"] = current?.replica.toString()
     }
 
-    /** Cancels all attempts and jobs of this request. */
+    /** Cancels all attempts and jobs of this request, which may have been cancelled itself. */
     fun stop() {
+        log.recordEnd(current?.replica)
         current?.cancel()
         successor?.cancel()
         copyJob?.cancel()
@@ -100,6 +97,7 @@
     }
 
     private suspend fun handle(signal: GenerationSignal) {
+        log.recordFailure(signal, isSuccessor = signal.attempt === successor)
         when (signal) {
             is GenerationSignal.Started -> handleStarted(signal.attempt, signal.head)
             is GenerationSignal.Failed -> handleFailed(signal)
@@ -147,22 +145,13 @@
     ) {
         when {
             attempt === successor -> {
-                moveCount++
                 current?.let {
                     it.cancel()
                     abandoned += it.replica
                 }
                 current = attempt
                 successor = null
-                context.log.request(
-                    "generation moved",
-                    mapOf(
-                        "request" to exchange.requestId,
-                        "replica" to attempt.replica.toString(),
-                        "lastEvent" to delivery.lastId,
-                    ) + MOVE_LOG_FIELDS.associateWith { exchange.logFields.remove(it) },
-                )
-                context.metrics.count("moves", "continued")
+                log.recordMove(attempt.replica)
                 watchForLeaving(attempt)
             }
 
@@ -176,7 +165,7 @@
         when (delivery.decide(signal.event.id)) {
             DeliveryDecision.DELIVER -> {
                 if (signal.event.id != null) signal.attempt.recordProgress()
-                timing.recordDelivery(signal.event.id)
+                log.recordDelivery(signal.event.id)
                 exchange.response.write(signal.event.bytes)
             }
 
@@ -360,20 +349,6 @@
     }
 
     private companion object {
-        /** Profile of a streaming service without a model engine, which needs no KV cache to be reserved. */
-        val NO_ENGINE =
-            EngineProfile(
-                slots = Int.MAX_VALUE,
-                memoryTokens = Int.MAX_VALUE,
-                bytesPerToken = 0,
-                tokensPerEvent = 1,
-                supportsMigration = false,
-                supportsBackup = false,
-            )
-
-        /** Log fields that explain a move. They are removed once logged, so as not to explain a later end. */
-        val MOVE_LOG_FIELDS = listOf("left", "lostReplica", "backup", "copyFailed", "takeOverFailed")
-
         /** Refusals after which the request is retried; the next refusal is reported to the caller. */
         const val MAXIMUM_REFUSED_RETRIES = 2
 
