Pass on only what continues a begun stream

Callers of a stream that broke off found the text of another response, at times a whole head, between their events, and the stream ended as if it were complete, or without its remaining events.

One class: bytes of a replica were trusted to belong where they arrived.

Each attempt now has a ReplicaStream. The next replica must answer with the status and media type of the response; its events without an id are skipped until a numbered one shows where it continues; lines that are no comments or fields, several ids or one that is no number, a gap, or an end before the last delivered event count as a broken connection: the run continues elsewhere if it may, or the response is reset. A stream whose events have no ids is not sent again, since they would be repeated. A byte order mark no longer hides the first id.

--- a/core/src/main/kotlin/io/sequoiawheel/core/relay/EventSplitter.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/EventSplitter.kt
@@ -7,18 +7,30 @@
 /**
  * One complete event, including its terminating blank line.
  *
- * @property id the value of its `id` field as a number, or null if it has none
+ * @property id the value of its `id` field as a number, or null if it has none or it is not a number
+ * @property hasId whether it has an `id` field
+ * @property isWellFormed whether it consists of comments and fields, with one `id` at most
  */
 class StreamEvent(
     val bytes: ByteArray,
     val id: Long?,
+    val hasId: Boolean,
+    val isWellFormed: Boolean,
 )
 
-/** Buffers bytes and returns the events that they complete. Not thread-safe. */
-class EventSplitter {
+/**
+ * Buffers bytes and returns the events that they complete. Not thread-safe.
+ *
+ * @param keepsByteOrderMark whether a byte order mark at the start of the stream is part of its first event; a mark is
+ * valid at the start of a response only
+ */
+class EventSplitter(
+    private val keepsByteOrderMark: Boolean = true,
+) {
     private var buffer = ByteArray(INITIAL_BYTES)
     private var size = 0
     private var scanned = 0
+    private var isFirst = true
 
     /** Number of buffered bytes of an incomplete event. */
     val pendingBytes: Int get() = size
@@ -34,7 +46,8 @@
         val events = ArrayList<StreamEvent>()
         while (true) {
             val end = findEnd() ?: break
-            events += StreamEvent(buffer.copyOf(end), idOf(end))
+            events += eventOf(end)
+            isFirst = false
             buffer.copyInto(buffer, 0, end, size)
             size -= end
             scanned = 0
@@ -62,13 +75,51 @@
         return null
     }
 
-    private fun idOf(end: Int): Long? =
-        String(buffer, 0, end, Charsets.UTF_8)
-            .lineSequence()
-            .firstOrNull { it.startsWith(ID_FIELD) }
-            ?.removePrefix(ID_FIELD)
-            ?.trim()
-            ?.toLongOrNull()
+    private fun eventOf(end: Int): StreamEvent {
+        val markLength = if (isFirst && startsWith(BYTE_ORDER_MARK, 0, end)) BYTE_ORDER_MARK.size else 0
+        val ids = ArrayList<String>(1)
+        var isWellFormed = true
+        var start = markLength
+        while (start < end) {
+            var lineEnd = start
+            while (buffer[lineEnd] != NEWLINE) lineEnd++
+            val length = if (lineEnd > start && buffer[lineEnd - 1] == CARRIAGE_RETURN) lineEnd - 1 else lineEnd
+            isWellFormed = isWellFormed && isWellFormed(start, length)
+            if (startsWith(ID_FIELD, start, length)) ids += String(buffer, start, length - start, Charsets.UTF_8)
+            start = lineEnd + 1
+        }
+        return StreamEvent(
+            buffer.copyOfRange(if (keepsByteOrderMark) 0 else markLength, end),
+            ids
+                .firstOrNull()
+                ?.substringAfter(':')
+                ?.trim()
+                ?.toLongOrNull(),
+            hasId = ids.isNotEmpty(),
+            isWellFormed = isWellFormed && ids.size <= 1,
+        )
+    }
+
+    /**
+     * Whether a line is a comment or a field, whose name consists of ASCII letters, digits, hyphens and underscores. No
+     * status line of a response, HTML or JSON does.
+     */
+    private fun isWellFormed(
+        start: Int,
+        end: Int,
+    ): Boolean {
+        var index = start
+        while (index < end && buffer[index] != COLON) {
+            if (buffer[index++].toInt().toChar() !in NAME_CHARACTERS) return false
+        }
+        return (index until end).none { buffer[it] == CARRIAGE_RETURN }
+    }
+
+    private fun startsWith(
+        prefix: ByteArray,
+        start: Int,
+        end: Int,
+    ): Boolean = end - start >= prefix.size && prefix.indices.all { buffer[start + it] == prefix[it] }
 
     private fun ensureCapacity(needed: Int) {
         if (needed <= buffer.size) return
@@ -76,9 +127,12 @@
     }
 
     private companion object {
+        val NAME_CHARACTERS = (('a'..'z') + ('A'..'Z') + ('0'..'9') + '-' + '_').toSet()
         const val INITIAL_BYTES = 1_024
         const val NEWLINE = '\n'.code.toByte()
         const val CARRIAGE_RETURN = '\r'.code.toByte()
-        const val ID_FIELD = "id:"
+        const val COLON = ':'.code.toByte()
+        val ID_FIELD = "id:".toByteArray()
+        val BYTE_ORDER_MARK = "\uFEFF".toByteArray()
     }
 }
--- a/core/src/test/kotlin/io/sequoiawheel/core/relay/EventSplitterTest.kt
+++ b/core/src/test/kotlin/io/sequoiawheel/core/relay/EventSplitterTest.kt
@@ -29,4 +29,15 @@
     fun `a non-numeric id is ignored`() {
         assertNull(EventSplitter().append("id: x\n\n".toByteArray()).single().id)
     }
+
+    // Guards against a first event that is sent twice because its id is not recognized after a byte order mark.
+    @Test
+    fun `a byte order mark is kept at the start of a response and dropped where a response continues`() {
+        val text = "\uFEFFid: 1\n\n"
+        val kept = EventSplitter(keepsByteOrderMark = true).append(text.toByteArray()).single()
+        val dropped = EventSplitter(keepsByteOrderMark = false).append(text.toByteArray()).single()
+        assertEquals(listOf(1L, 1L), listOf(kept.id, dropped.id))
+        assertEquals(text, String(kept.bytes))
+        assertEquals("id: 1\n\n", String(dropped.bytes))
+    }
 }
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/http/CallerResponse.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/http/CallerResponse.kt
@@ -8,6 +8,7 @@
 import io.netty.handler.codec.http.HttpHeaderValues
 import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpResponseStatus
+import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
 import io.sequoiawheel.core.model.ResultCode
@@ -44,6 +45,10 @@
     var status = 0
         private set
 
+    /** The media type that was sent, or null. */
+    var mediaType: String? = null
+        private set
+
     /** Closes the connection after this response. */
     fun closeWhenComplete() {
         keepsConnection = false
@@ -134,6 +139,7 @@
     ) {
         progress = ResponseProgress.STARTED
         this.status = status.code()
+        mediaType = headers.get(HttpHeaderNames.CONTENT_TYPE)?.let(::mediaTypeOf)
         if (isLeaving()) keepsConnection = false
         if (!keepsConnection) headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
     }
@@ -144,6 +150,15 @@
         /** Returns the `100 Continue` response, which asks the caller to send the body. */
         fun continueResponse() = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE)
 
+        /** Returns the media type of the value of a `Content-Type` header, without its parameters. */
+        fun mediaTypeOf(contentType: CharSequence): String =
+            HttpUtil
+                .getMimeType(contentType)
+                ?.toString()
+                .orEmpty()
+                .trim()
+                .lowercase()
+
         private fun seconds(millis: Long) = String.format(Locale.ROOT, "%.3f", millis / MILLIS_PER_SECOND)
     }
 }
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationAttempt.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationAttempt.kt
@@ -7,6 +7,7 @@
 import io.sequoiawheel.core.relay.LeaveReason
 import io.sequoiawheel.core.relay.NotRunProof
 import io.sequoiawheel.core.relay.Replica
+import io.sequoiawheel.core.relay.ReplicaStream
 import io.sequoiawheel.core.relay.StreamEvent
 import io.sequoiawheel.platform.Headers
 import io.sequoiawheel.relay.backend.BackendConnection
@@ -96,6 +97,7 @@
  * its reserved load when it ends.
  *
  * @property backup the replica that is to receive a continuously updated copy of the run, or null
+ * @property stream decides which of the attempt's events are delivered
  * @param headers headers to add to the caller's request
  */
 internal class GenerationAttempt(
@@ -104,6 +106,7 @@
     val replica: Replica,
     private val demand: GenerationDemand,
     val backup: Replica?,
+    val stream: ReplicaStream,
     private val headers: Map<String, String>,
     private val purpose: SendPurpose,
     private val signals: SendChannel<GenerationSignal>,
@@ -169,6 +172,12 @@
         connection?.takeIf { !isExchangeComplete }?.abort()
     }
 
+    /** Cancels the attempt because its stream does not continue the response, and returns the signal of its failure. */
+    fun rejectStream(detail: String): GenerationSignal.ConnectionFailed {
+        cancel()
+        return GenerationSignal.ConnectionFailed(this, "$replica: $detail", FailureCause.INVALID_STREAM)
+    }
+
     private fun finishPrefill() {
         if (needsPrefill) replica.load.endPrompt(demand.promptTokens.toLong())
         needsPrefill = false
@@ -224,6 +233,7 @@
             return
         }
         if (!head.isSigned) throw IOException("success response without a signature")
+        if (!head.canContinue(exchange.response)) throw IOException("response of another status or media type")
         hasStarted = true
         finishPrefill()
         lastProgressMillis = context.clock.nowMillis()
@@ -232,7 +242,7 @@
     }
 
     private suspend fun relayEvents(opened: BackendConnection) {
-        val splitter = EventSplitter()
+        val splitter = EventSplitter(keepsByteOrderMark = !exchange.response.isStarted)
         while (true) {
             val content = opened.receiveContent()
             val isLast = content is LastHttpContent
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationRun.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationRun.kt
@@ -18,6 +18,7 @@
 import io.sequoiawheel.core.relay.RelayService
 import io.sequoiawheel.core.relay.Replica
 import io.sequoiawheel.core.relay.ReplicaPlacement
+import io.sequoiawheel.core.relay.ReplicaStream
 import io.sequoiawheel.core.relay.SignalQueue
 import io.sequoiawheel.platform.Headers
 import io.sequoiawheel.relay.filter.Exchange
@@ -104,14 +105,14 @@
             is GenerationSignal.NotRun -> if (!discardSuccessor(signal.attempt, signal.detail)) handleNotRun(signal)
             is GenerationSignal.ConnectionFailed ->
                 if (!discardSuccessor(signal.attempt, signal.detail)) handleConnectionFailed(signal)
+            is GenerationSignal.Event -> if (signal.attempt === current) deliver(signal)
+            is GenerationSignal.Completed -> if (signal.attempt === current) complete(signal.attempt)
             else -> if (signal.attempt === current || signal.attempt === attemptAwaitingCopy) handleCurrent(signal)
         }
     }
 
     private suspend fun handleCurrent(signal: GenerationSignal) {
         when (signal) {
-            is GenerationSignal.Event -> deliver(signal)
-            is GenerationSignal.Completed -> complete()
             is GenerationSignal.ReplicaLeaving -> handleReplicaLeaving(signal)
             is GenerationSignal.CopyReady -> if (successor == null) continueFrom(signal.copy)
             is GenerationSignal.CopyFailed -> {
@@ -162,21 +163,22 @@
     }
 
     private suspend fun deliver(signal: GenerationSignal.Event) {
-        when (delivery.decide(signal.event.id)) {
+        val event = signal.event
+        when (val decision = signal.attempt.stream.decide(event)) {
             DeliveryDecision.DELIVER -> {
-                if (signal.event.id != null) signal.attempt.recordProgress()
-                log.recordDelivery(signal.event.id)
-                exchange.response.write(signal.event.bytes)
+                if (event.id != null) signal.attempt.recordProgress()
+                log.recordDelivery(event.id)
+                exchange.response.write(event.bytes)
             }
 
             DeliveryDecision.SKIP -> Unit
-            DeliveryDecision.GAP -> {
-                fail(ResultCode.STREAM_INTERRUPTED, "event ${signal.event.id} follows ${delivery.lastId}")
-            }
+            DeliveryDecision.GAP, DeliveryDecision.INVALID ->
+                handle(signal.attempt.rejectStream("$decision: event ${event.id} after ${delivery.lastId}"))
         }
     }
 
-    private fun complete() {
+    private suspend fun complete(attempt: GenerationAttempt) {
+        if (!attempt.stream.isAtEnd) return handle(attempt.rejectStream("ended before event ${delivery.lastId}"))
         isFinished = true
         exchange.result = ResultCode.OK
         exchange.response.finish()
@@ -293,8 +295,12 @@
         if (continueFromBackup(attempt)) exchange.logFields["silentMilliseconds"] = stalledMillis
     }
 
-    /** Selects a replica and sends the request to it. Returns false if no replica is available. */
+    /**
+     * Selects a replica and sends the request to it. Returns false if no replica is available, or if the delivered
+     * events have no ids to continue from.
+     */
     private fun startAttempt(excluded: Set<Replica>): Boolean {
+        if (delivery.delivered > 0 && delivery.lastId == null) return false
         val usable = context.directory.usable(service.name)
         val placement = context.placement.forGeneration(usable, excluded, demand, engine, service)
         retryAfterMillis =
@@ -319,7 +325,18 @@
         val backup = if (wantsBackup) copier.chooseBackup(replica, abandoned, service, demand) else null
         val backupHeader = backup?.let { mapOf(Headers.BACKUP_REPLICA to it.entry.address) }.orEmpty()
         val allHeaders = headers + backupHeader
-        return GenerationAttempt(context, exchange, replica, demand, backup, allHeaders, purpose, signals.sender)
+        val stream = ReplicaStream(delivery, headers[Headers.LAST_EVENT_ID]?.toLongOrNull())
+        return GenerationAttempt(
+            context,
+            exchange,
+            replica,
+            demand,
+            backup,
+            stream,
+            allHeaders,
+            purpose,
+            signals.sender,
+        )
     }
 
     private fun watchForLeaving(attempt: GenerationAttempt) {
--- a/relay/src/test/kotlin/io/sequoiawheel/relay/StreamMoveTest.kt
+++ b/relay/src/test/kotlin/io/sequoiawheel/relay/StreamMoveTest.kt
@@ -163,6 +163,24 @@
         assertEquals(1, fixture.receivers.size)
     }
 
+    // Guards against broken streams that no metric shows.
+    @Test
+    fun `a response that broke off is counted by its reason`() {
+        fixture.start({ request, answer ->
+            answer.startStream(request)
+            sendEvents(answer, 1..2)
+            answer.sendChunk("upstream failed\n\n")
+            answer.endStream()
+        })
+        fixture.send(NOT_RESUMABLE)
+        val line = "sequoiawheel_responses_broken_total{reason=\"invalid_stream\"} 1.0"
+        RelayFixture.awaitTrue("the broken response is counted") {
+            line in
+                fixture.relay.daemon.metrics
+                    .scrape()
+        }
+    }
+
     private companion object {
         const val SETTLE_MILLIS = 60L
         const val EVENT_MILLIS = 15L
