Treat a failed write as the end of a connection without its response

A response without a length that was reset while its request was still being written could count as whole: the failed write closes the channel, and the decoder takes the close for the end of the body. A failed write now ends the queue of received messages with that failure.

--- a/relay/src/main/kotlin/io/sequoiawheel/relay/backend/BackendConnection.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/backend/BackendConnection.kt
@@ -122,7 +122,8 @@
         isExchanging = true
         sentRequestId = request.headers().get(Headers.REQUEST_ID)
         sentAtMillis = clock.nowMillis()
-        requestWrite = channel.writeAndFlush(request)
+        // A reset may be noticed by this write first. What was received by then is not ended by the connection's close.
+        requestWrite = channel.writeAndFlush(request).addListener { if (!it.isSuccess) inbound.close(it.cause()) }
     }
 
     /**
