--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationAttempt.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationAttempt.kt
@@ -7,6 +7,7 @@
 import io.sequoiawheel.core.relay.LeaveReason
 import io.sequoiawheel.core.relay.NotRunProof
 import io.sequoiawheel.core.relay.Replica
+import io.sequoiawheel.core.relay.ReplicaStream
 import io.sequoiawheel.core.relay.StreamEvent
 import io.sequoiawheel.platform.Headers
 import io.sequoiawheel.relay.backend.BackendConnection
@@ -23,6 +24,9 @@
 internal sealed interface GenerationSignal {
     val attempt: GenerationAttempt
 
+    /** Why the attempt failed, or null if it did not. */
+    val failure: AttemptFailure? get() = null
+
     /** The replica accepted the request and its response stream started. */
     class Started(
         override val attempt: GenerationAttempt,
@@ -44,7 +48,9 @@
         override val attempt: GenerationAttempt,
         val head: HttpResponse,
         val body: ByteArray,
-    ) : GenerationSignal
+    ) : GenerationSignal {
+        override val failure get() = AttemptFailure(FailureCause.ERROR_RESPONSE, "responded with ${head.status()}")
+    }
 
     /**
      * The replica did not run the request.
@@ -56,13 +62,18 @@
         val proof: NotRunProof,
         val detail: String,
         val isUnavailable: Boolean = false,
-    ) : GenerationSignal
+    ) : GenerationSignal {
+        override val failure get() = AttemptFailure(FailureCause.REFUSAL, detail)
+    }
 
     /** The connection closed or delivered invalid data; the replica may or may not still be running the request. */
     class ConnectionFailed(
         override val attempt: GenerationAttempt,
         val detail: String,
-    ) : GenerationSignal
+        private val cause: FailureCause = FailureCause.CONNECTION,
+    ) : GenerationSignal {
+        override val failure get() = AttemptFailure(cause, detail)
+    }
 
     class ReplicaLeaving(
         override val attempt: GenerationAttempt,
@@ -86,6 +97,7 @@
  * its reserved load when it ends.
  *
  * @property backup the replica that is to receive a continuously updated copy of the run, or null
+ * @property stream decides which of the attempt's events are delivered
  * @param headers headers to add to the caller's request
  */
 internal class GenerationAttempt(
@@ -94,6 +106,7 @@
     val replica: Replica,
     private val demand: GenerationDemand,
     val backup: Replica?,
+    val stream: ReplicaStream,
     private val headers: Map<String, String>,
     private val purpose: SendPurpose,
     private val signals: SendChannel<GenerationSignal>,
@@ -159,6 +172,12 @@
         connection?.takeIf { !isExchangeComplete }?.abort()
     }
 
+    /** Cancels the attempt because its stream does not continue the response, and returns the signal of its failure. */
+    fun rejectStream(detail: String): GenerationSignal.ConnectionFailed {
+        cancel()
+        return GenerationSignal.ConnectionFailed(this, "$replica: $detail", FailureCause.INVALID_STREAM)
+    }
+
     private fun finishPrefill() {
         if (needsPrefill) replica.load.endPrompt(demand.promptTokens.toLong())
         needsPrefill = false
@@ -214,6 +233,7 @@
             return
         }
         if (!head.isSigned) throw IOException("success response without a signature")
+        if (!head.canContinue(exchange.response)) throw IOException("response of another status or media type")
         hasStarted = true
         finishPrefill()
         lastProgressMillis = context.clock.nowMillis()
@@ -222,7 +242,7 @@
     }
 
     private suspend fun relayEvents(opened: BackendConnection) {
-        val splitter = EventSplitter()
+        val splitter = EventSplitter(keepsByteOrderMark = !exchange.response.isStarted)
         while (true) {
             val content = opened.receiveContent()
             val isLast = content is LastHttpContent
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationRun.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationRun.kt
@@ -18,6 +18,7 @@
 import io.sequoiawheel.core.relay.RelayService
 import io.sequoiawheel.core.relay.Replica
 import io.sequoiawheel.core.relay.ReplicaPlacement
+import io.sequoiawheel.core.relay.ReplicaStream
 import io.sequoiawheel.core.relay.SignalQueue
 import io.sequoiawheel.platform.Headers
 import io.sequoiawheel.relay.filter.Exchange
@@ -33,11 +34,10 @@
     private val scope: CoroutineScope,
 ) {
     private val route = checkNotNull(exchange.route)
-    private val engine = service.engine ?: NO_ENGINE
+    private val engine = service.engine ?: EngineProfile.NONE
     private val requests = BackendRequests(context.clock)
     private val signals = SignalQueue<GenerationSignal>()
     private val demand = exchange.demand
-    private val timing = DeliveryTiming(context.clock, exchange.request.receivedAtMillis)
     private val delivery =
         Delivery(
             exchange.request.headers
@@ -46,6 +46,8 @@
                 ?.toLongOrNull(),
         )
 
+    private val log = GenerationLog(context, exchange, delivery)
+
     /** Only generations whose streams cannot be resumed are backed up to another replica. */
     private val wantsBackup = !route.isResumable && exchange.requestId != null
 
@@ -70,7 +72,6 @@
     /** Number of attempts that a replica may have executed, without those that continued from a copy. */
     private var runs = 0
     private var refusals = 0
-    private var moveCount = 0
     private var isFinished = false
     private var retryAfterMillis = ReplicaPlacement.FULL_GENERATIONS_MILLIS
 
@@ -85,14 +86,11 @@
             val signal = signals.receiveWithin(STALL_CHECK_MILLIS)
             if (signal == null) checkForStall() else handle(signal)
         }
-        exchange.logFields["moves"] = moveCount.takeIf { it > 0 }
-        exchange.logFields["events"] = delivery.delivered
-        exchange.logFields += timing.logFields()
-        exchange.logFields["replica"] = current?.replica.toString()
     }
 
-    /** Cancels all attempts and jobs of this request. */
+    /** Cancels all attempts and jobs of this request, which may have been cancelled itself. */
     fun stop() {
+        log.recordEnd(current?.replica)
         current?.cancel()
         successor?.cancel()
         copyJob?.cancel()
@@ -100,20 +98,21 @@
     }
 
     private suspend fun handle(signal: GenerationSignal) {
+        log.recordFailure(signal, isSuccessor = signal.attempt === successor)
         when (signal) {
             is GenerationSignal.Started -> handleStarted(signal.attempt, signal.head)
             is GenerationSignal.Failed -> handleFailed(signal)
             is GenerationSignal.NotRun -> if (!discardSuccessor(signal.attempt, signal.detail)) handleNotRun(signal)
             is GenerationSignal.ConnectionFailed ->
                 if (!discardSuccessor(signal.attempt, signal.detail)) handleConnectionFailed(signal)
+            is GenerationSignal.Event -> if (signal.attempt === current) deliver(signal)
+            is GenerationSignal.Completed -> if (signal.attempt === current) complete(signal.attempt)
             else -> if (signal.attempt === current || signal.attempt === attemptAwaitingCopy) handleCurrent(signal)
         }
     }
 
     private suspend fun handleCurrent(signal: GenerationSignal) {
         when (signal) {
-            is GenerationSignal.Event -> deliver(signal)
-            is GenerationSignal.Completed -> complete()
             is GenerationSignal.ReplicaLeaving -> handleReplicaLeaving(signal)
             is GenerationSignal.CopyReady -> if (successor == null) continueFrom(signal.copy)
             is GenerationSignal.CopyFailed -> {
@@ -147,22 +146,13 @@
     ) {
         when {
             attempt === successor -> {
-                moveCount++
                 current?.let {
                     it.cancel()
                     abandoned += it.replica
                 }
                 current = attempt
                 successor = null
-                context.log.request(
-                    "generation moved",
-                    mapOf(
-                        "request" to exchange.requestId,
-                        "replica" to attempt.replica.toString(),
-                        "lastEvent" to delivery.lastId,
-                    ) + MOVE_LOG_FIELDS.associateWith { exchange.logFields.remove(it) },
-                )
-                context.metrics.count("moves", "continued")
+                log.recordMove(attempt.replica)
                 watchForLeaving(attempt)
             }
 
@@ -173,21 +163,22 @@
     }
 
     private suspend fun deliver(signal: GenerationSignal.Event) {
-        when (delivery.decide(signal.event.id)) {
+        val event = signal.event
+        when (val decision = signal.attempt.stream.decide(event)) {
             DeliveryDecision.DELIVER -> {
-                if (signal.event.id != null) signal.attempt.recordProgress()
-                timing.recordDelivery(signal.event.id)
-                exchange.response.write(signal.event.bytes)
+                if (event.id != null) signal.attempt.recordProgress()
+                log.recordDelivery(event.id)
+                exchange.response.write(event.bytes)
             }
 
             DeliveryDecision.SKIP -> Unit
-            DeliveryDecision.GAP -> {
-                fail(ResultCode.STREAM_INTERRUPTED, "event ${signal.event.id} follows ${delivery.lastId}")
-            }
+            DeliveryDecision.GAP, DeliveryDecision.INVALID ->
+                handle(signal.attempt.rejectStream("$decision: event ${event.id} after ${delivery.lastId}"))
         }
     }
 
-    private fun complete() {
+    private suspend fun complete(attempt: GenerationAttempt) {
+        if (!attempt.stream.isAtEnd) return handle(attempt.rejectStream("ended before event ${delivery.lastId}"))
         isFinished = true
         exchange.result = ResultCode.OK
         exchange.response.finish()
@@ -304,8 +295,12 @@
         if (continueFromBackup(attempt)) exchange.logFields["silentMilliseconds"] = stalledMillis
     }
 
-    /** Selects a replica and sends the request to it. Returns false if no replica is available. */
+    /**
+     * Selects a replica and sends the request to it. Returns false if no replica is available, or if the delivered
+     * events have no ids to continue from.
+     */
     private fun startAttempt(excluded: Set<Replica>): Boolean {
+        if (delivery.delivered > 0 && delivery.lastId == null) return false
         val usable = context.directory.usable(service.name)
         val placement = context.placement.forGeneration(usable, excluded, demand, engine, service)
         retryAfterMillis =
@@ -330,7 +325,18 @@
         val backup = if (wantsBackup) copier.chooseBackup(replica, abandoned, service, demand) else null
         val backupHeader = backup?.let { mapOf(Headers.BACKUP_REPLICA to it.entry.address) }.orEmpty()
         val allHeaders = headers + backupHeader
-        return GenerationAttempt(context, exchange, replica, demand, backup, allHeaders, purpose, signals.sender)
+        val stream = ReplicaStream(delivery, headers[Headers.LAST_EVENT_ID]?.toLongOrNull())
+        return GenerationAttempt(
+            context,
+            exchange,
+            replica,
+            demand,
+            backup,
+            stream,
+            allHeaders,
+            purpose,
+            signals.sender,
+        )
     }
 
     private fun watchForLeaving(attempt: GenerationAttempt) {
@@ -360,20 +366,6 @@
     }
 
     private companion object {
-        /** Profile of a streaming service without a model engine, which needs no KV cache to be reserved. */
-        val NO_ENGINE =
-            EngineProfile(
-                slots = Int.MAX_VALUE,
-                memoryTokens = Int.MAX_VALUE,
-                bytesPerToken = 0,
-                tokensPerEvent = 1,
-                supportsMigration = false,
-                supportsBackup = false,
-            )
-
-        /** Log fields that explain a move. They are removed once logged, so as not to explain a later end. */
-        val MOVE_LOG_FIELDS = listOf("left", "lostReplica", "backup", "copyFailed", "takeOverFailed")
-
         /** Refusals after which the request is retried; the next refusal is reported to the caller. */
         const val MAXIMUM_REFUSED_RETRIES = 2
 
