Log refusals that lead to another send, and responses of no request

A request that ran twice after a refusal left nothing in the log that told a second refusal of the replica from a late copy of the first.

Each refusal after which a request is sent again has a line of its own, with the replica, whether its connection had carried another request, and how often the request was sent so far; `request ended` has the number of sends. Final responses that belong to no request are logged and counted by reason: none in progress, no id, another id, or the request in progress was answered before. No decision changes.

--- a/relay/src/main/kotlin/io/sequoiawheel/relay/backend/BackendConnection.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/backend/BackendConnection.kt
@@ -51,6 +51,9 @@
     private var sentRequestId: String? = null
     private var sentAtMillis: Long? = null
 
+    /** Whether a final response to the request in progress was received. */
+    private var isAnswered = false
+
     /** Whether at least one exchange was completed before. */
     var isReused = false
         private set
@@ -72,8 +75,10 @@
         message: Any,
     ) {
         if (message is HttpResponse && message.decoderResult().isSuccess) {
-            val answersRequest = isExchanging && message.headers().get(Headers.REQUEST_ID) == sentRequestId
-            onHead(ResponseHead(message, sentAtMillis.takeIf { answersRequest }))
+            val unmatched = unmatchedReason(message)
+            onHead(ResponseHead(message, sentAtMillis.takeIf { unmatched == null }, unmatched))
+            val isFinal = message.status().codeClass() != HttpStatusClass.INFORMATIONAL
+            isAnswered = isAnswered || unmatched == null && isFinal
         }
         if (!isExchanging) {
             // Data received outside an exchange belongs to no request.
@@ -87,6 +92,17 @@
         inbound.offer(message as HttpObject)
     }
 
+    private fun unmatchedReason(head: HttpResponse): UnmatchedReason? {
+        val echoedId = head.headers().get(Headers.REQUEST_ID)
+        return when {
+            !isExchanging -> UnmatchedReason.NO_REQUEST
+            sentRequestId != null && echoedId == null -> UnmatchedReason.NO_ID
+            sentRequestId != null && echoedId != sentRequestId -> UnmatchedReason.OTHER_ID
+            isAnswered -> UnmatchedReason.REPEATED
+            else -> null
+        }
+    }
+
     /** Starts a timeout for an incomplete response head, so that an endless stream of bytes fails the exchange. */
     override fun channelReadComplete(context: ChannelHandlerContext) {
         val isPartialHead = isExchanging && !isInResponse && !hasDecodedMessage
@@ -120,6 +136,7 @@
             throw ConnectionEndedException("connection closed before the request was sent", isReset = false)
         }
         isExchanging = true
+        isAnswered = false
         sentRequestId = request.headers().get(Headers.REQUEST_ID)
         sentAtMillis = clock.nowMillis()
         requestWrite = channel.writeAndFlush(request)
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/filter/Exchange.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/filter/Exchange.kt
@@ -34,6 +34,9 @@
     /** Whether any byte of the request may have been sent to a replica that did not refuse it. */
     var mayHaveRun = false
 
+    /** Number of times that the request was sent to a replica. */
+    var sends = 0
+
     /** The result code for the log and the metrics, or null if none has been set yet. */
     var result: ResultCode? = null
 
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/filter/OutcomeFilter.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/filter/OutcomeFilter.kt
@@ -44,6 +44,7 @@
                 "result" to result.name,
                 "status" to exchange.response.status,
                 "milliseconds" to durationMillis,
+                "sends" to exchange.sends,
             )
         log.request("request ended", fields + exchange.logFields)
     }
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/CallRelay.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/CallRelay.kt
@@ -26,10 +26,15 @@
         val body: ByteArray,
     ) : AttemptResult
 
-    /** The call certainly did not run. */
+    /**
+     * The call certainly did not run.
+     *
+     * @property isReusedConnection whether the connection had carried another request before
+     */
     class NotRun(
         val proof: NotRunProof,
         val detail: String,
+        val isReusedConnection: Boolean = false,
     ) : AttemptResult
 
     /** The replica stopped accepting requests before the call was sent, so nothing was sent. */
@@ -94,7 +99,7 @@
                 if (triedReplicas.isEmpty()) context.retryBudget(service.name).recordRequest()
                 triedReplicas += replica
                 val result = attempt(replica)
-                if (handleResult(result)) return
+                if (handleResult(replica, result)) return
             }
         }
 
@@ -105,7 +110,10 @@
         }
 
         /** Answers the caller if [result] is final. Returns false if the call is to be attempted again. */
-        private suspend fun handleResult(result: AttemptResult): Boolean {
+        private suspend fun handleResult(
+            replica: Replica,
+            result: AttemptResult,
+        ): Boolean {
             when (result) {
                 is AttemptResult.Responded -> {
                     runs++
@@ -121,6 +129,9 @@
                     if (result.proof == NotRunProof.REFUSED_BY_REPLICA && !mayRetryRefused()) {
                         giveUp(result)
                     } else if (refusals++ < MAXIMUM_REFUSED_RETRIES) {
+                        if (result.proof == NotRunProof.REFUSED_BY_REPLICA) {
+                            context.logResend(exchange, replica, result.detail, result.isReusedConnection)
+                        }
                         return false
                     } else {
                         giveUp(result)
@@ -211,6 +222,7 @@
                         return@use AttemptResult.ReplicaUnavailable
                     }
                     exchange.mayHaveRun = true
+                    exchange.sends++
                     connection.send(requests.build(exchange, replica))
                     val head = connection.receiveHead(exchange.requestId)
                     if (head.isNotRun) return@use handleRefusal(replica, head, lease)
@@ -272,6 +284,7 @@
             return AttemptResult.NotRun(
                 NotRunProof.REFUSED_BY_REPLICA,
                 "$replica refused with status ${head.status().code()}",
+                lease.connection.isReused,
             )
         }
     }
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationAttempt.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationAttempt.kt
@@ -50,12 +50,14 @@
      * The replica did not run the request.
      *
      * @property isUnavailable whether nothing was sent because the replica accepted no requests at the time
+     * @property isReusedConnection whether the connection had carried another request before
      */
     class NotRun(
         override val attempt: GenerationAttempt,
         val proof: NotRunProof,
         val detail: String,
         val isUnavailable: Boolean = false,
+        val isReusedConnection: Boolean = false,
     ) : GenerationSignal
 
     /** The connection closed or delivered invalid data; the replica may or may not still be running the request. */
@@ -195,6 +197,7 @@
             return
         }
         exchange.mayHaveRun = true
+        exchange.sends++
         opened.send(requests.build(exchange, replica, headers))
         val head = opened.receiveHead(exchange.requestId)
         val status = head.status().code()
@@ -202,8 +205,14 @@
             if (head.isMisdirected) replica.leave(LeaveReason.REPLACED)
             val bodyError = opened.skipErrorBody()
             if (bodyError == null) isExchangeComplete = true else exchange.logFields["refusalBody"] = bodyError
+            val detail = "$replica refused with status $status"
             signals.trySend(
-                GenerationSignal.NotRun(this, NotRunProof.REFUSED_BY_REPLICA, "$replica refused with status $status"),
+                GenerationSignal.NotRun(
+                    this,
+                    NotRunProof.REFUSED_BY_REPLICA,
+                    detail,
+                    isReusedConnection = opened.isReused,
+                ),
             )
             return
         }
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationRun.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationRun.kt
@@ -222,7 +222,12 @@
         if (signal.proof == NotRunProof.NOTHING_SENT && !signal.isUnavailable) signal.attempt.replica.markUnreachable()
         if (runs == 0 && delivery.delivered == 0) exchange.mayHaveRun = false
         abandoned += signal.attempt.replica
-        if (mayRetryElsewhere(signal) && startAttempt(abandoned)) return
+        if (mayRetryElsewhere(signal) && startAttempt(abandoned)) {
+            if (signal.proof == NotRunProof.REFUSED_BY_REPLICA) {
+                context.logResend(exchange, signal.attempt.replica, signal.detail, signal.isReusedConnection)
+            }
+            return
+        }
         current = null
         when {
             exchange.response.isStarted -> fail(ResultCode.STREAM_INTERRUPTED, signal.detail)
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/RelayContext.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/RelayContext.kt
@@ -16,6 +16,7 @@
 import io.sequoiawheel.core.relay.ServiceBounds
 import io.sequoiawheel.core.relay.SlidingWindowRetryBudget
 import io.sequoiawheel.relay.backend.BackendPool
+import io.sequoiawheel.relay.filter.Exchange
 import io.sequoiawheel.relay.internal.DecisionLog
 import io.sequoiawheel.relay.internal.RelayMetrics
 import org.apache.commons.rng.UniformRandomProvider
@@ -107,6 +108,26 @@
         return isAdmitted
     }
 
+    /** Logs that a request that [replica] refused is sent again. */
+    fun logResend(
+        exchange: Exchange,
+        replica: Replica,
+        detail: String,
+        isReusedConnection: Boolean,
+    ) {
+        metrics.count("refusals.sent.again", if (isReusedConnection) "reused_connection" else "new_connection")
+        log.request(
+            "refused request is sent again",
+            mapOf(
+                "request" to exchange.requestId,
+                "replica" to replica.toString(),
+                "detail" to detail,
+                "reusedConnection" to isReusedConnection,
+                "sends" to exchange.sends,
+            ),
+        )
+    }
+
     private fun tryAdmitCold(
         replica: Replica,
         service: RelayService,
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/ReplicaNotices.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/ReplicaNotices.kt
@@ -8,6 +8,7 @@
 import io.sequoiawheel.platform.ReplicaNotice
 import io.sequoiawheel.platform.RequestLimitNotice
 import io.sequoiawheel.relay.backend.ResponseHead
+import io.sequoiawheel.relay.backend.UnmatchedReason
 import io.sequoiawheel.relay.internal.DecisionLog
 import io.sequoiawheel.relay.internal.RelayMetrics
 
@@ -22,6 +23,8 @@
         received: ResponseHead,
     ) {
         val head = received.response
+        val isInformational = head.status().codeClass() == HttpStatusClass.INFORMATIONAL
+        if (!isInformational) received.unmatched?.let { recordUnmatched(replica, head, it) }
         val respondingId = head.headers().get(Headers.REPLICA)
         if (head.isMisdirected || respondingId != null && respondingId != replica.entry.id.value) return
         replica.markReachable()
@@ -38,10 +41,26 @@
             )
         }
         notice.pauseMillis?.let { pause(replica, head, it) }
-        val isInformational = head.status().codeClass() == HttpStatusClass.INFORMATIONAL
         if (!isInformational) recordRequestLimit(replica, received, notice.requestLimit)
     }
 
+    private fun recordUnmatched(
+        replica: Replica,
+        head: HttpResponse,
+        reason: UnmatchedReason,
+    ) {
+        metrics.count("replica.responses.unmatched", reason.label)
+        log.request(
+            "response belongs to no request",
+            mapOf(
+                "request" to head.headers().get(Headers.REQUEST_ID),
+                "replica" to replica.toString(),
+                "status" to head.status().code(),
+                "reason" to reason.label,
+            ),
+        )
+    }
+
     private fun recordRequestLimit(
         replica: Replica,
         received: ResponseHead,
