Send an id at most once over a connection

What callers saw: a call or stream that must not be repeated ran twice, or its caller got 503, which promises that it has not run, while a replica ran it.

Cause: after a refusal the connection returned to the pool and carried the same request again. Responses are matched by id, so a copy of the refusal that the replica wrote late was taken for the answer to the second send, as proof that it had not run. A caller that uses an id again meets the same.

A connection remembers the last 256 ids sent over it, as hashes, and the pool passes over connections that carried the id. A late copy then arrives on a connection where nothing or another id is expected: it is discarded, and with it the connection. The refused connection itself stays in the pool for other requests; a new one is opened only if a request returns to a replica to which no other is idle. Connections passed over are counted (sequoiawheel_connections_passed_over).

--- a/relay/src/main/kotlin/io/sequoiawheel/relay/RelayDaemon.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/RelayDaemon.kt
@@ -279,6 +279,7 @@
         metrics.gauge("requests.in.progress") { inProgress }
         metrics.gauge("store.calls") { store.calls.values.sum() }
         metrics.gauge("connections.opened") { pool.opened }
+        metrics.gauge("connections.passed.over") { pool.passedOver }
         metrics.gauge("configuration.version") { configuration.current?.version ?: 0 }
         metrics.gauge("configuration.age.milliseconds") { freshness.ageMillis() }
         metrics.gauge("replicas.quiet") { directory.all().count { it.isPaused } }
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/backend/BackendConnection.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/backend/BackendConnection.kt
@@ -48,6 +48,7 @@
     /** Called with each response head, including those that belong to no request of this connection. */
     var onHead: (ResponseHead) -> Unit = {}
 
+    private val sentIds = SentRequestIds()
     private var sentRequestId: String? = null
     private var sentAtMillis: Long? = null
 
@@ -129,6 +130,12 @@
         context.close()
     }
 
+    /**
+     * Whether a response to [requestId] on this connection can only belong to the next send: the id was not sent over
+     * it before.
+     */
+    fun mayCarry(requestId: String?): Boolean = requestId == null || requestId !in sentIds
+
     /** Sends [request]. Returns once it is queued for writing, or throws if the connection is closed. */
     suspend fun send(request: FullHttpRequest) {
         if (!isOpen) {
@@ -137,7 +144,7 @@
         }
         isExchanging = true
         isAnswered = false
-        sentRequestId = request.headers().get(Headers.REQUEST_ID)
+        sentRequestId = request.headers().get(Headers.REQUEST_ID)?.also(sentIds::add)
         sentAtMillis = clock.nowMillis()
         requestWrite = channel.writeAndFlush(request)
     }
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/backend/BackendPool.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/backend/BackendPool.kt
@@ -18,37 +18,60 @@
     var opened = 0L
         private set
 
+    /** Number of idle connections that were not used because a response on them could belong to an earlier request. */
+    var passedOver = 0L
+        private set
+
     /**
-     * Returns an idle or a new connection to [replica].
+     * Returns an idle or a new connection to [replica]. An id is sent at most once over a connection, so that a late
+     * copy of the response to an earlier send is not taken for the response to a later one.
      *
+     * @param requestId id of the request that is to be sent, or null if it has none
      * @param mustBeRecent whether to avoid idle connections that the peer may be about to close
      */
     suspend fun acquire(
         replica: Replica,
+        requestId: String?,
         mustBeRecent: Boolean,
     ): BackendConnection {
-        val idleConnections = idle[replica]
-        while (!idleConnections.isNullOrEmpty()) {
-            val connection = idleConnections.removeLast()
-            if (isUsable(connection, mustBeRecent)) return connection
-            connection.close()
-        }
+        takeIdle(replica, requestId, mustBeRecent)?.let { return it }
         opened++
         val connection = connector.connect(Endpoint(replica.entry.host, replica.entry.port))
         connection.onHead = { onHead(replica, it) }
         return connection
     }
 
+    private fun takeIdle(
+        replica: Replica,
+        requestId: String?,
+        mustBeRecent: Boolean,
+    ): BackendConnection? {
+        val connections = idle[replica] ?: return null
+        for (index in connections.indices.reversed()) {
+            val connection = connections[index]
+            val isUsable = isUsable(connection, mustBeRecent)
+            if (isUsable && !connection.mayCarry(requestId)) {
+                passedOver++
+                continue
+            }
+            connections.removeAt(index)
+            if (isUsable) return connection
+            connection.close()
+        }
+        return null
+    }
+
     /**
-     * Runs [exchange] on a connection to [replica]. The connection returns to the pool if the exchange was completed;
-     * otherwise it is reset, since its response may still be in flight.
+     * Runs [exchange] on a connection to [replica] that may carry [requestId]. The connection returns to the pool if
+     * the exchange was completed; otherwise it is reset, since its response may still be in flight.
      */
     suspend fun <T> use(
         replica: Replica,
+        requestId: String?,
         mustBeRecent: Boolean,
         exchange: suspend (ConnectionLease) -> T,
     ): T {
-        val lease = ConnectionLease(acquire(replica, mustBeRecent))
+        val lease = ConnectionLease(acquire(replica, requestId, mustBeRecent))
         try {
             return exchange(lease)
         } finally {
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/CallRelay.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/CallRelay.kt
@@ -210,7 +210,7 @@
             val startedMillis = context.clock.nowMillis()
             replica.load.begin(0)
             try {
-                return context.pool.use(replica, mustBeRecent = !route.isRepeatable) { lease ->
+                return context.pool.use(replica, exchange.requestId, mustBeRecent = !route.isRepeatable) { lease ->
                     val connection = lease.connection
                     if (!connection.isOpen) {
                         return@use AttemptResult.NotRun(NotRunProof.NOTHING_SENT, "connection closed")
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationAttempt.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationAttempt.kt
@@ -182,7 +182,7 @@
 
     private suspend fun sendAndReceive() {
         awaitAcceptance()
-        val opened = context.pool.acquire(replica, mustBeRecent = true)
+        val opened = context.pool.acquire(replica, exchange.requestId, mustBeRecent = true)
         connection = opened
         if (!opened.isOpen) {
             signals.trySend(GenerationSignal.NotRun(this, NotRunProof.NOTHING_SENT, "connection closed"))
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/RunCopier.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/RunCopier.kt
@@ -167,7 +167,7 @@
             request.headers().set(HttpHeaderNames.HOST, replica.entry.address)
             request.headers().set(HttpHeaderNames.CONTENT_LENGTH, content.readableBytes())
             if (body != null) request.headers().set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON)
-            context.pool.use(replica, mustBeRecent = true) { lease ->
+            context.pool.use(replica, requestId = null, mustBeRecent = true) { lease ->
                 if (!context.tryAdmitControl(replica, SendPurpose.COPY)) {
                     lease.complete()
                     return@use NO_RESPONSE to "$replica accepts no requests now"
