Send requests without an id only over unused connections

What callers saw: a request without an id that must not be repeated could run twice.

Cause: any response was accepted for such a request, so a late refusal of an earlier request on the kept connection was taken as proof. Requests to copy a run have no id either: a late response could be taken for the copy, or the connection returned to the pool with the real response still to come.

On an unused connection the first response can only be that of the request. The price is a new connection for each such request. Copies are requested from leaving replicas, whose idle connections are closed anyway.

--- a/relay/src/main/kotlin/io/sequoiawheel/relay/backend/BackendConnection.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/backend/BackendConnection.kt
@@ -132,9 +132,9 @@
 
     /**
      * Whether a response to [requestId] on this connection can only belong to the next send: the id was not sent over
-     * it before.
+     * it before. A response to a request without an id names nothing, so that request needs an unused connection.
      */
-    fun mayCarry(requestId: String?): Boolean = requestId == null || requestId !in sentIds
+    fun mayCarry(requestId: String?): Boolean = if (requestId == null) !isReused else requestId !in sentIds
 
     /** Sends [request]. Returns once it is queued for writing, or throws if the connection is closed. */
     suspend fun send(request: FullHttpRequest) {
