Match no response that names several requests

What callers saw: a call that must not be repeated ran twice after a late response with two X-Request-Id headers.

Cause: the first of the headers was compared, so a response that also named another request was taken for the answer.

A response names a request only if it has exactly one such header. With several it is handled like one without: invalid on an unused connection, skipped as an extra response on a reused one.

--- a/relay/src/main/kotlin/io/sequoiawheel/relay/backend/BackendConnection.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/backend/BackendConnection.kt
@@ -93,8 +93,11 @@
         inbound.offer(message as HttpObject)
     }
 
+    /** Returns the id of the request that [head] names, or null if it names none or several. */
+    private fun namedRequest(head: HttpResponse): String? = head.headers().getAll(Headers.REQUEST_ID).singleOrNull()
+
     private fun unmatchedReason(head: HttpResponse): UnmatchedReason? {
-        val echoedId = head.headers().get(Headers.REQUEST_ID)
+        val echoedId = namedRequest(head)
         return when {
             !isExchanging -> UnmatchedReason.NO_REQUEST
             sentRequestId != null && echoedId == null -> UnmatchedReason.NO_ID
@@ -164,7 +167,7 @@
             }
             if (head.status().codeClass() == HttpStatusClass.INFORMATIONAL) return@repeat
             updateKeepAlive(head)
-            val echoedId = head.headers().get(Headers.REQUEST_ID)
+            val echoedId = namedRequest(head)
             if (requestId == null || echoedId == requestId) return head
             if (echoedId == null && !isReused) throw InvalidResponseException("response without a request id")
             isExtraSkipped = isExtraSkipped || echoedId == null
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/backend/ResponseHead.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/backend/ResponseHead.kt
@@ -9,7 +9,7 @@
     /** No request was in progress on the connection. */
     NO_REQUEST("no_request"),
 
-    /** It names no request. */
+    /** It names no request, or several. */
     NO_ID("no_id"),
 
     /** It names another request than the one in progress. */
