Wait for the expected response as long after an extra one

What callers saw: 502 for a call that the replica answered properly, if an extra response came first and the answer took longer than 300 ms. For a call or stream that must not be repeated the result was lost.

Cause: after an extra response without an id the expected one had to follow within 300 ms, so that a replica that never names requests fails soon. Such a replica fails at once on an unused connection, which then never returns to the pool; on a reused one, the response without an id is an extra one and says nothing about the request in progress.

The limit is removed. The deadline of the request, the timeout of an attempt of a repeatable call, and the bound of 32 heads remain.

--- a/relay/src/main/kotlin/io/sequoiawheel/relay/backend/BackendConnection.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/backend/BackendConnection.kt
@@ -154,12 +154,12 @@
 
     /**
      * Returns the head of the response to [requestId], skipping earlier responses to other requests. On a reused
-     * connection, a response without an id belongs to an earlier request; the expected one has to follow it soon.
+     * connection, a response without an id belongs to an earlier request, and the replica may take as long for the
+     * expected one as without it.
      */
     suspend fun receiveHead(requestId: String?): HttpResponse {
-        var isExtraSkipped = false
         repeat(MAXIMUM_HEADS) {
-            val message = if (isExtraSkipped) receiveAfterExtra() else receiveMessage()
+            val message = receiveMessage()
             val head = message as? HttpResponse
             if (head == null) {
                 ReferenceCountUtil.release(message)
@@ -170,7 +170,6 @@
             val echoedId = namedRequest(head)
             if (requestId == null || echoedId == requestId) return head
             if (echoedId == null && !isReused) throw InvalidResponseException("response without a request id")
-            isExtraSkipped = isExtraSkipped || echoedId == null
             isPersistent = false
             skipBody()
         }
@@ -250,10 +249,6 @@
         channel.reset()
     }
 
-    private suspend fun receiveAfterExtra(): HttpObject =
-        withTimeoutOrNull(EXTRA_RESPONSE_TIMEOUT_MILLIS) { receiveMessage() }
-            ?: throw InvalidResponseException("only a response without a request id")
-
     private suspend fun receiveMessage(): HttpObject {
         val message = inbound.receive()
         if (message.decoderResult().isFailure) {
@@ -320,9 +315,6 @@
         /** A head arrives in one or two packets; a lost packet is retransmitted within a second. */
         const val HEAD_TIMEOUT_MILLIS = 2_000L
 
-        /** Several times the usual response time, so that a response that never names its request fails soon. */
-        const val EXTRA_RESPONSE_TIMEOUT_MILLIS = 300L
-
         /** Limits the informational responses and late responses to other requests that precede the expected one. */
         const val MAXIMUM_HEADS = 32
     }
