Accept a refusal as proof only if all its parts agree

What callers saw: 503, or a second run, after a response that states that the request was not executed but is a success, a server error or signed, and after status 421 alone.

Cause: the header alone, or status 421 alone, was proof. A replica signs what it ran, and a 200 or 500 is the result of a run; status 421 without the statement is no more than 429 or 503 without it.

Proof now needs the statement, a status that refuses (400, 408, 421, 429, 503) and no signature. A response with the statement that lacks one of the others leaves the outcome unknown: a call that may not be repeated fails with 502. Status 421 still marks the replica as replaced.

--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/CallRelay.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/CallRelay.kt
@@ -225,6 +225,7 @@
                     exchange.sends++
                     connection.send(requests.build(exchange, replica))
                     val head = connection.receiveHead(exchange.requestId)
+                    if (head.isMisdirected) replica.leave(LeaveReason.REPLACED)
                     if (head.isNotRun) return@use handleRefusal(replica, head, lease)
                     val body = connection.receiveBody()
                     lease.complete()
@@ -258,10 +259,11 @@
         ): AttemptResult {
             val status = head.status().code()
             val lacksSignature = status < CLIENT_ERROR && !head.isSigned
-            replica.load.recordOutcome(failed = status >= SERVER_ERROR || lacksSignature)
-            if (head.hasNotRunStatus ||
-                lacksSignature
-            ) {
+            replica.load.recordOutcome(failed = status >= SERVER_ERROR || lacksSignature || head.isContradictory)
+            if (head.isContradictory) {
+                return AttemptResult.Unknown("$replica sent status $status and that the call did not run")
+            }
+            if (head.hasNotRunStatus || lacksSignature) {
                 return AttemptResult.Unknown("$replica sent status $status without the required header")
             }
             val elapsedMillis = context.clock.nowMillis() - startedMillis
@@ -276,7 +278,6 @@
             head: HttpResponse,
             lease: ConnectionLease,
         ): AttemptResult {
-            if (head.isMisdirected) replica.leave(LeaveReason.REPLACED)
             recordEnd(replica, elapsedMillis = 0, isRefused = true)
             if (runs == 0) exchange.mayHaveRun = false
             val bodyError = lease.connection.skipErrorBody()
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationAttempt.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationAttempt.kt
@@ -201,8 +201,9 @@
         opened.send(requests.build(exchange, replica, headers))
         val head = opened.receiveHead(exchange.requestId)
         val status = head.status().code()
+        if (head.isMisdirected) replica.leave(LeaveReason.REPLACED)
+        if (head.isContradictory) throw IOException("status $status and the statement that the request did not run")
         if (head.isNotRun) {
-            if (head.isMisdirected) replica.leave(LeaveReason.REPLACED)
             val bodyError = opened.skipErrorBody()
             if (bodyError == null) isExchangeComplete = true else exchange.logFields["refusalBody"] = bodyError
             val detail = "$replica refused with status $status"
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/ReplicaHeads.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/ReplicaHeads.kt
@@ -3,11 +3,18 @@
 import io.netty.handler.codec.http.HttpResponse
 import io.sequoiawheel.platform.Headers
 
-/** Whether a different replica now serves the address; the request has not run then. */
+/** Whether a different replica now serves the address. */
 internal val HttpResponse.isMisdirected: Boolean get() = status().code() == MISDIRECTED
 
-/** Whether the replica states that it has not run the request. */
-internal val HttpResponse.isNotRun: Boolean get() = isMisdirected || headers().contains(Headers.NOT_RUN)
+/**
+ * Whether the response proves that the replica has not run the request: it says so, has a status that agrees, and lacks
+ * the signature of a request that ran.
+ */
+internal val HttpResponse.isNotRun: Boolean
+    get() = headers().contains(Headers.NOT_RUN) && status().code() in REFUSAL_STATUSES && !isSigned
+
+/** Whether the response says that the request has not run, but its status or signature says that it has. */
+internal val HttpResponse.isContradictory: Boolean get() = headers().contains(Headers.NOT_RUN) && !isNotRun
 
 /** Whether the status implies to callers that the request has not run, which holds only if [isNotRun] is true. */
 internal val HttpResponse.hasNotRunStatus: Boolean get() = status().code() in NOT_RUN_STATUSES
@@ -16,4 +23,6 @@
 internal val HttpResponse.isSigned: Boolean get() = headers().contains(Headers.SIGNATURE)
 
 private const val MISDIRECTED = 421
+private const val BAD_REQUEST = 400
 private val NOT_RUN_STATUSES = setOf(408, MISDIRECTED, 429, 503)
+private val REFUSAL_STATUSES = NOT_RUN_STATUSES + BAD_REQUEST
