Take no refusal as proof that another response contradicts

What callers saw: 503 for a call that the replica refused and answered right after.

Cause: the refusal was acted on although the connection had already received a second response to the request.

A connection notes whether the request in progress received final responses that differ in their status. After the body of a refusal was read, such a request counts as one that may have run; until then it is not marked as not run either. This covers what has arrived by then. A contradiction that comes later can't be waited for; it is logged and counted as a response that belongs to no request.

--- a/relay/src/main/kotlin/io/sequoiawheel/relay/backend/BackendConnection.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/backend/BackendConnection.kt
@@ -52,8 +52,12 @@
     private var sentRequestId: String? = null
     private var sentAtMillis: Long? = null
 
-    /** Whether a final response to the request in progress was received. */
-    private var isAnswered = false
+    /** Status of the first final response to the request in progress, or null if none was received. */
+    private var answeredStatus: Int? = null
+
+    /** Whether the request in progress, or the last one, received several responses that differ in their status. */
+    var isContradicted = false
+        private set
 
     /** Whether at least one exchange was completed before. */
     var isReused = false
@@ -78,8 +82,7 @@
         if (message is HttpResponse && message.decoderResult().isSuccess) {
             val unmatched = unmatchedReason(message)
             onHead(ResponseHead(message, sentAtMillis.takeIf { unmatched == null }, unmatched))
-            val isFinal = message.status().codeClass() != HttpStatusClass.INFORMATIONAL
-            isAnswered = isAnswered || unmatched == null && isFinal
+            recordAnswer(message, unmatched)
         }
         if (!isExchanging) {
             // Data received outside an exchange belongs to no request.
@@ -102,11 +105,21 @@
             !isExchanging -> UnmatchedReason.NO_REQUEST
             sentRequestId != null && echoedId == null -> UnmatchedReason.NO_ID
             sentRequestId != null && echoedId != sentRequestId -> UnmatchedReason.OTHER_ID
-            isAnswered -> UnmatchedReason.REPEATED
+            answeredStatus != null -> UnmatchedReason.REPEATED
             else -> null
         }
     }
 
+    private fun recordAnswer(
+        head: HttpResponse,
+        unmatched: UnmatchedReason?,
+    ) {
+        if (head.status().codeClass() == HttpStatusClass.INFORMATIONAL) return
+        val status = head.status().code()
+        if (unmatched == null) answeredStatus = status
+        if (unmatched == UnmatchedReason.REPEATED && status != answeredStatus) isContradicted = true
+    }
+
     /** Starts a timeout for an incomplete response head, so that an endless stream of bytes fails the exchange. */
     override fun channelReadComplete(context: ChannelHandlerContext) {
         val isPartialHead = isExchanging && !isInResponse && !hasDecodedMessage
@@ -146,7 +159,8 @@
             throw ConnectionEndedException("connection closed before the request was sent", isReset = false)
         }
         isExchanging = true
-        isAnswered = false
+        answeredStatus = null
+        isContradicted = false
         sentRequestId = request.headers().get(Headers.REQUEST_ID)?.also(sentIds::add)
         sentAtMillis = clock.nowMillis()
         requestWrite = channel.writeAndFlush(request)
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/CallRelay.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/CallRelay.kt
@@ -272,15 +272,21 @@
             return AttemptResult.Responded(head, body)
         }
 
-        /** Handles a refusal. Its head alone proves that nothing ran, even if its body cannot be read. */
+        /**
+         * Handles a refusal. Its head alone proves that nothing ran, even if its body cannot be read, unless another
+         * response contradicts it.
+         */
         private suspend fun handleRefusal(
             replica: Replica,
             head: HttpResponse,
             lease: ConnectionLease,
         ): AttemptResult {
             recordEnd(replica, elapsedMillis = 0, isRefused = true)
-            if (runs == 0) exchange.mayHaveRun = false
             val bodyError = lease.connection.skipErrorBody()
+            if (lease.connection.isContradicted) {
+                return AttemptResult.Unknown("$replica refused the call and responded to it once more")
+            }
+            if (runs == 0) exchange.mayHaveRun = false
             if (bodyError == null) lease.complete() else exchange.logFields["refusalBody"] = bodyError
             return AttemptResult.NotRun(
                 NotRunProof.REFUSED_BY_REPLICA,
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationAttempt.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationAttempt.kt
@@ -205,6 +205,7 @@
         if (head.isContradictory) throw IOException("status $status and the statement that the request did not run")
         if (head.isNotRun) {
             val bodyError = opened.skipErrorBody()
+            if (opened.isContradicted) throw IOException("refused the request and responded to it once more")
             if (bodyError == null) isExchangeComplete = true else exchange.logFields["refusalBody"] = bodyError
             val detail = "$replica refused with status $status"
             signals.trySend(
