Guard the cases in which nothing is concluded from a refusal already

Four more cases of the same class do not fail: a refusal without an id on a new connection, a deadline that passes while the send after a refusal is in progress (504, for a call and a stream), two callers that use the same id at the same time, and a stream whose continuation on its backup is refused (it is not sent again from the start).

--- a/relay/src/test/kotlin/io/sequoiawheel/relay/RefusalEvidenceTest.kt
+++ b/relay/src/test/kotlin/io/sequoiawheel/relay/RefusalEvidenceTest.kt
@@ -4,8 +4,10 @@
 import io.sequoiawheel.standin.platform.ReplicaAnswer
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertFalse
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
+import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.CopyOnWriteArrayList
 import java.util.concurrent.atomic.AtomicInteger
 
@@ -237,6 +239,81 @@
         assertEquals(listOf("id-1"), settledRuns())
     }
 
+    @Test
+    fun `a refusal without an id on a new connection is no proof`() {
+        start { _, request, answer ->
+            ran += request.header("X-Request-Id").orEmpty()
+            answer.write(lateRefusal(""))
+        }
+        val response = fixture.send(fixture.request("/unsafe/a"))
+        assertTrue(statusOf(response) !in PROMISES, response)
+        assertEquals(listOf("id-1"), settledRuns())
+    }
+
+    // The first send was refused, but the second is in progress, so the caller must not be told that nothing ran.
+    @Test
+    fun `a deadline that passes during the send after a refusal is no proof`() {
+        for ((service, path) in listOf(RelayFixture.PLAIN to "/unsafe/a", RelayFixture.ENGINE to "/stream/a")) {
+            RelayFixture().use { separate ->
+                val received = AtomicInteger()
+                separate.replica("r-1", service) { request, answer ->
+                    if (received.incrementAndGet() == 1) answer.sendNotExecuted(request) else Thread.sleep(LONG_MILLIS)
+                }
+                separate.configure()
+                separate.start()
+                val request = separate.request(path, extra = "X-Token-Usage: 300,90\r\n")
+                val response = separate.send(request.replace("X-Deadline-Ms: 5000", "X-Deadline-Ms: 700"))
+                assertEquals("504", statusOf(response), response)
+                assertEquals(2, received.get())
+            }
+        }
+    }
+
+    @Test
+    fun `requests of two callers with the same id are each answered by their own run`() {
+        start { _, request, answer ->
+            ran += request.target
+            Thread.sleep(RUN_MILLIS)
+            answer.sendComplete(request, request.target)
+        }
+        val targets = listOf("/unsafe/a", "/unsafe/b")
+        val responses = ConcurrentHashMap<String, String>()
+        repeat(2) {
+            val callers =
+                targets.map { Thread { responses[it] = fixture.send(fixture.request(it)) }.also(Thread::start) }
+            callers.forEach(Thread::join)
+            targets.forEach { assertTrue(responses.getValue(it).endsWith(it), responses[it]) }
+        }
+        assertEquals(4, settledRuns().size)
+    }
+
+    // The backup refuses the continuation; sending the stream again without it would run it a second time.
+    @Test
+    fun `a stream whose continuation is refused is not sent again from the start`() {
+        val received = CopyOnWriteArrayList<ReceivedRequest>()
+        for (id in listOf("r-1", "r-2", "r-3")) {
+            fixture.replica(id, RelayFixture.ENGINE) { request, answer ->
+                received += request
+                if (request.header("Kv-From") != null) {
+                    answer.sendNotExecuted(request)
+                } else {
+                    answer.startStream(request)
+                    answer.sendEvent(1)
+                    Thread.sleep(RUN_MILLIS)
+                    answer.reset()
+                }
+            }
+        }
+        fixture.configure()
+        fixture.start()
+        val response =
+            runCatching { fixture.send(fixture.request("/stream/a", extra = "X-Token-Usage: 3000,900\r\n")) }
+        Thread.sleep(SETTLE_MILLIS)
+        assertFalse(response.getOrDefault("").endsWith("0\r\n\r\n"), "the stream looks complete")
+        assertEquals(1, received.count { it.header("Kv-From") == null })
+        assertEquals(1, received.count { it.header("Kv-From") != null })
+    }
+
     private companion object {
         /** Longer than the relay takes to handle a response that was written before. */
         const val RUN_MILLIS = 80L
@@ -245,6 +322,9 @@
         const val SETTLE_MILLIS = 300L
         const val SLOW_RUN_MILLIS = 600L
 
+        /** Longer than the deadline of any request here. */
+        const val LONG_MILLIS = 5_000L
+
         /** Statuses that tell callers that the request has not run. */
         val PROMISES = setOf("408", "421", "429", "503")
     }
