--- a/relay/src/main/kotlin/io/sequoiawheel/relay/backend/BackendConnection.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/backend/BackendConnection.kt
@@ -48,9 +48,17 @@
     /** Called with each response head, including those that belong to no request of this connection. */
     var onHead: (ResponseHead) -> Unit = {}
 
+    private val sentIds = SentRequestIds()
     private var sentRequestId: String? = null
     private var sentAtMillis: Long? = null
 
+    /** Status of the first final response to the request in progress, or null if none was received. */
+    private var answeredStatus: Int? = null
+
+    /** Whether the request in progress, or the last one, received several responses that differ in their status. */
+    var isContradicted = false
+        private set
+
     /** Whether at least one exchange was completed before. */
     var isReused = false
         private set
@@ -72,8 +80,9 @@
         message: Any,
     ) {
         if (message is HttpResponse && message.decoderResult().isSuccess) {
-            val answersRequest = isExchanging && message.headers().get(Headers.REQUEST_ID) == sentRequestId
-            onHead(ResponseHead(message, sentAtMillis.takeIf { answersRequest }))
+            val unmatched = unmatchedReason(message)
+            onHead(ResponseHead(message, sentAtMillis.takeIf { unmatched == null }, unmatched))
+            recordAnswer(message, unmatched)
         }
         if (!isExchanging) {
             // Data received outside an exchange belongs to no request.
@@ -87,6 +96,30 @@
         inbound.offer(message as HttpObject)
     }
 
+    /** Returns the id of the request that [head] names, or null if it names none or several. */
+    private fun namedRequest(head: HttpResponse): String? = head.headers().getAll(Headers.REQUEST_ID).singleOrNull()
+
+    private fun unmatchedReason(head: HttpResponse): UnmatchedReason? {
+        val echoedId = namedRequest(head)
+        return when {
+            !isExchanging -> UnmatchedReason.NO_REQUEST
+            sentRequestId != null && echoedId == null -> UnmatchedReason.NO_ID
+            sentRequestId != null && echoedId != sentRequestId -> UnmatchedReason.OTHER_ID
+            answeredStatus != null -> UnmatchedReason.REPEATED
+            else -> null
+        }
+    }
+
+    private fun recordAnswer(
+        head: HttpResponse,
+        unmatched: UnmatchedReason?,
+    ) {
+        if (head.status().codeClass() == HttpStatusClass.INFORMATIONAL) return
+        val status = head.status().code()
+        if (unmatched == null) answeredStatus = status
+        if (unmatched == UnmatchedReason.REPEATED && status != answeredStatus) isContradicted = true
+    }
+
     /** Starts a timeout for an incomplete response head, so that an endless stream of bytes fails the exchange. */
     override fun channelReadComplete(context: ChannelHandlerContext) {
         val isPartialHead = isExchanging && !isInResponse && !hasDecodedMessage
@@ -113,6 +146,12 @@
         context.close()
     }
 
+    /**
+     * Whether a response to [requestId] on this connection can only belong to the next send: the id was not sent over
+     * it before. A response to a request without an id names nothing, so that request needs an unused connection.
+     */
+    fun mayCarry(requestId: String?): Boolean = if (requestId == null) !isReused else requestId !in sentIds
+
     /** Sends [request]. Returns once it is queued for writing, or throws if the connection is closed. */
     suspend fun send(request: FullHttpRequest) {
         if (!isOpen) {
@@ -120,7 +159,9 @@
             throw ConnectionEndedException("connection closed before the request was sent", isReset = false)
         }
         isExchanging = true
-        sentRequestId = request.headers().get(Headers.REQUEST_ID)
+        answeredStatus = null
+        isContradicted = false
+        sentRequestId = request.headers().get(Headers.REQUEST_ID)?.also(sentIds::add)
         sentAtMillis = clock.nowMillis()
         // A reset may be noticed by this write first. What was received by then is not ended by the connection's close.
         requestWrite = channel.writeAndFlush(request).addListener { if (!it.isSuccess) inbound.close(it.cause()) }
@@ -128,12 +169,12 @@
 
     /**
      * Returns the head of the response to [requestId], skipping earlier responses to other requests. On a reused
-     * connection, a response without an id belongs to an earlier request; the expected one has to follow it soon.
+     * connection, a response without an id belongs to an earlier request, and the replica may take as long for the
+     * expected one as without it.
      */
     suspend fun receiveHead(requestId: String?): HttpResponse {
-        var isExtraSkipped = false
         repeat(MAXIMUM_HEADS) {
-            val message = if (isExtraSkipped) receiveAfterExtra() else receiveMessage()
+            val message = receiveMessage()
             val head = message as? HttpResponse
             if (head == null) {
                 ReferenceCountUtil.release(message)
@@ -141,10 +182,9 @@
             }
             if (head.status().codeClass() == HttpStatusClass.INFORMATIONAL) return@repeat
             updateKeepAlive(head)
-            val echoedId = head.headers().get(Headers.REQUEST_ID)
+            val echoedId = namedRequest(head)
             if (requestId == null || echoedId == requestId) return head
             if (echoedId == null && !isReused) throw InvalidResponseException("response without a request id")
-            isExtraSkipped = isExtraSkipped || echoedId == null
             isPersistent = false
             skipBody()
         }
@@ -224,10 +264,6 @@
         channel.reset()
     }
 
-    private suspend fun receiveAfterExtra(): HttpObject =
-        withTimeoutOrNull(EXTRA_RESPONSE_TIMEOUT_MILLIS) { receiveMessage() }
-            ?: throw InvalidResponseException("only a response without a request id")
-
     private suspend fun receiveMessage(): HttpObject {
         val message = inbound.receive()
         if (message.decoderResult().isFailure) {
@@ -294,9 +330,6 @@
         /** A head arrives in one or two packets; a lost packet is retransmitted within a second. */
         const val HEAD_TIMEOUT_MILLIS = 2_000L
 
-        /** Several times the usual response time, so that a response that never names its request fails soon. */
-        const val EXTRA_RESPONSE_TIMEOUT_MILLIS = 300L
-
         /** Limits the informational responses and late responses to other requests that precede the expected one. */
         const val MAXIMUM_HEADS = 32
     }
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/filter/OutcomeFilter.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/filter/OutcomeFilter.kt
@@ -49,6 +49,7 @@
                 "status" to exchange.response.status,
                 "response" to exchange.response.progress.name,
                 "milliseconds" to durationMillis,
+                "sends" to exchange.sends,
             )
         log.request("request ended", fields + exchange.logFields)
     }
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/CallRelay.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/CallRelay.kt
@@ -26,10 +26,15 @@
         val body: ByteArray,
     ) : AttemptResult
 
-    /** The call certainly did not run. */
+    /**
+     * The call certainly did not run.
+     *
+     * @property isReusedConnection whether the connection had carried another request before
+     */
     class NotRun(
         val proof: NotRunProof,
         val detail: String,
+        val isReusedConnection: Boolean = false,
     ) : AttemptResult
 
     /** The replica stopped accepting requests before the call was sent, so nothing was sent. */
@@ -94,7 +99,7 @@
                 if (triedReplicas.isEmpty()) context.retryBudget(service.name).recordRequest()
                 triedReplicas += replica
                 val result = attempt(replica)
-                if (handleResult(result)) return
+                if (handleResult(replica, result)) return
             }
         }
 
@@ -105,7 +110,10 @@
         }
 
         /** Answers the caller if [result] is final. Returns false if the call is to be attempted again. */
-        private suspend fun handleResult(result: AttemptResult): Boolean {
+        private suspend fun handleResult(
+            replica: Replica,
+            result: AttemptResult,
+        ): Boolean {
             when (result) {
                 is AttemptResult.Responded -> {
                     runs++
@@ -121,6 +129,9 @@
                     if (result.proof == NotRunProof.REFUSED_BY_REPLICA && !mayRetryRefused()) {
                         giveUp(result)
                     } else if (refusals++ < MAXIMUM_REFUSED_RETRIES) {
+                        if (result.proof == NotRunProof.REFUSED_BY_REPLICA) {
+                            context.logResend(exchange, replica, result.detail, result.isReusedConnection)
+                        }
                         return false
                     } else {
                         giveUp(result)
@@ -199,7 +210,7 @@
             val startedMillis = context.clock.nowMillis()
             replica.load.begin(0)
             try {
-                return context.pool.use(replica, mustBeRecent = !route.isRepeatable) { lease ->
+                return context.pool.use(replica, exchange.requestId, mustBeRecent = !route.isRepeatable) { lease ->
                     val connection = lease.connection
                     if (!connection.isOpen) {
                         return@use AttemptResult.NotRun(NotRunProof.NOTHING_SENT, "connection closed")
@@ -211,8 +222,10 @@
                         return@use AttemptResult.ReplicaUnavailable
                     }
                     exchange.mayHaveRun = true
+                    exchange.sends++
                     connection.send(requests.build(exchange, replica))
                     val head = connection.receiveHead(exchange.requestId)
+                    if (head.isMisdirected) replica.leave(LeaveReason.REPLACED)
                     if (head.isNotRun) return@use handleRefusal(replica, head, lease)
                     val body = connection.receiveBody()
                     lease.complete()
@@ -246,10 +259,11 @@
         ): AttemptResult {
             val status = head.status().code()
             val lacksSignature = status < CLIENT_ERROR && !head.isSigned
-            replica.load.recordOutcome(failed = status >= SERVER_ERROR || lacksSignature)
-            if (head.hasNotRunStatus ||
-                lacksSignature
-            ) {
+            replica.load.recordOutcome(failed = status >= SERVER_ERROR || lacksSignature || head.isContradictory)
+            if (head.isContradictory) {
+                return AttemptResult.Unknown("$replica sent status $status and that the call did not run")
+            }
+            if (head.hasNotRunStatus || lacksSignature) {
                 return AttemptResult.Unknown("$replica sent status $status without the required header")
             }
             val elapsedMillis = context.clock.nowMillis() - startedMillis
@@ -258,20 +272,26 @@
             return AttemptResult.Responded(head, body)
         }
 
-        /** Handles a refusal. Its head alone proves that nothing ran, even if its body cannot be read. */
+        /**
+         * Handles a refusal. Its head alone proves that nothing ran, even if its body cannot be read, unless another
+         * response contradicts it.
+         */
         private suspend fun handleRefusal(
             replica: Replica,
             head: HttpResponse,
             lease: ConnectionLease,
         ): AttemptResult {
-            if (head.isMisdirected) replica.leave(LeaveReason.REPLACED)
             recordEnd(replica, elapsedMillis = 0, isRefused = true)
-            if (runs == 0) exchange.mayHaveRun = false
             val bodyError = lease.connection.skipErrorBody()
+            if (lease.connection.isContradicted) {
+                return AttemptResult.Unknown("$replica refused the call and responded to it once more")
+            }
+            if (runs == 0) exchange.mayHaveRun = false
             if (bodyError == null) lease.complete() else exchange.logFields["refusalBody"] = bodyError
             return AttemptResult.NotRun(
                 NotRunProof.REFUSED_BY_REPLICA,
                 "$replica refused with status ${head.status().code()}",
+                lease.connection.isReused,
             )
         }
     }
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationAttempt.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationAttempt.kt
@@ -56,12 +56,14 @@
      * The replica did not run the request.
      *
      * @property isUnavailable whether nothing was sent because the replica accepted no requests at the time
+     * @property isReusedConnection whether the connection had carried another request before
      */
     class NotRun(
         override val attempt: GenerationAttempt,
         val proof: NotRunProof,
         val detail: String,
         val isUnavailable: Boolean = false,
+        val isReusedConnection: Boolean = false,
     ) : GenerationSignal {
         override val failure get() = AttemptFailure(FailureCause.REFUSAL, detail)
     }
@@ -199,7 +201,7 @@
 
     private suspend fun sendAndReceive() {
         awaitAcceptance()
-        val opened = context.pool.acquire(replica, mustBeRecent = true)
+        val opened = context.pool.acquire(replica, exchange.requestId, mustBeRecent = true)
         connection = opened
         if (!opened.isOpen) {
             signals.trySend(GenerationSignal.NotRun(this, NotRunProof.NOTHING_SENT, "connection closed"))
@@ -214,15 +216,24 @@
             return
         }
         exchange.mayHaveRun = true
+        exchange.sends++
         opened.send(requests.build(exchange, replica, headers))
         val head = opened.receiveHead(exchange.requestId)
         val status = head.status().code()
+        if (head.isMisdirected) replica.leave(LeaveReason.REPLACED)
+        if (head.isContradictory) throw IOException("status $status and the statement that the request did not run")
         if (head.isNotRun) {
-            if (head.isMisdirected) replica.leave(LeaveReason.REPLACED)
             val bodyError = opened.skipErrorBody()
+            if (opened.isContradicted) throw IOException("refused the request and responded to it once more")
             if (bodyError == null) isExchangeComplete = true else exchange.logFields["refusalBody"] = bodyError
+            val detail = "$replica refused with status $status"
             signals.trySend(
-                GenerationSignal.NotRun(this, NotRunProof.REFUSED_BY_REPLICA, "$replica refused with status $status"),
+                GenerationSignal.NotRun(
+                    this,
+                    NotRunProof.REFUSED_BY_REPLICA,
+                    detail,
+                    isReusedConnection = opened.isReused,
+                ),
             )
             return
         }
