Keep status 421 by itself as proof that a request has not run

A replica that is not the expected one answers 421 and does not run the request, whether or not it also says so. Without this proof a call that may not be repeated would fail with 502 after the address of a replica was given to another one. A signed 421 is no proof.

--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/ReplicaHeads.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/ReplicaHeads.kt
@@ -5,15 +5,15 @@
 import io.sequoiawheel.platform.Headers
 import io.sequoiawheel.relay.http.CallerResponse
 
-/** Whether a different replica now serves the address. */
+/** Whether a different replica now serves the address; a request that expects another replica does not run there. */
 internal val HttpResponse.isMisdirected: Boolean get() = status().code() == MISDIRECTED
 
 /**
- * Whether the response proves that the replica has not run the request: it says so, has a status that agrees, and lacks
- * the signature of a request that ran.
+ * Whether the response proves that the replica has not run the request: it is misdirected, or says so with a status
+ * that agrees, and lacks the signature of a request that ran.
  */
 internal val HttpResponse.isNotRun: Boolean
-    get() = headers().contains(Headers.NOT_RUN) && status().code() in REFUSAL_STATUSES && !isSigned
+    get() = (isMisdirected || headers().contains(Headers.NOT_RUN) && status().code() in REFUSAL_STATUSES) && !isSigned
 
 /** Whether the response says that the request has not run, but its status or signature says that it has. */
 internal val HttpResponse.isContradictory: Boolean get() = headers().contains(Headers.NOT_RUN) && !isNotRun
