Move the shutdown and the service of callers out of RelayDaemon

No change of behaviour. InstanceShutdown now holds the start, the remaining time and the wait for the end; RequestService holds the limits of callers and the count of requests in progress.

--- a/relay/src/main/kotlin/io/sequoiawheel/relay/RelayDaemon.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/RelayDaemon.kt
@@ -44,11 +44,7 @@
 import io.sequoiawheel.relay.filter.RouteFilter
 import io.sequoiawheel.relay.filter.ShutdownFilter
 import io.sequoiawheel.relay.filter.WorkspaceFilter
-import io.sequoiawheel.relay.http.CallerRequest
-import io.sequoiawheel.relay.http.CallerResponse
 import io.sequoiawheel.relay.http.CallerServer
-import io.sequoiawheel.relay.http.CallerService
-import io.sequoiawheel.relay.http.ConnectionLimits
 import io.sequoiawheel.relay.http.StatusResponse
 import io.sequoiawheel.relay.http.StatusServer
 import io.sequoiawheel.relay.internal.DecisionLog
@@ -124,6 +120,7 @@
         watcher(StoreKind.CONFIGURATION, configurationWaitMillis(), configuration) {
             longWatchers.forEach(KindWatcher::interrupt)
         }
+    private val shutdown = InstanceShutdown(monotonic, log, ::graceMillis)
     private val calls = CallRelay(context)
     private val generations = GenerationRelay(context)
     private val filters =
@@ -134,15 +131,13 @@
                 RouteFilter(),
                 WorkspaceFilter(configuration::awaitFresh) { configuration.current },
                 DeadlineFilter(monotonic),
-                ShutdownFilter(::remainingMillis),
+                ShutdownFilter(shutdown::remainingMillis),
             ),
             ::relay,
         )
-    private var leavingSinceMillis: Long? = null
-    private var inProgress = 0
     private var registration: Job? = null
-    private val callerService = Service()
-    private val server = CallerServer(eventLoop, scope, callerService)
+    private val requests = RequestService(monotonic, filters, shutdown, log) { configuration.current }
+    private val server = CallerServer(eventLoop, scope, requests)
 
     /** The port on which the instance accepts callers; valid after [start]. */
     var callerPort = settings.callers.port
@@ -150,7 +145,7 @@
 
     /** Whether the instance reports to the load balancer that it is ready. */
     val isReady: Boolean
-        get() = leavingSinceMillis == null && isInitialized && isConfigurationRecent()
+        get() = !shutdown.isLeaving && isInitialized && isConfigurationRecent()
 
     /** Number of instances that reported their load recently, including this one. */
     internal val liveInstances: Int get() = loads.liveCount()
@@ -197,18 +192,9 @@
     /** Shuts the instance down: returns when the requests in progress have ended or the grace period is over. */
     suspend fun leave() =
         withContext(scope.coroutineContext) {
-            leavingSinceMillis = monotonic.nowMillis()
-            log.lifecycle("leaving", mapOf("inProgress" to inProgress))
+            shutdown.start(requests.inProgress)
             scope.launch { peers.deregister() }
-            val graceMillis = graceMillis()
-            val leavingSince = monotonic.nowMillis()
-            while (monotonic.nowMillis() - leavingSince < graceMillis) {
-                val isDrained = monotonic.nowMillis() - leavingSince >= BALANCER_REMOVAL_MILLIS && inProgress == 0
-                if (isDrained) break
-                delay(DRAIN_POLL_MILLIS)
-            }
-            server.stop()
-            log.lifecycle("stopped", mapOf("inProgress" to inProgress))
+            shutdown.complete(server) { requests.inProgress }
         }
 
     /** Cancels all coroutines and shuts down the event loop. */
@@ -271,12 +257,10 @@
     private fun configurationWaitMillis() =
         minOf(CONFIGURATION_WAIT_MILLIS, (settings.bounds.revokeMillis * CONFIGURATION_WAIT_SHARE).toLong())
 
-    private fun remainingMillis(): Long? = leavingSinceMillis?.let { it + graceMillis() - monotonic.nowMillis() }
-
     private fun graceMillis(): Long = (settings.bounds.graceSeconds * MILLIS_PER_SECOND).toLong() - GRACE_MARGIN_MILLIS
 
     private fun publishGauges() {
-        metrics.gauge("requests.in.progress") { inProgress }
+        metrics.gauge("requests.in.progress") { requests.inProgress }
         metrics.gauge("store.calls") { store.calls.values.sum() }
         metrics.gauge("connections.opened") { pool.opened }
         metrics.gauge("configuration.version") { configuration.current?.version ?: 0 }
@@ -311,38 +295,6 @@
         }
     }
 
-    private inner class Service : CallerService {
-        override val clock: Clock get() = monotonic
-        override val isLeaving: Boolean get() = leavingSinceMillis != null
-
-        override val limits: ConnectionLimits
-            get() {
-                val limits = configuration.current?.limits
-                return ConnectionLimits(
-                    limits?.bodyBytes ?: DEFAULT_BODY_BYTES,
-                    limits?.headerTimeoutMillis ?: DEFAULT_TIMEOUT_MILLIS,
-                    limits?.idleTimeoutMillis ?: DEFAULT_TIMEOUT_MILLIS,
-                )
-            }
-
-        override suspend fun serve(
-            request: CallerRequest,
-            response: CallerResponse,
-        ) {
-            inProgress++
-            try {
-                filters.handle(Exchange(request, response))
-            } finally {
-                inProgress--
-            }
-        }
-
-        override fun onRejected(
-            code: ResultCode,
-            detail: String,
-        ) = log.request("request unreadable", mapOf("code" to code.number, "result" to code.name, "detail" to detail))
-    }
-
     private companion object {
         const val NANOS_PER_MILLI = 1_000_000L
         const val MILLIS_PER_SECOND = 1_000
@@ -374,12 +326,6 @@
 
         /** Decoders are created before the first configuration states its limits. */
         const val MAXIMUM_HEADER_BYTES = 16_384
-        const val DEFAULT_BODY_BYTES = 1_048_576
-        const val DEFAULT_TIMEOUT_MILLIS = 10_000L
-
-        /** The load balancer checks readiness once a second and removes an instance after two failed checks. */
-        const val BALANCER_REMOVAL_MILLIS = 2_600L
-        const val DRAIN_POLL_MILLIS = 50L
 
         /** Time that the process needs to exit after the last response. */
         const val GRACE_MARGIN_MILLIS = 500L
--- /dev/null
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/RequestService.kt
@@ -0,0 +1,63 @@
+package io.sequoiawheel.relay
+
+import io.sequoiawheel.core.model.Clock
+import io.sequoiawheel.core.model.ResultCode
+import io.sequoiawheel.core.relay.RelayConfiguration
+import io.sequoiawheel.relay.filter.Exchange
+import io.sequoiawheel.relay.filter.FilterChain
+import io.sequoiawheel.relay.http.CallerRequest
+import io.sequoiawheel.relay.http.CallerResponse
+import io.sequoiawheel.relay.http.CallerService
+import io.sequoiawheel.relay.http.ConnectionLimits
+import io.sequoiawheel.relay.internal.DecisionLog
+
+/**
+ * Passes the requests of callers to the filters, and counts those in progress.
+ *
+ * @param configuration returns the configuration in force, or null before the first one
+ */
+internal class RequestService(
+    override val clock: Clock,
+    private val filters: FilterChain,
+    private val shutdown: InstanceShutdown,
+    private val log: DecisionLog,
+    private val configuration: () -> RelayConfiguration?,
+) : CallerService {
+    /** Number of requests that are being handled. */
+    var inProgress = 0
+        private set
+
+    override val isLeaving: Boolean get() = shutdown.isLeaving
+
+    override val limits: ConnectionLimits
+        get() {
+            val limits = configuration()?.limits
+            return ConnectionLimits(
+                limits?.bodyBytes ?: DEFAULT_BODY_BYTES,
+                limits?.headerTimeoutMillis ?: DEFAULT_TIMEOUT_MILLIS,
+                limits?.idleTimeoutMillis ?: DEFAULT_TIMEOUT_MILLIS,
+            )
+        }
+
+    override suspend fun serve(
+        request: CallerRequest,
+        response: CallerResponse,
+    ) {
+        inProgress++
+        try {
+            filters.handle(Exchange(request, response))
+        } finally {
+            inProgress--
+        }
+    }
+
+    override fun onRejected(
+        code: ResultCode,
+        detail: String,
+    ) = log.request("request unreadable", mapOf("code" to code.number, "result" to code.name, "detail" to detail))
+
+    private companion object {
+        const val DEFAULT_BODY_BYTES = 1_048_576
+        const val DEFAULT_TIMEOUT_MILLIS = 10_000L
+    }
+}
