Count requests that end unanswered, and log the end of a shutdown

Nothing told apart the requests that were read and lost: those whose caller had left, those reset after they had started, those ended by an error, and those that the process left behind. They are counted by reason and, unless the caller closed first, logged. The lines of a shutdown name the open connections, the requests read since the signal and those unanswered; a request that is read after the shutdown was complete has a line of its own, since it is at a replica when the process ends.

--- a/relay/src/main/kotlin/io/sequoiawheel/relay/InstanceShutdown.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/InstanceShutdown.kt
@@ -16,6 +16,8 @@
     private val graceMillis: () -> Long,
 ) {
     private var startMillis: Long? = null
+    private var isComplete = false
+    private var readSinceStart = 0
 
     val isLeaving: Boolean get() = startMillis != null
 
@@ -23,24 +25,41 @@
     fun remainingMillis(): Long? = startMillis?.let { it + graceMillis() - clock.nowMillis() }
 
     /** Announces that the instance shuts down, so that it is no longer ready. */
-    fun start(inProgress: Int) {
+    fun start(
+        connections: Int,
+        inProgress: Int,
+    ) {
         startMillis = clock.nowMillis()
-        log.lifecycle("leaving", mapOf("inProgress" to inProgress))
+        log.lifecycle("leaving", mapOf("connections" to connections, "inProgress" to inProgress))
+    }
+
+    /** Called for each request that was read. */
+    fun onRequestRead() {
+        if (isLeaving) readSinceStart++
+        if (isComplete) log.lifecycle("request read after the shutdown was complete", emptyMap())
     }
 
     /** Returns when the requests in progress have ended or the grace period is over. */
     suspend fun complete(
         server: CallerServer,
-        inProgress: () -> Int,
+        requests: RequestService,
     ) {
         val start = checkNotNull(startMillis)
         while (clock.nowMillis() - start < graceMillis()) {
-            val isDrained = clock.nowMillis() - start >= BALANCER_REMOVAL_MILLIS && inProgress() == 0
+            val isDrained = clock.nowMillis() - start >= BALANCER_REMOVAL_MILLIS && requests.inProgress == 0
             if (isDrained) break
             delay(DRAIN_POLL_MILLIS)
         }
         server.stop()
-        log.lifecycle("stopped", mapOf("inProgress" to inProgress()))
+        isComplete = true
+        log.lifecycle(
+            "stopped",
+            mapOf(
+                "connections" to server.connectionCount,
+                "readSinceSignal" to readSinceStart,
+                "unanswered" to requests.recordUnfinished(),
+            ),
+        )
     }
 
     private companion object {
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/RelayDaemon.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/RelayDaemon.kt
@@ -136,7 +136,7 @@
             ::relay,
         )
     private var registration: Job? = null
-    private val requests = RequestService(monotonic, filters, shutdown, log) { configuration.current }
+    private val requests = RequestService(monotonic, filters, shutdown, log, metrics) { configuration.current }
     private val server = CallerServer(eventLoop, scope, requests)
 
     /** The port on which the instance accepts callers; valid after [start]. */
@@ -192,9 +192,9 @@
     /** Shuts the instance down: returns when the requests in progress have ended or the grace period is over. */
     suspend fun leave() =
         withContext(scope.coroutineContext) {
-            shutdown.start(requests.inProgress)
+            shutdown.start(server.connectionCount, requests.inProgress)
             scope.launch { peers.deregister() }
-            shutdown.complete(server) { requests.inProgress }
+            shutdown.complete(server, requests)
         }
 
     /** Cancels all coroutines and shuts down the event loop. */
@@ -261,6 +261,7 @@
 
     private fun publishGauges() {
         metrics.gauge("requests.in.progress") { requests.inProgress }
+        metrics.gauge("caller.connections") { server.connectionCount }
         metrics.gauge("store.calls") { store.calls.values.sum() }
         metrics.gauge("connections.opened") { pool.opened }
         metrics.gauge("configuration.version") { configuration.current?.version ?: 0 }
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/RequestService.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/RequestService.kt
@@ -9,7 +9,9 @@
 import io.sequoiawheel.relay.http.CallerResponse
 import io.sequoiawheel.relay.http.CallerService
 import io.sequoiawheel.relay.http.ConnectionLimits
+import io.sequoiawheel.relay.http.UnansweredReason
 import io.sequoiawheel.relay.internal.DecisionLog
+import io.sequoiawheel.relay.internal.RelayMetrics
 
 /**
  * Passes the requests of callers to the filters, and counts those in progress.
@@ -21,6 +23,7 @@
     private val filters: FilterChain,
     private val shutdown: InstanceShutdown,
     private val log: DecisionLog,
+    private val metrics: RelayMetrics,
     private val configuration: () -> RelayConfiguration?,
 ) : CallerService {
     /** Number of requests that are being handled. */
@@ -44,6 +47,7 @@
         response: CallerResponse,
     ) {
         inProgress++
+        shutdown.onRequestRead()
         try {
             filters.handle(Exchange(request, response))
         } finally {
@@ -56,6 +60,21 @@
         detail: String,
     ) = log.request("request unreadable", mapOf("code" to code.number, "result" to code.name, "detail" to detail))
 
+    override fun onUnanswered(
+        reason: UnansweredReason,
+        cause: Throwable?,
+    ) {
+        metrics.count("requests.unanswered", reason.label)
+        if (reason == UnansweredReason.CALLER_CLOSED) return
+        log.request("request unanswered", mapOf("reason" to reason.label, "detail" to cause?.toString()))
+    }
+
+    /** Records the requests that the end of the process leaves without a response, and returns their number. */
+    fun recordUnfinished(): Int {
+        if (inProgress > 0) metrics.count("requests.unanswered", UnansweredReason.SHUTDOWN.label, inProgress.toDouble())
+        return inProgress
+    }
+
     private companion object {
         const val DEFAULT_BODY_BYTES = 1_048_576
         const val DEFAULT_TIMEOUT_MILLIS = 10_000L
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/http/CallerConnection.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/http/CallerConnection.kt
@@ -55,6 +55,12 @@
         code: ResultCode,
         detail: String,
     )
+
+    /** Called for a request that was read and ended without a complete response. */
+    fun onUnanswered(
+        reason: UnansweredReason,
+        cause: Throwable? = null,
+    )
 }
 
 /** Limits on the body size, and on the time in milliseconds that a caller may take for a head or stay idle. */
@@ -75,16 +81,19 @@
     private val channel: Channel,
     private val service: CallerService,
     private val scope: CoroutineScope,
+    private val connections: CallerConnections,
 ) : ChannelInboundHandlerAdapter() {
     private val inbound = InboundQueue()
     private var job: Job? = null
     private var writable = CompletableDeferred<Unit>()
+    private var isAborted = false
 
     override fun handlerAdded(context: ChannelHandlerContext) {
         inbound.attach(context.channel())
     }
 
     override fun channelActive(context: ChannelHandlerContext) {
+        connections.add(this)
         job = scope.launch { serveAll() }
     }
 
@@ -94,6 +103,7 @@
     ) = inbound.offer(message as HttpObject)
 
     override fun channelInactive(context: ChannelHandlerContext) {
+        connections.remove(this)
         inbound.close()
         job?.cancel(CancellationException("caller closed the connection"))
         writable.complete(Unit)
@@ -151,14 +161,27 @@
                 response.sendError(unreadable.status, unreadable.code, unreadable.message.orEmpty())
                 return false
             }
-        service.serve(request, response)
+        try {
+            service.serve(request, response)
+        } catch (failure: Throwable) {
+            if (!response.isComplete) service.onUnanswered(reasonOf(failure), failure)
+            throw failure
+        }
         if (!response.isComplete) {
+            service.onUnanswered(UnansweredReason.ABORTED)
             channel.reset()
             return false
         }
         return response.keepsConnection
     }
 
+    private fun reasonOf(failure: Throwable): UnansweredReason =
+        when {
+            isAborted -> UnansweredReason.ABORTED
+            failure is CancellationException -> UnansweredReason.CALLER_CLOSED
+            else -> UnansweredReason.FAILED
+        }
+
     private suspend fun receiveHead(): HttpRequest {
         while (true) {
             val message = inbound.receive()
@@ -244,7 +267,10 @@
 
     internal fun writeContent(bytes: ByteArray) = write(DefaultHttpContent(Unpooled.wrappedBuffer(bytes)))
 
-    internal fun abort() = channel.reset()
+    internal fun abort() {
+        isAborted = true
+        channel.reset()
+    }
 
     private companion object {
         /** Time that the caller has to close its side after the last response. */
--- /dev/null
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/http/CallerConnections.kt
@@ -0,0 +1,37 @@
+package io.sequoiawheel.relay.http
+
+/** The open connections of callers. Confined to the event loop. */
+internal class CallerConnections {
+    private val open = LinkedHashSet<CallerConnection>()
+
+    val count: Int get() = open.size
+
+    fun add(connection: CallerConnection) {
+        open += connection
+    }
+
+    fun remove(connection: CallerConnection) {
+        open -= connection
+    }
+}
+
+/**
+ * Why a request that was read ended without a complete response.
+ *
+ * @property label the label of the metric
+ */
+internal enum class UnansweredReason(
+    val label: String,
+) {
+    /** The caller closed its connection first. */
+    CALLER_CLOSED("caller closed"),
+
+    /** The response had started and could not be completed. */
+    ABORTED("aborted"),
+
+    /** An error ended the connection. */
+    FAILED("failed"),
+
+    /** The grace period of a shutdown ended. */
+    SHUTDOWN("shutdown"),
+}
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/http/CallerServer.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/http/CallerServer.kt
@@ -20,8 +20,12 @@
     private val scope: CoroutineScope,
     private val service: CallerService,
 ) {
+    private val connections = CallerConnections()
     private var listener: Channel? = null
 
+    /** Number of open connections. */
+    val connectionCount: Int get() = connections.count
+
     /** Starts to listen on [endpoint] and returns the bound port. */
     suspend fun start(
         endpoint: Endpoint,
@@ -46,7 +50,7 @@
                         override fun initChannel(channel: Channel) {
                             channel.pipeline().addLast(CallerRequestDecoder(maximumHeaderBytes))
                             channel.pipeline().addLast(HttpResponseEncoder())
-                            channel.pipeline().addLast(CallerConnection(channel, service, scope))
+                            channel.pipeline().addLast(CallerConnection(channel, service, scope, connections))
                         }
                     },
                 )
