End a shutdown when all connections of callers are closed

Cause: the end of a shutdown was one poll of the requests in progress. Open connections were read until the process was gone, and what was read was passed on. The same poll let the process end with the rest of a response in the write buffer, since a request counts as ended once its response is queued.

The end is now a state of the connections. ShutdownPlan decides the stage: connections are accepted until the load balancer has removed the instance (2.6 s, as before); then the listener and the idle connections are closed, and the others after their request; the process may exit when none is open, with all responses sent, or when the grace period is over. An idle connection stops being read in the same turn of the event loop in which it is found to hold no message, so that a request is either served or remains unread. That also holds for the idle timeout, which no longer covers the receipt of a message, and no longer reads and drops what arrives after it.

Why it works: after the step to closing, a request can be passed on only from a connection that is open, and each open connection keeps the shutdown from ending.

The unsent rest of a response has no test that fails before: it needs a write buffer that is filled below its mark at the moment of the poll.

--- a/relay/src/main/kotlin/io/sequoiawheel/relay/InstanceShutdown.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/InstanceShutdown.kt
@@ -1,6 +1,8 @@
 package io.sequoiawheel.relay
 
 import io.sequoiawheel.core.model.Clock
+import io.sequoiawheel.core.relay.ShutdownPlan
+import io.sequoiawheel.core.relay.ShutdownStage
 import io.sequoiawheel.relay.http.CallerServer
 import io.sequoiawheel.relay.internal.DecisionLog
 import kotlinx.coroutines.delay
@@ -15,21 +17,21 @@
     private val log: DecisionLog,
     private val graceMillis: () -> Long,
 ) {
-    private var startMillis: Long? = null
+    private var plan: ShutdownPlan? = null
     private var isComplete = false
     private var readSinceStart = 0
 
-    val isLeaving: Boolean get() = startMillis != null
+    val isLeaving: Boolean get() = plan != null
 
     /** Returns the time until the process exits, or null if it is not shutting down. */
-    fun remainingMillis(): Long? = startMillis?.let { it + graceMillis() - clock.nowMillis() }
+    fun remainingMillis(): Long? = plan?.remainingMillis(clock.nowMillis())
 
     /** Announces that the instance shuts down, so that it is no longer ready. */
     fun start(
         connections: Int,
         inProgress: Int,
     ) {
-        startMillis = clock.nowMillis()
+        plan = ShutdownPlan(clock.nowMillis(), graceMillis())
         log.lifecycle("leaving", mapOf("connections" to connections, "inProgress" to inProgress))
     }
 
@@ -39,18 +41,12 @@
         if (isComplete) log.lifecycle("request read after the shutdown was complete", emptyMap())
     }
 
-    /** Returns when the requests in progress have ended or the grace period is over. */
+    /** Closes the connections of callers, and returns when all are closed or the grace period is over. */
     suspend fun complete(
         server: CallerServer,
         requests: RequestService,
     ) {
-        val start = checkNotNull(startMillis)
-        while (clock.nowMillis() - start < graceMillis()) {
-            val isDrained = clock.nowMillis() - start >= BALANCER_REMOVAL_MILLIS && requests.inProgress == 0
-            if (isDrained) break
-            delay(DRAIN_POLL_MILLIS)
-        }
-        server.stop()
+        while (!advance(server, requests)) delay(POLL_MILLIS)
         isComplete = true
         log.lifecycle(
             "stopped",
@@ -62,9 +58,25 @@
         )
     }
 
+    /** Takes the next step of the shutdown that is due. Returns whether the shutdown has ended. */
+    private fun advance(
+        server: CallerServer,
+        requests: RequestService,
+    ): Boolean =
+        when (checkNotNull(plan).stage(clock.nowMillis(), server.isClosing, server.connectionCount)) {
+            ShutdownStage.ACCEPTING -> false
+            ShutdownStage.CLOSING -> {
+                if (!server.isClosing) {
+                    val fields = mapOf("connections" to server.connectionCount, "inProgress" to requests.inProgress)
+                    log.lifecycle("closing connections", fields)
+                    server.close()
+                }
+                false
+            }
+            ShutdownStage.ENDED -> true
+        }
+
     private companion object {
-        /** The load balancer checks readiness once a second and removes an instance after two failed checks. */
-        const val BALANCER_REMOVAL_MILLIS = 2_600L
-        const val DRAIN_POLL_MILLIS = 50L
+        const val POLL_MILLIS = 50L
     }
 }
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/RelayDaemon.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/RelayDaemon.kt
@@ -189,7 +189,7 @@
         eventLoop.execute { log.lifecycle("settings unreadable, kept", mapOf("detail" to detail)) }
     }
 
-    /** Shuts the instance down: returns when the requests in progress have ended or the grace period is over. */
+    /** Shuts the instance down: returns when all connections are closed or the grace period is over. */
     suspend fun leave() =
         withContext(scope.coroutineContext) {
             shutdown.start(server.connectionCount, requests.inProgress)
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/backend/InboundQueue.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/backend/InboundQueue.kt
@@ -5,6 +5,7 @@
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpObject
 import io.netty.util.ReferenceCountUtil
+import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.channels.ClosedReceiveChannelException
 import java.io.IOException
 import kotlinx.coroutines.channels.Channel as CoroutineChannel
@@ -23,6 +24,7 @@
     private val messages = CoroutineChannel<HttpObject>(CoroutineChannel.UNLIMITED)
     private var queuedBytes = 0L
     private var channel: Channel? = null
+    private var waiter: CompletableDeferred<Unit>? = null
 
     /** The reset or error that ended the connection, or null. */
     var failure: Throwable? = null
@@ -31,6 +33,9 @@
     /** Whether the queue holds unread messages. */
     val hasUnread: Boolean get() = !messages.isEmpty
 
+    /** Whether the queue is open and holds no unread messages. */
+    val isIdle: Boolean get() = messages.isEmpty && !messages.isClosedForReceive
+
     fun attach(channel: Channel) {
         this.channel = channel
     }
@@ -38,9 +43,21 @@
     fun offer(message: HttpObject) {
         queuedBytes += sizeOf(message)
         if (messages.trySend(message).isFailure) ReferenceCountUtil.release(message)
+        wake()
         if (queuedBytes > PAUSE_BYTES) channel?.config()?.isAutoRead = false
     }
 
+    /** Waits until there is a message to [receive], the queue is closed, or [wake] is called. */
+    suspend fun awaitMessage() {
+        if (isIdle) CompletableDeferred<Unit>().also { waiter = it }.await()
+    }
+
+    /** Ends a wait for a message. */
+    fun wake() {
+        waiter?.complete(Unit)
+        waiter = null
+    }
+
     suspend fun receive(): HttpObject {
         val message =
             try {
@@ -57,6 +74,7 @@
     fun close(cause: Throwable? = null) {
         if (cause != null && failure == null) failure = cause
         messages.close()
+        wake()
     }
 
     /** Closes the queue and releases the unread messages. */
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/http/CallerConnection.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/http/CallerConnection.kt
@@ -136,9 +136,12 @@
     private suspend fun serveAll() {
         try {
             var isKeptOpen = true
-            while (isKeptOpen) isKeptOpen = serveNext()
+            while (isKeptOpen) {
+                val head = receiveHead() ?: break
+                isKeptOpen = serve(head)
+            }
             channel.writeAndFlush(Unpooled.EMPTY_BUFFER).awaitDone()
-            closeGracefully()
+            if (!isKeptOpen) closeGracefully()
         } catch (failure: IOException) {
             channel.close()
         } finally {
@@ -147,10 +150,8 @@
         }
     }
 
-    /** Serves the next request. Returns whether the connection stays open. */
-    private suspend fun serveNext(): Boolean {
-        val head =
-            withTimeoutOrNull(service.limits.idleTimeoutMillis) { receiveHead() } ?: return false
+    /** Serves the request with this [head]. Returns whether the connection stays open. */
+    private suspend fun serve(head: HttpRequest): Boolean {
         val response = CallerResponse(this, HttpUtil.isKeepAlive(head) && !service.isLeaving) { service.isLeaving }
         val request =
             try {
@@ -182,14 +183,29 @@
             else -> UnansweredReason.FAILED
         }
 
-    private suspend fun receiveHead(): HttpRequest {
+    /**
+     * Returns the head of the next request, or null if the connection should end because it is idle. Reading stops in
+     * the latter case, so that a request that is on its way can be repeated elsewhere. The timeout covers only the
+     * wait, since cancelling a receipt may lose the message.
+     */
+    private suspend fun receiveHead(): HttpRequest? {
         while (true) {
+            if (!connections.isClosing) {
+                withTimeoutOrNull(service.limits.idleTimeoutMillis) { inbound.awaitMessage() }
+            }
+            if (inbound.isIdle) {
+                channel.config().isAutoRead = false
+                return null
+            }
             val message = inbound.receive()
             if (message is HttpRequest) return message
             ReferenceCountUtil.release(message)
         }
     }
 
+    /** Ends the connection unless a request is in progress or was already read; then it ends after that request. */
+    fun endWhenIdle() = inbound.wake()
+
     private suspend fun readRequest(head: HttpRequest): CallerRequest {
         val receivedAtMillis = service.clock.nowMillis()
         rejectMalformed(head)
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/http/CallerConnections.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/http/CallerConnections.kt
@@ -4,6 +4,10 @@
 internal class CallerConnections {
     private val open = LinkedHashSet<CallerConnection>()
 
+    /** Whether connections end as soon as no request is left on them. */
+    var isClosing = false
+        private set
+
     val count: Int get() = open.size
 
     fun add(connection: CallerConnection) {
@@ -13,6 +17,12 @@
     fun remove(connection: CallerConnection) {
         open -= connection
     }
+
+    /** Lets all connections end, including those that are added later. */
+    fun close() {
+        isClosing = true
+        open.toList().forEach(CallerConnection::endWhenIdle)
+    }
 }
 
 /**
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/http/CallerServer.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/http/CallerServer.kt
@@ -26,6 +26,9 @@
     /** Number of open connections. */
     val connectionCount: Int get() = connections.count
 
+    /** Whether [close] was called. */
+    val isClosing: Boolean get() = connections.isClosing
+
     /** Starts to listen on [endpoint] and returns the bound port. */
     suspend fun start(
         endpoint: Endpoint,
@@ -60,9 +63,10 @@
         return (bound.channel().localAddress() as java.net.InetSocketAddress).port
     }
 
-    /** Stops accepting connections. */
-    fun stop() {
+    /** Stops accepting connections, and lets each open one end as soon as no request is left on it. */
+    fun close() {
         listener?.close()
+        connections.close()
     }
 
     private companion object {
