Send requests around the end of a process in a test

90 kept connections send one call each, 2,350 to 2,795 ms after SIGTERM, and each call that reaches the replica must be answered.

--- a/relay/src/test/kotlin/io/sequoiawheel/relay/RelayProcessTest.kt
+++ b/relay/src/test/kotlin/io/sequoiawheel/relay/RelayProcessTest.kt
@@ -10,10 +10,13 @@
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.io.TempDir
 import java.net.HttpURLConnection
+import java.net.Socket
 import java.net.URI
 import java.nio.file.Files
 import java.nio.file.Path
+import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.TimeUnit
+import kotlin.concurrent.thread
 
 /** Runs an entry instance as a separate process and checks settings, readiness, signals, exit codes and log lines. */
 class RelayProcessTest {
@@ -84,6 +87,39 @@
         }
     }
 
+    // Requests that cross the end of a process were passed on to a replica, and their connection ended unanswered.
+    @Test
+    fun `each request that reaches a replica around the end of the process is answered`() {
+        val replica =
+            fixture.replica("r-1") { request, answer ->
+                Thread.sleep(CALL_MILLIS)
+                answer.sendComplete(request, "world")
+            }
+        fixture.configure()
+        val readiness = FreePorts.allocate()
+        val callers = FreePorts.allocate()
+        val started = start(settings(callers, readiness))
+        RelayFixture.awaitTrue("the process is ready") { statusOf(readiness) == 200 }
+        val connections = List(CALLERS) { KeptConnection(Socket("127.0.0.1", callers)) }
+        connections.forEachIndexed { index, caller -> assertEquals(200 to "world", caller.call("first-$index")) }
+        signal("TERM")
+        val answered = ConcurrentHashMap.newKeySet<String>()
+        val threads =
+            connections.mapIndexed { index, caller ->
+                thread {
+                    Thread.sleep(FIRST_SEND_MILLIS + index * SEND_INTERVAL_MILLIS)
+                    if (caller.call("second-$index") != null) answered += "second-$index"
+                }
+            }
+        threads.forEach { it.join() }
+        assertTrue(started.waitFor(9, TimeUnit.SECONDS), "the process ends")
+        assertEquals(0, started.exitValue())
+        connections.forEach { it.close() }
+        val arrived = replica.requests.mapNotNull { it.header("X-Request-Id") }.filter { it.startsWith("second") }
+        assertEquals(emptyList<String>(), arrived - answered, "requests without an answer")
+        assertTrue(answered.isNotEmpty(), "no request was sent before the connections were closed")
+    }
+
     @Test
     fun `changed settings are applied without a signal and unreadable ones are ignored`() {
         val readiness = FreePorts.allocate()
@@ -106,4 +142,13 @@
         assertEquals(100, started.exitValue())
         assertTrue(Files.readString(directory.resolve("err")).contains("'listen'"))
     }
+
+    private companion object {
+        const val CALLERS = 90
+        const val CALL_MILLIS = 20L
+
+        /** From before the connections are closed until after the end of the process. */
+        const val FIRST_SEND_MILLIS = 2_350L
+        const val SEND_INTERVAL_MILLIS = 5L
+    }
 }
