Answer requests whose handling ends by an error of the virtual machine

What callers would see: the connection closes without a response. OutcomeFilter and CallerConnection caught exceptions only, so a StackOverflowError or OutOfMemoryError in a filter ended the connection's coroutine.

OutcomeFilter now takes any Throwable for an unexpected failure: it answers by INTERNAL_ERROR, or resets a response that has started, with its log line and count. An Error outside of the filters, such as while a body is read, resets the connection and counts the request as failed.

CallerErrorTest, both tests, failed before: no response instead of status 500, and the reason "failed" instead of "aborted" for a response that had started. Both pass now, with the 26 tests of InstanceShutdownTest, RelayProcessTest and CallRelayTest.

--- a/relay/src/main/kotlin/io/sequoiawheel/relay/filter/OutcomeFilter.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/filter/OutcomeFilter.kt
@@ -6,7 +6,7 @@
 import io.sequoiawheel.relay.internal.RelayMetrics
 import kotlinx.coroutines.CancellationException
 
-/** Logs and counts the result of each request, and turns an unexpected exception into an error response. */
+/** Logs and counts the result of each request, and turns an unexpected exception or error into an error response. */
 internal class OutcomeFilter(
     private val clock: Clock,
     private val log: DecisionLog,
@@ -23,7 +23,7 @@
             // A result that is already set is therefore kept.
             if (exchange.result == null) exchange.result = ResultCode.CANCELLED
             throw cancelled
-        } catch (failure: Exception) {
+        } catch (failure: Throwable) {
             exchange.fail(ResultCode.INTERNAL_ERROR, "unexpected exception: $failure")
         } finally {
             recordResult(exchange)
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/http/CallerConnection.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/http/CallerConnection.kt
@@ -144,6 +144,9 @@
             if (!isKeptOpen) closeGracefully()
         } catch (failure: IOException) {
             channel.close()
+        } catch (failure: Error) {
+            service.onUnanswered(UnansweredReason.FAILED, failure)
+            channel.reset()
         } finally {
             inbound.discard()
             channel.close()
@@ -164,7 +167,7 @@
             }
         try {
             service.serve(request, response)
-        } catch (failure: Throwable) {
+        } catch (failure: Exception) {
             if (!response.isComplete) service.onUnanswered(reasonOf(failure), failure)
             throw failure
         }
@@ -176,7 +179,7 @@
         return response.keepsConnection
     }
 
-    private fun reasonOf(failure: Throwable): UnansweredReason =
+    private fun reasonOf(failure: Exception): UnansweredReason =
         when {
             isAborted -> UnansweredReason.ABORTED
             failure is CancellationException -> UnansweredReason.CALLER_CLOSED
