--- a/relay/src/main/kotlin/io/sequoiawheel/relay/http/CallerConnection.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/http/CallerConnection.kt
@@ -55,6 +55,12 @@
         code: ResultCode,
         detail: String,
     )
+
+    /** Called for a request that was read and ended without a complete response. */
+    fun onUnanswered(
+        reason: UnansweredReason,
+        cause: Throwable? = null,
+    )
 }
 
 /** Limits on the body size, and on the time in milliseconds that a caller may take for a head or stay idle. */
@@ -75,16 +81,19 @@
     private val channel: Channel,
     private val service: CallerService,
     private val scope: CoroutineScope,
+    private val connections: CallerConnections,
 ) : ChannelInboundHandlerAdapter() {
     private val inbound = InboundQueue()
     private var job: Job? = null
     private var writable = CompletableDeferred<Unit>()
+    private var isAborted = false
 
     override fun handlerAdded(context: ChannelHandlerContext) {
         inbound.attach(context.channel())
     }
 
     override fun channelActive(context: ChannelHandlerContext) {
+        connections.add(this)
         job = scope.launch { serveAll() }
     }
 
@@ -94,6 +103,7 @@
     ) = inbound.offer(message as HttpObject)
 
     override fun channelInactive(context: ChannelHandlerContext) {
+        connections.remove(this)
         inbound.close()
         job?.cancel(CancellationException("caller closed the connection"))
         writable.complete(Unit)
@@ -126,21 +136,25 @@
     private suspend fun serveAll() {
         try {
             var isKeptOpen = true
-            while (isKeptOpen) isKeptOpen = serveNext()
+            while (isKeptOpen) {
+                val head = receiveHead() ?: break
+                isKeptOpen = serve(head)
+            }
             channel.writeAndFlush(Unpooled.EMPTY_BUFFER).awaitDone()
-            closeGracefully()
+            if (!isKeptOpen) closeGracefully()
         } catch (failure: IOException) {
             channel.close()
+        } catch (failure: Error) {
+            service.onUnanswered(UnansweredReason.FAILED, failure)
+            channel.reset()
         } finally {
             inbound.discard()
             channel.close()
         }
     }
 
-    /** Serves the next request. Returns whether the connection stays open. */
-    private suspend fun serveNext(): Boolean {
-        val head =
-            withTimeoutOrNull(service.limits.idleTimeoutMillis) { receiveHead() } ?: return false
+    /** Serves the request with this [head]. Returns whether the connection stays open. */
+    private suspend fun serve(head: HttpRequest): Boolean {
         val response = CallerResponse(this, HttpUtil.isKeepAlive(head) && !service.isLeaving) { service.isLeaving }
         val request =
             try {
@@ -151,22 +165,50 @@
                 response.sendError(unreadable.status, unreadable.code, unreadable.message.orEmpty())
                 return false
             }
-        service.serve(request, response)
+        try {
+            service.serve(request, response)
+        } catch (failure: Exception) {
+            if (!response.isComplete) service.onUnanswered(reasonOf(failure), failure)
+            throw failure
+        }
         if (!response.isComplete) {
+            service.onUnanswered(UnansweredReason.ABORTED)
             channel.reset()
             return false
         }
         return response.keepsConnection
     }
 
-    private suspend fun receiveHead(): HttpRequest {
+    private fun reasonOf(failure: Exception): UnansweredReason =
+        when {
+            isAborted -> UnansweredReason.ABORTED
+            failure is CancellationException -> UnansweredReason.CALLER_CLOSED
+            else -> UnansweredReason.FAILED
+        }
+
+    /**
+     * Returns the head of the next request, or null if the connection should end because it is idle. Reading stops in
+     * the latter case, so that a request that is on its way can be repeated elsewhere. The timeout covers only the
+     * wait, since cancelling a receipt may lose the message.
+     */
+    private suspend fun receiveHead(): HttpRequest? {
         while (true) {
+            if (!connections.isClosing) {
+                withTimeoutOrNull(service.limits.idleTimeoutMillis) { inbound.awaitMessage() }
+            }
+            if (inbound.isIdle) {
+                channel.config().isAutoRead = false
+                return null
+            }
             val message = inbound.receive()
             if (message is HttpRequest) return message
             ReferenceCountUtil.release(message)
         }
     }
 
+    /** Ends the connection unless a request is in progress or was already read; then it ends after that request. */
+    fun endWhenIdle() = inbound.wake()
+
     private suspend fun readRequest(head: HttpRequest): CallerRequest {
         val receivedAtMillis = service.clock.nowMillis()
         rejectMalformed(head)
@@ -244,7 +286,10 @@
 
     internal fun writeContent(bytes: ByteArray) = write(DefaultHttpContent(Unpooled.wrappedBuffer(bytes)))
 
-    internal fun abort() = channel.reset()
+    internal fun abort() {
+        isAborted = true
+        channel.reset()
+    }
 
     private companion object {
         /** Time that the caller has to close its side after the last response. */
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/http/CallerServer.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/http/CallerServer.kt
@@ -20,8 +20,15 @@
     private val scope: CoroutineScope,
     private val service: CallerService,
 ) {
+    private val connections = CallerConnections()
     private var listener: Channel? = null
 
+    /** Number of open connections. */
+    val connectionCount: Int get() = connections.count
+
+    /** Whether [close] was called. */
+    val isClosing: Boolean get() = connections.isClosing
+
     /** Starts to listen on [endpoint] and returns the bound port. */
     suspend fun start(
         endpoint: Endpoint,
@@ -46,7 +53,7 @@
                         override fun initChannel(channel: Channel) {
                             channel.pipeline().addLast(CallerRequestDecoder(maximumHeaderBytes))
                             channel.pipeline().addLast(HttpResponseEncoder())
-                            channel.pipeline().addLast(CallerConnection(channel, service, scope))
+                            channel.pipeline().addLast(CallerConnection(channel, service, scope, connections))
                         }
                     },
                 )
@@ -56,9 +63,10 @@
         return (bound.channel().localAddress() as java.net.InetSocketAddress).port
     }
 
-    /** Stops accepting connections. */
-    fun stop() {
+    /** Stops accepting connections, and lets each open one end as soon as no request is left on it. */
+    fun close() {
         listener?.close()
+        connections.close()
     }
 
     private companion object {
