Begin a fault soak of the entry program as processes

Callers, replicas, a store and proxies around real processes, a seeded plan of faults, and a checker of what callers and replicas saw.

--- a/cli/src/main/kotlin/io/sequoiawheel/cli/RootCommand.kt
+++ b/cli/src/main/kotlin/io/sequoiawheel/cli/RootCommand.kt
@@ -32,6 +32,7 @@
         DocumentCommand::class,
         ExperimentCommand::class,
         ReportCommand::class,
+        SoakCommand::class,
         StandInsCommand::class,
     ],
 )
--- /dev/null
+++ b/soak/src/main/kotlin/io/sequoiawheel/soak/history/History.kt
@@ -0,0 +1,125 @@
+/*
+ * What callers, replicas and the operator saw during a run. Times are in milliseconds since the start of the run, on one
+ * clock. The entry instances contribute nothing to it.
+ */
+package io.sequoiawheel.soak.history
+
+import kotlinx.serialization.Serializable
+
+/** Kind of a call, and the route prefix of that name. */
+@Serializable
+enum class CallKind(
+    val route: String,
+    val isRepeatable: Boolean,
+    val isStream: Boolean,
+) {
+    SAFE("safe", isRepeatable = true, isStream = false),
+    UNSAFE("unsafe", isRepeatable = false, isStream = false),
+    STREAM("stream", isRepeatable = false, isStream = true),
+    RESUMABLE_STREAM("resumable", isRepeatable = true, isStream = true),
+}
+
+@Serializable
+enum class CallEnd {
+    /** A whole response, of any status. */
+    ANSWERED,
+
+    /** The connection ended, or the bytes were no response, in the middle of the response. */
+    CUT,
+
+    /** The connection ended before the first byte of a response. */
+    CLOSED,
+
+    /** The caller left before the response was whole. */
+    LEFT,
+
+    /** The connection was closed before the request was written. */
+    NOT_SENT,
+}
+
+/**
+ * One attempt of a caller. [requestId] is unique in the run; [responseId] and [signature] are those of the response.
+ *
+ * @property strayBytes bytes that arrived on the connection after the response
+ */
+@Serializable
+data class Call(
+    val requestId: String,
+    val kind: CallKind,
+    val instance: String,
+    val sentMillis: Long,
+    val endMillis: Long,
+    val end: CallEnd,
+    val status: Int? = null,
+    val responseId: String? = null,
+    val signature: String? = null,
+    val body: String = "",
+    val strayBytes: Int = 0,
+)
+
+@Serializable
+enum class RunEnd { RUNNING, REFUSED, ANSWERED, CONNECTION_LOST, BROKEN_OFF }
+
+/** One arrival of a request at a replica; every end but [RunEnd.REFUSED] means that it ran. */
+@Serializable
+data class Run(
+    val requestId: String,
+    val replica: String,
+    val startMillis: Long,
+    val endMillis: Long? = null,
+    val end: RunEnd = RunEnd.RUNNING,
+    val body: String = "",
+    val signature: String = "",
+) {
+    val hasRun: Boolean get() = end != RunEnd.REFUSED
+}
+
+/** Something that was done to an instance, a replica, a path or the store, named by [target]. */
+@Serializable
+data class Disturbance(
+    val kind: DisturbanceKind,
+    val target: String,
+    val fromMillis: Long,
+    val toMillis: Long,
+)
+
+@Serializable
+enum class DisturbanceKind {
+    SHUTDOWN,
+    KILL,
+    PAUSE,
+    RELOAD,
+
+    /** Bytes between callers and the instance [Disturbance.target] were lost or held back. */
+    CALLER_PATH,
+
+    /** Bytes between instances and the replica [Disturbance.target] were lost or held back. */
+    REPLICA_PATH,
+    STORE,
+    REPLICA_CRASH,
+    ODD_ENTRY,
+}
+
+/** The store acknowledged at [acknowledgedMillis] that [replica] is leaving. */
+@Serializable
+data class Departure(
+    val replica: String,
+    val acknowledgedMillis: Long,
+)
+
+/** A fault of an instance as a process: it ended unasked, did not become ready, or did not follow the store. */
+@Serializable
+data class InstanceFault(
+    val instance: String,
+    val atMillis: Long,
+    val detail: String,
+)
+
+@Serializable
+data class History(
+    val calls: List<Call>,
+    val runs: List<Run>,
+    val disturbances: List<Disturbance> = emptyList(),
+    val departures: List<Departure> = emptyList(),
+    val instanceFaults: List<InstanceFault> = emptyList(),
+)
--- /dev/null
+++ b/soak/src/main/kotlin/io/sequoiawheel/soak/rig/Callers.kt
@@ -0,0 +1,198 @@
+/*
+ * Callers of the entry instances. They keep connections for several calls, also while the instance shuts down, and open new
+ * ones only to instances that the load balancer has in rotation.
+ */
+package io.sequoiawheel.soak.rig
+
+import io.sequoiawheel.soak.history.Call
+import io.sequoiawheel.soak.history.CallEnd
+import io.sequoiawheel.soak.history.CallKind
+import io.sequoiawheel.standin.platform.CallerStandIn
+import io.sequoiawheel.standin.platform.ResponseEnd
+import org.apache.commons.rng.UniformRandomProvider
+import org.apache.commons.rng.simple.RandomSource
+import java.io.IOException
+import java.util.concurrent.CountDownLatch
+
+/** One open connection of a caller to [instance]. */
+class CallerSession(
+    val instance: String,
+    port: Int,
+    private val recorder: Recorder,
+) : AutoCloseable {
+    private val connection = CallerStandIn(port)
+
+    /** Whether a further call may be sent. */
+    var isOpen = true
+        private set
+
+    /** Sends a call and records its end. The caller leaves after [patienceMillis]. */
+    fun call(
+        kind: CallKind,
+        patienceMillis: Long = DEADLINE_MILLIS,
+    ): Call {
+        val requestId = recorder.newRequestId()
+        val sentMillis = recorder.nowMillis()
+        val deadlineMillis = if (kind.isStream) STREAM_DEADLINE_MILLIS else DEADLINE_MILLIS
+        if (!connection.send("/${kind.route}/x", requestId, "body of $requestId", deadlineMillis)) {
+            isOpen = false
+            val now = recorder.nowMillis()
+            return Call(requestId, kind, instance, sentMillis, now, CallEnd.NOT_SENT).also { recorder.calls += it }
+        }
+        val response = connection.receive(if (kind.isStream) maxOf(patienceMillis, deadlineMillis) else patienceMillis)
+        val end =
+            when (response.end) {
+                ResponseEnd.WHOLE -> CallEnd.ANSWERED
+                ResponseEnd.CUT -> CallEnd.CUT
+                ResponseEnd.NONE -> CallEnd.CLOSED
+                ResponseEnd.TIMED_OUT -> CallEnd.LEFT
+            }
+        isOpen = !response.isLast
+        val call =
+            Call(
+                requestId,
+                kind,
+                instance,
+                sentMillis,
+                recorder.nowMillis(),
+                end,
+                response.status,
+                response.requestId,
+                response.signature,
+                response.body,
+                if (end == CallEnd.ANSWERED) connection.strayBytes() else 0,
+            )
+        recorder.calls += call
+        if (end == CallEnd.LEFT) connection.close()
+        return call
+    }
+
+    override fun close() = connection.close()
+
+    private companion object {
+        const val DEADLINE_MILLIS = 2_500L
+        const val STREAM_DEADLINE_MILLIS = 9_000L
+    }
+}
+
+/** One caller with random habits, which are a function of [seed]. */
+class Caller(
+    seed: Long,
+    private val rotation: () -> List<EntryProcess>,
+    private val recorder: Recorder,
+) {
+    private val random: UniformRandomProvider = RandomSource.XO_RO_SHI_RO_128_PP.create(seed)
+
+    /** Calls until [isEnding] holds. */
+    fun run(isEnding: () -> Boolean) {
+        while (!isEnding()) {
+            val targets = rotation()
+            val target = targets.getOrNull(random.nextInt(maxOf(1, targets.size)))
+            val session = target?.let(::connect)
+            if (session == null) {
+                Thread.sleep(RECONNECT_MILLIS)
+            } else {
+                session.use { converse(it, isEnding) }
+            }
+        }
+    }
+
+    private fun connect(target: EntryProcess): CallerSession? =
+        try {
+            CallerSession(target.name, target.callerPath.port, recorder)
+        } catch (_: IOException) {
+            null
+        }
+
+    private fun converse(
+        session: CallerSession,
+        isEnding: () -> Boolean,
+    ) {
+        var calls = random.nextInt(FEWEST_CALLS, MOST_CALLS)
+        while (calls-- > 0 && session.isOpen && !isEnding()) {
+            val isLeavingEarly = random.nextInt(CALLS_PER_EARLY_LEAVE) == 0
+            val patience = if (isLeavingEarly) random.nextInt(1, EARLY_LEAVE_MILLIS).toLong() else PATIENCE_MILLIS
+            session.call(KINDS[random.nextInt(KINDS.size)], patience)
+            Thread.sleep(random.nextInt(LONGEST_PAUSE_MILLIS).toLong())
+        }
+    }
+
+    private companion object {
+        /** Calls that may not be repeated are the ones that most promises are about. */
+        val KINDS =
+            listOf(
+                CallKind.SAFE,
+                CallKind.UNSAFE,
+                CallKind.UNSAFE,
+                CallKind.UNSAFE,
+                CallKind.STREAM,
+                CallKind.RESUMABLE_STREAM,
+            )
+        const val FEWEST_CALLS = 1
+        const val MOST_CALLS = 40
+        const val CALLS_PER_EARLY_LEAVE = 50
+        const val EARLY_LEAVE_MILLIS = 60
+        const val PATIENCE_MILLIS = 2_500L
+        const val LONGEST_PAUSE_MILLIS = 120
+        const val RECONNECT_MILLIS = 50L
+    }
+}
+
+/**
+ * Callers with open, idle connections to an instance that is told to shut down. Each sends one last call: a part of them
+ * while the instance leaves, the others in the moments after it has stopped to accept connections.
+ */
+class LastCallers(
+    private val instance: EntryProcess,
+    private val recorder: Recorder,
+    seed: Long,
+) {
+    private val random: UniformRandomProvider = RandomSource.XO_RO_SHI_RO_128_PP.create(seed)
+    private val sessions = ArrayList<CallerSession>()
+    private val listenerEnd = CountDownLatch(1)
+
+    /** Opens [count] connections, with one call on each. */
+    fun connect(count: Int) {
+        val opened = List(count) { runCatching { open() }.getOrNull() }
+        sessions += opened.filterNotNull()
+    }
+
+    private fun open(): CallerSession {
+        val session = CallerSession(instance.name, instance.callerPath.port, recorder)
+        session.call(CallKind.SAFE)
+        return session
+    }
+
+    /** Sends the last calls of a shutdown that begins now. Returns when all of them have ended. */
+    fun send() {
+        val early = sessions.size / EARLY_SHARE
+        val threads =
+            sessions.mapIndexed { index, session ->
+                val kind = if (index % 2 == 0) CallKind.UNSAFE else CallKind.SAFE
+                val delayMillis = random.nextInt(if (index < early) LEAVING_MILLIS else LAST_MOMENTS_MILLIS).toLong()
+                startThread {
+                    if (index >= early) listenerEnd.await()
+                    Thread.sleep(delayMillis)
+                    if (session.isOpen) session.call(kind)
+                }
+            }
+        watchListener()
+        threads.forEach { it.join() }
+        sessions.forEach { it.close() }
+    }
+
+    private fun watchListener() {
+        val end = System.nanoTime() + WATCH_NANOS
+        Thread.sleep(SHORTEST_LEAVE_MILLIS)
+        while (System.nanoTime() < end && instance.isListening()) Thread.sleep(1)
+        listenerEnd.countDown()
+    }
+
+    private companion object {
+        const val EARLY_SHARE = 4
+        const val LEAVING_MILLIS = 2_500
+        const val LAST_MOMENTS_MILLIS = 10
+        const val SHORTEST_LEAVE_MILLIS = 1_500L
+        const val WATCH_NANOS = 9_000_000_000L
+    }
+}
--- /dev/null
+++ b/soak/src/main/kotlin/io/sequoiawheel/soak/rig/FaultInjector.kt
@@ -0,0 +1,183 @@
+/*
+ * Carries out the faults of a plan on processes, replicas, paths and the store, and records when each of them lasted.
+ */
+package io.sequoiawheel.soak.rig
+
+import io.sequoiawheel.soak.history.DisturbanceKind
+import io.sequoiawheel.soak.plan.FaultKind
+import io.sequoiawheel.soak.plan.Path
+import io.sequoiawheel.soak.plan.PlannedFault
+import io.sequoiawheel.standin.platform.PlatformEntries
+import io.sequoiawheel.standin.platform.PlatformStoreStandIn
+import io.sequoiawheel.standin.platform.ReplicaConduct
+import java.util.EnumMap
+import java.util.concurrent.atomic.AtomicInteger
+
+class FaultInjector(
+    private val seed: Long,
+    private val instances: List<EntryProcess>,
+    private val callReplicas: List<ReplicaSite>,
+    private val streamReplicas: List<ReplicaSite>,
+    private val store: PlatformStoreStandIn,
+    private val recorder: Recorder,
+    private val lastCallers: Int,
+) {
+    private val counts = EnumMap<FaultKind, AtomicInteger>(FaultKind::class.java)
+
+    /** How often each kind of fault was carried out. */
+    fun counts(): Map<FaultKind, Int> = counts.mapValues { it.value.get() }
+
+    /** Carries out [fault] and returns when it is over. */
+    fun inject(fault: PlannedFault) {
+        synchronized(counts) { counts.getOrPut(fault.kind) { AtomicInteger() } }.incrementAndGet()
+        val instance = instances[fault.target % instances.size]
+        val replicas = callReplicas + streamReplicas
+        val replica = replicas[fault.target % replicas.size]
+        when (fault.kind) {
+            FaultKind.SHUTDOWN -> shutDown(instance, fault)
+            FaultKind.PAUSE_BEFORE_SHUTDOWN -> {
+                pause(instance, fault.durationMillis)
+                Thread.sleep(PAUSE_TO_SHUTDOWN_MILLIS)
+                shutDown(instance, fault)
+            }
+            FaultKind.PAUSE -> pause(instance, fault.durationMillis)
+            FaultKind.KILL -> kill(instance, fault)
+            FaultKind.RELOAD -> during(DisturbanceKind.RELOAD, instance.name) { instance.signal("HUP") }
+            FaultKind.REFUSAL -> behave(callReplicas, fault, ReplicaConduct(refusesFirst = true))
+            FaultKind.REPEATED_REFUSAL ->
+                behave(
+                    callReplicas + streamReplicas,
+                    fault,
+                    ReplicaConduct(refusesFirst = true, repeatsRefusals = true, workMillis = LONG_WORK_MILLIS),
+                )
+            FaultKind.REPLICA_CRASH -> synchronized(replica) { replica.crash(fault.durationMillis) }
+            FaultKind.REPLICA_DEPARTURE -> synchronized(replica) { replica.depart(fault.durationMillis) }
+            FaultKind.STREAM_BREAK -> behave(streamReplicas, fault, ReplicaConduct(breaksStreams = true))
+            FaultKind.STREAM_BREAK_THEN_ERROR ->
+                behave(streamReplicas, fault, ReplicaConduct(breaksStreams = true, failsResumed = true))
+            FaultKind.ODD_ENTRY -> addOddEntry(fault)
+            FaultKind.STORE_OUTAGE -> loseStore(fault)
+            else -> disturbPath(fault, instance, replica)
+        }
+    }
+
+    private fun during(
+        kind: DisturbanceKind,
+        target: String,
+        body: () -> Unit,
+    ) {
+        val end = recorder.disturb(kind, target)
+        try {
+            body()
+        } finally {
+            end()
+        }
+    }
+
+    private fun shutDown(
+        instance: EntryProcess,
+        fault: PlannedFault,
+    ) {
+        val callers = LastCallers(instance, recorder, seed + fault.atMillis)
+        callers.connect(lastCallers)
+        during(DisturbanceKind.SHUTDOWN, instance.name) {
+            instance.signal("TERM")
+            callers.send()
+            awaitGrace(instance)
+        }
+        restart(instance)
+    }
+
+    /** The platform kills an instance that outlasts the grace period. */
+    private fun awaitGrace(instance: EntryProcess) {
+        instance.awaitEnd(PlatformEntries.GRACE_MILLIS)
+    }
+
+    private fun pause(
+        instance: EntryProcess,
+        millis: Long,
+    ) = during(DisturbanceKind.PAUSE, instance.name) {
+        instance.signal("STOP")
+        Thread.sleep(millis)
+        instance.signal("CONT")
+    }
+
+    private fun kill(
+        instance: EntryProcess,
+        fault: PlannedFault,
+    ) {
+        during(DisturbanceKind.KILL, instance.name) {
+            instance.signal("KILL")
+            instance.awaitEnd(PlatformEntries.GRACE_MILLIS)
+            Thread.sleep(fault.durationMillis)
+        }
+        restart(instance)
+    }
+
+    private fun restart(instance: EntryProcess) {
+        instance.start()
+        if (!store.isDown) instance.awaitReady()
+    }
+
+    private fun behave(
+        sites: List<ReplicaSite>,
+        fault: PlannedFault,
+        conduct: ReplicaConduct,
+    ) {
+        sites.forEach { it.conduct = conduct }
+        Thread.sleep(fault.durationMillis)
+        sites.forEach { it.conduct = ReplicaConduct() }
+    }
+
+    private fun addOddEntry(fault: PlannedFault) {
+        val entries = PlatformEntries.oddReplicas().toList()
+        val (name, entry) = entries[fault.variant % entries.size]
+        during(DisturbanceKind.ODD_ENTRY, name) { store.put(PlatformEntries.REPLICA_KIND, "odd-$name", entry) }
+    }
+
+    private fun loseStore(fault: PlannedFault) =
+        during(DisturbanceKind.STORE, "store") {
+            store.isDown = true
+            Thread.sleep(fault.durationMillis)
+            store.isDown = false
+        }
+
+    private fun disturbPath(
+        fault: PlannedFault,
+        instance: EntryProcess,
+        replica: ReplicaSite,
+    ) {
+        val (proxy, kind, target) =
+            when (fault.path) {
+                Path.CALLER -> Triple(instance.callerPath, DisturbanceKind.CALLER_PATH, instance.name)
+                Path.REPLICA -> Triple(replica.path, DisturbanceKind.REPLICA_PATH, replica.id)
+                Path.STORE -> Triple(instance.storePath, DisturbanceKind.STORE, "store")
+            }
+        if (fault.kind == FaultKind.PATH_TORN_WRITES || fault.kind == FaultKind.PATH_DELAY) {
+            proxy.mode = if (fault.kind == FaultKind.PATH_DELAY) ProxyMode.DELAY else ProxyMode.TORN
+            Thread.sleep(fault.durationMillis)
+            proxy.mode = ProxyMode.PASS
+            return
+        }
+        during(kind, target) {
+            when (fault.kind) {
+                FaultKind.PATH_RESET -> proxy.resetAll()
+                FaultKind.PATH_IDLE_DROP -> proxy.dropIdle(IDLE_MILLIS)
+                else -> {
+                    proxy.mode = if (fault.kind == FaultKind.PATH_SILENCE) ProxyMode.SILENT else ProxyMode.ONE_WAY
+                    Thread.sleep(fault.durationMillis)
+                    proxy.mode = ProxyMode.PASS
+                }
+            }
+        }
+    }
+
+    private companion object {
+        /** A pause excuses losses for the contact time of 3 s; an instance ends 2.6 s after SIGTERM at the earliest. */
+        const val PAUSE_TO_SHUTDOWN_MILLIS = 500L
+
+        /** Longer than the time after which refusals are repeated. */
+        const val LONG_WORK_MILLIS = 120L
+        const val IDLE_MILLIS = 30L
+    }
+}
--- /dev/null
+++ b/soak/src/main/kotlin/io/sequoiawheel/soak/rig/Recorder.kt
@@ -0,0 +1,76 @@
+package io.sequoiawheel.soak.rig
+
+import io.sequoiawheel.soak.history.Call
+import io.sequoiawheel.soak.history.Departure
+import io.sequoiawheel.soak.history.Disturbance
+import io.sequoiawheel.soak.history.DisturbanceKind
+import io.sequoiawheel.soak.history.History
+import io.sequoiawheel.soak.history.InstanceFault
+import io.sequoiawheel.soak.history.Run
+import io.sequoiawheel.soak.history.RunEnd
+import io.sequoiawheel.standin.platform.RunObserver
+import io.sequoiawheel.standin.platform.RunResult
+import java.util.concurrent.ConcurrentLinkedQueue
+import java.util.concurrent.atomic.AtomicLong
+import java.util.concurrent.atomic.AtomicReference
+
+/** Collects the history of a run from all threads. */
+class Recorder {
+    private val startNanos = System.nanoTime()
+    private val nextId = AtomicLong()
+    private val runs = ConcurrentLinkedQueue<AtomicReference<Run>>()
+    private val disturbances = ConcurrentLinkedQueue<AtomicReference<Disturbance>>()
+    val calls = ConcurrentLinkedQueue<Call>()
+    val departures = ConcurrentLinkedQueue<Departure>()
+    val instanceFaults = ConcurrentLinkedQueue<InstanceFault>()
+
+    fun nowMillis(): Long = (System.nanoTime() - startNanos) / NANOS_PER_MILLI
+
+    /** Returns an id for a request that occurs in no other one. */
+    fun newRequestId(): String = "q${nextId.incrementAndGet()}z"
+
+    /** Records a disturbance that begins now. Returns the function that ends it. */
+    fun disturb(
+        kind: DisturbanceKind,
+        target: String,
+    ): () -> Unit {
+        val entry = AtomicReference(Disturbance(kind, target, nowMillis(), Long.MAX_VALUE))
+        disturbances += entry
+        return { entry.updateAndGet { it.copy(toMillis = nowMillis()) } }
+    }
+
+    /** Returns an observer that records the runs of [replica]. */
+    fun observe(replica: String): RunObserver =
+        object : RunObserver {
+            override fun onRefused(requestId: String) {
+                val now = nowMillis()
+                runs += AtomicReference(Run(requestId, replica, now, now, RunEnd.REFUSED))
+            }
+
+            override fun onStarted(
+                requestId: String,
+                body: String,
+                signature: String,
+            ): (RunResult) -> Unit {
+                val entry =
+                    AtomicReference(Run(requestId, replica, nowMillis(), body = body, signature = signature))
+                runs += entry
+                return { result ->
+                    entry.updateAndGet { it.copy(endMillis = nowMillis(), end = RunEnd.valueOf(result.name)) }
+                }
+            }
+        }
+
+    fun history() =
+        History(
+            calls.toList(),
+            runs.map { it.get() },
+            disturbances.map { it.get() },
+            departures.toList(),
+            instanceFaults.toList(),
+        )
+
+    private companion object {
+        const val NANOS_PER_MILLI = 1_000_000L
+    }
+}
--- /dev/null
+++ b/soak/src/test/kotlin/io/sequoiawheel/soak/SoakTest.kt
@@ -0,0 +1,105 @@
+package io.sequoiawheel.soak
+
+import io.sequoiawheel.soak.history.Promise
+import io.sequoiawheel.soak.plan.FaultKind
+import io.sequoiawheel.soak.plan.FaultPlan
+import io.sequoiawheel.soak.plan.Path
+import io.sequoiawheel.soak.plan.PlannedFault
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.io.TempDir
+import java.nio.file.Path as FilePath
+
+/** Runs entry instances as processes, with one kind of fault in each test. */
+class SoakTest {
+    @TempDir
+    private lateinit var directory: FilePath
+
+    private fun fault(
+        kind: FaultKind,
+        atMillis: Long,
+        durationMillis: Long = 1_000,
+        target: Int = 0,
+        path: Path = Path.REPLICA,
+        variant: Int = 0,
+    ) = PlannedFault(kind, atMillis, durationMillis, target, path, variant)
+
+    private fun assertKept(
+        seconds: Int,
+        instances: Int,
+        replicas: Int,
+        vararg faults: PlannedFault,
+    ) {
+        val options =
+            SoakOptions(
+                seed = 1,
+                seconds = seconds,
+                directory = directory,
+                instances = instances,
+                replicas = replicas,
+                plan = FaultPlan(faults.toList()),
+            )
+        val verdict = SoakRun(options).use { it.run() }.verdict
+        assertEquals(emptyList<String>(), verdict.violations.map { "${it.promise} ${it.requestId}: ${it.detail}" })
+        assertTrue((verdict.tested[Promise.TWICE] ?: 0) > 0, "no call reached a replica")
+    }
+
+    /** Guards against requests that are read from open connections after the last check for requests in progress. */
+    @Test
+    fun `calls on open connections to instances that end are answered or not passed on`() =
+        assertKept(
+            seconds = 2,
+            instances = 6,
+            replicas = 2,
+            fault(FaultKind.SHUTDOWN, 500, target = 0),
+            fault(FaultKind.SHUTDOWN, 520, target = 1),
+            fault(FaultKind.SHUTDOWN, 540, target = 2),
+            fault(FaultKind.SHUTDOWN, 560, target = 3),
+        )
+
+    /** Guards against a second copy of a refusal that is taken for the answer to the next send of the call. */
+    @Test
+    fun `a refusal that a replica writes twice leads to no second run`() =
+        assertKept(seconds = 4, instances = 1, replicas = 1, fault(FaultKind.REPEATED_REFUSAL, 500, 3_000))
+
+    /** Guards against one entry that cannot be read and ends the reading of all others. */
+    @Test
+    fun `an odd entry among the replicas leaves the others followed and instances able to start`() =
+        assertKept(
+            seconds = 6,
+            instances = 2,
+            replicas = 2,
+            fault(FaultKind.ODD_ENTRY, 200, variant = 0),
+            fault(FaultKind.ODD_ENTRY, 250, variant = 1),
+            fault(FaultKind.ODD_ENTRY, 300, variant = 2),
+            fault(FaultKind.ODD_ENTRY, 350, variant = 3),
+            fault(FaultKind.REPLICA_DEPARTURE, 1_000, 2_000, target = 0),
+            fault(FaultKind.KILL, 3_500, 200, target = 1),
+        )
+
+    /** Guards against an error that is delivered in the middle of a stream, and against streams that end early as whole. */
+    @Test
+    fun `streams that break off contain whole events only, and do not look complete`() =
+        assertKept(
+            seconds = 6,
+            instances = 2,
+            replicas = 2,
+            fault(FaultKind.STREAM_BREAK, 300, 2_000),
+            fault(FaultKind.STREAM_BREAK_THEN_ERROR, 2_500, 2_000),
+        )
+
+    /** Guards against decoders that need a whole head or event in one read, and against answers of another request. */
+    @Test
+    fun `torn and delayed bytes and idle connections that are dropped do no harm`() =
+        assertKept(
+            seconds = 6,
+            instances = 2,
+            replicas = 2,
+            fault(FaultKind.PATH_TORN_WRITES, 300, 1_500, path = Path.CALLER),
+            fault(FaultKind.PATH_TORN_WRITES, 500, 1_500, path = Path.REPLICA),
+            fault(FaultKind.PATH_DELAY, 2_200, 1_000, path = Path.REPLICA),
+            fault(FaultKind.PATH_IDLE_DROP, 3_500, path = Path.REPLICA, target = 1),
+            fault(FaultKind.PATH_IDLE_DROP, 4_000, path = Path.REPLICA, target = 0),
+        )
+}
