--- a/cli/src/main/kotlin/io/sequoiawheel/cli/RootCommand.kt
+++ b/cli/src/main/kotlin/io/sequoiawheel/cli/RootCommand.kt
@@ -21,6 +21,7 @@
         "  sequoiawheel daemon --settings entry-a.json",
         "  sequoiawheel document check writers.json",
         "  sequoiawheel experiment memory-pressure --seed 7 --load 0.9 --output json",
+        "  sequoiawheel soak --seed 7 --seconds 30",
         "  source <(sequoiawheel completion)",
     ],
     subcommands = [
--- a/cli/src/main/kotlin/io/sequoiawheel/cli/SoakCommand.kt
+++ b/cli/src/main/kotlin/io/sequoiawheel/cli/SoakCommand.kt
@@ -68,9 +68,10 @@
     private lateinit var spec: CommandSpec
 
     override fun call(): Int {
-        if (seconds !in 1..MAXIMUM_SECONDS || instances !in 1..MAXIMUM_INSTANCES || replicas < 1 || callers < 0) {
-            throw CommandFailure(ResultCode.USAGE, "a number is out of range")
-        }
+        requireRange("--seconds", seconds, 1..MAXIMUM_SECONDS)
+        requireRange("--instances", instances, 1..MAXIMUM_INSTANCES)
+        requireRange("--callers", callers, 0..MAXIMUM_CALLERS)
+        requireRange("--replicas", replicas, 1..MAXIMUM_REPLICAS)
         val options =
             SoakOptions(
                 seed,
@@ -94,6 +95,14 @@
         return if (summary.violations.isEmpty()) ResultCode.OK.exitCode else ResultCode.PROMISE_BROKEN.exitCode
     }
 
+    private fun requireRange(
+        name: String,
+        value: Int,
+        range: IntRange,
+    ) {
+        if (value !in range) throw CommandFailure(ResultCode.USAGE, "$name must be in $range")
+    }
+
     private fun formatTables(summary: SoakSummary): String {
         val promises =
             Promise.entries.map { listOf(it.name, "${summary.tested[it] ?: 0}", "${summary.broken[it] ?: 0}") }
@@ -114,6 +123,8 @@
         val json = Json { encodeDefaults = true }
         const val MAXIMUM_SECONDS = 3_600
         const val MAXIMUM_INSTANCES = 40
+        const val MAXIMUM_CALLERS = 400
+        const val MAXIMUM_REPLICAS = 20
         const val SHOWN_VIOLATIONS = 20
     }
 }
--- a/cli/src/test/kotlin/io/sequoiawheel/cli/CommandLineTest.kt
+++ b/cli/src/test/kotlin/io/sequoiawheel/cli/CommandLineTest.kt
@@ -56,4 +56,11 @@
         assertEquals(0, report.getValue("violations").jsonArray.size)
         assertTrue("sequoiawheel" in report.getValue("policies").jsonObject)
     }
+
+    /** Guards against a soak that starts processes before it has checked its options. */
+    @Test
+    fun `a soak without a duration is a usage error`() {
+        assertEquals(ResultCode.USAGE.exitCode, run("soak", "--seconds", "0"))
+        assertTrue(err.toString().contains("--seconds"))
+    }
 }
--- a/soak/src/main/kotlin/io/sequoiawheel/soak/SoakReport.kt
+++ b/soak/src/main/kotlin/io/sequoiawheel/soak/SoakReport.kt
@@ -55,21 +55,13 @@
             verdict.violations,
         )
 
-    /** Writes plan, summary, and for each violation the records and log lines of its request. */
+    /** Writes plan, summary, history, and the log lines of the requests of all violations. */
     fun write() {
         val directory = options.directory
         Files.writeString(directory.resolve("plan.json"), json.encodeToString(plan))
         Files.writeString(directory.resolve("summary.json"), json.encodeToString(summary()))
         val ids = verdict.violations.map { it.requestId }.filterTo(HashSet()) { it.isNotEmpty() }
-        val involved =
-            History(
-                history.calls.filter { it.requestId in ids },
-                history.runs.filter { it.requestId in ids },
-                history.disturbances,
-                history.departures,
-                history.instanceFaults,
-            )
-        Files.writeString(directory.resolve("violations.json"), json.encodeToString(involved))
+        Files.writeString(directory.resolve("history.json"), json.encodeToString(history))
         Files.write(directory.resolve("violations.log"), logLinesOf(ids, directory))
     }
 
--- a/soak/src/main/kotlin/io/sequoiawheel/soak/SoakRun.kt
+++ b/soak/src/main/kotlin/io/sequoiawheel/soak/SoakRun.kt
@@ -1,6 +1,6 @@
 /*
- * Runs entry instances as processes under a plan of faults, with callers, replicas and a store around them, and checks what
- * those saw. Ends whatever it started, also when the program itself is ended.
+ * Runs entry instances as processes under a plan of faults, with callers, replicas and a store around them, and checks
+ * what those saw. Ends whatever it started, also when the program itself is ended.
  */
 package io.sequoiawheel.soak
 
--- a/soak/src/main/kotlin/io/sequoiawheel/soak/history/History.kt
+++ b/soak/src/main/kotlin/io/sequoiawheel/soak/history/History.kt
@@ -1,6 +1,6 @@
 /*
- * What callers, replicas and the operator saw during a run. Times are in milliseconds since the start of the run, on one
- * clock. The entry instances contribute nothing to it.
+ * What callers, replicas and the operator saw during a run. Times are in milliseconds since the start of the run, on
+ * one clock. The entry instances contribute nothing to it.
  */
 package io.sequoiawheel.soak.history
 
--- a/soak/src/main/kotlin/io/sequoiawheel/soak/history/LossExcuses.kt
+++ b/soak/src/main/kotlin/io/sequoiawheel/soak/history/LossExcuses.kt
@@ -43,7 +43,8 @@
         target: String,
         kinds: Set<DisturbanceKind>,
     ) = disturbances.any {
-        it.kind in kinds && it.target == target &&
+        it.kind in kinds &&
+            it.target == target &&
             it.overlaps(call.sentMillis - bounds.contactMillis, call.endMillis)
     }
 
@@ -52,8 +53,10 @@
         runs: List<Run>,
     ) = disturbances.any { shutdown ->
         val lastSixthMillis = shutdown.fromMillis + bounds.graceMillis * LAST_SIXTH / SIXTHS
-        shutdown.kind == DisturbanceKind.SHUTDOWN && shutdown.target == call.instance &&
-            call.sentMillis <= shutdown.fromMillis + EARLY_MILLIS && call.endMillis >= lastSixthMillis &&
+        shutdown.kind == DisturbanceKind.SHUTDOWN &&
+            shutdown.target == call.instance &&
+            call.sentMillis <= shutdown.fromMillis + EARLY_MILLIS &&
+            call.endMillis >= lastSixthMillis &&
             runs.any { it.hasRun && (it.endMillis ?: Long.MAX_VALUE) >= lastSixthMillis }
     }
 
--- a/soak/src/main/kotlin/io/sequoiawheel/soak/plan/FaultPlan.kt
+++ b/soak/src/main/kotlin/io/sequoiawheel/soak/plan/FaultPlan.kt
@@ -1,6 +1,6 @@
 /*
- * The faults of a run: a pure function of seed, duration and number of instances. Faults of different kinds overlap; those
- * that stop instances are kept apart far enough that half of the instances keep serving.
+ * The faults of a run: a pure function of seed, duration and number of instances. Faults of different kinds overlap;
+ * those that stop instances are kept apart far enough that half of the instances keep serving.
  */
 package io.sequoiawheel.soak.plan
 
--- a/standin/src/main/kotlin/io/sequoiawheel/standin/platform/PlatformEntries.kt
+++ b/standin/src/main/kotlin/io/sequoiawheel/standin/platform/PlatformEntries.kt
@@ -64,8 +64,8 @@
         )
 
     /**
-     * Entries that another writer left among those of the replicas, by a name for each. They are written as they are, since a
-     * parser may refuse them.
+     * Entries that another writer left among those of the replicas, by a name for each. They are written as they are,
+     * since a parser may refuse them.
      */
     @OptIn(ExperimentalSerializationApi::class)
     fun oddReplicas(): Map<String, JsonElement> {
--- a/standin/src/main/kotlin/io/sequoiawheel/standin/platform/ReplicaStandIn.kt
+++ b/standin/src/main/kotlin/io/sequoiawheel/standin/platform/ReplicaStandIn.kt
@@ -12,6 +12,8 @@
 import java.net.Socket
 import java.util.concurrent.CopyOnWriteArrayList
 import java.util.concurrent.Executors
+import java.util.concurrent.locks.ReentrantLock
+import kotlin.concurrent.withLock
 
 /** One request as the replica received it; header names are in lower case. */
 class ReceivedRequest(
@@ -28,6 +30,7 @@
     private val socket: Socket,
     private val output: OutputStream,
     private val replica: ReplicaStandIn,
+    private val writing: ReentrantLock,
 ) {
     private val leavingHeader get() = if (replica.isLeaving) "Server-Leaving: 1\r\n" else ""
     private val limitHeader get() = replica.requestLimit?.let { "Server-Limit: $it\r\n" }.orEmpty()
@@ -85,6 +88,19 @@
 
     fun endStream() = write("0\r\n\r\n")
 
+    /** Runs [body], which writes a whole response, so that [writeBetween] writes nothing into it. */
+    fun <T> whole(body: () -> T): T = writing.withLock(body)
+
+    /** Writes [text] unless a response is being written on the connection. */
+    fun writeBetween(text: String) {
+        if (!writing.tryLock()) return
+        try {
+            write(text)
+        } finally {
+            writing.unlock()
+        }
+    }
+
     /** Closes the connection with a TCP reset. */
     fun reset() {
         socket.setSoLinger(true, 0)
@@ -144,10 +160,11 @@
     private fun serve(socket: Socket) {
         try {
             val input = socket.getInputStream().buffered()
+            val writing = ReentrantLock()
             while (true) {
                 val request = read(input) ?: return
                 requests += request
-                handler(request, ReplicaAnswer(socket, socket.getOutputStream(), this))
+                handler(request, ReplicaAnswer(socket, socket.getOutputStream(), this, writing))
             }
         } catch (ended: IOException) {
             socket.close()
--- a/standin/src/main/kotlin/io/sequoiawheel/standin/platform/WorkingReplicaStandIn.kt
+++ b/standin/src/main/kotlin/io/sequoiawheel/standin/platform/WorkingReplicaStandIn.kt
@@ -1,6 +1,6 @@
 /*
- * A replica that works for a while on each request and reports every run to an observer. Its answers name the request and
- * the replica, so that a response that reaches another caller, or is joined from two runs, can be recognized.
+ * A replica that works for a while on each request and reports every run to an observer. Its answers name the request
+ * and the replica, so that a response that reaches another caller, or is joined from two runs, can be recognized.
  */
 package io.sequoiawheel.standin.platform
 
@@ -13,7 +13,10 @@
 data class ReplicaConduct(
     /** Refuses the first arrival of each request. */
     val refusesFirst: Boolean = false,
-    /** Writes such a refusal once more, [repeatMillis] later, on the same connection. */
+    /**
+     * Writes such a refusal once more, [repeatMillis] later, on the same connection, unless a response is being written
+     * there.
+     */
     val repeatsRefusals: Boolean = false,
     /** Resets the connection of every stream in the middle of an event. */
     val breaksStreams: Boolean = false,
@@ -70,7 +73,13 @@
         val isMisdirected = expected != null && expected != id
         if (isMisdirected || (conduct.refusesFirst && refused.add(requestId))) {
             observer.onRefused(requestId)
-            if (isMisdirected) answer.write(refusal(requestId, "421 Misdirected Request")) else refuse(requestId, answer)
+            if (isMisdirected) {
+                answer.write(
+                    refusal(requestId, "421 Misdirected Request"),
+                )
+            } else {
+                refuse(requestId, answer)
+            }
             return
         }
         val signature = "$id.$requestId"
@@ -84,7 +93,7 @@
                     stream(request, answer, head)
                 } else {
                     Thread.sleep(conduct.workMillis)
-                    answer.write("${head}Content-Length: ${body.length}\r\n\r\n$body")
+                    answer.whole { answer.write("${head}Content-Length: ${body.length}\r\n\r\n$body") }
                     true
                 }
             end(if (isWhole) RunResult.ANSWERED else RunResult.BROKEN_OFF)
@@ -105,7 +114,7 @@
         val text = refusal(requestId, "503 Service Unavailable")
         answer.write(text)
         if (!conduct.repeatsRefusals) return
-        timer.schedule({ runCatching { answer.write(text) } }, conduct.repeatMillis, TimeUnit.MILLISECONDS)
+        timer.schedule({ runCatching { answer.writeBetween(text) } }, conduct.repeatMillis, TimeUnit.MILLISECONDS)
     }
 
     private fun refusal(
@@ -130,6 +139,15 @@
             return false
         }
         Thread.sleep(conduct.workMillis)
+        return answer.whole { writeEvents(requestId, first, answer, head) }
+    }
+
+    private fun writeEvents(
+        requestId: String,
+        first: Int,
+        answer: ReplicaAnswer,
+        head: String,
+    ): Boolean {
         answer.write("${head}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
         val breaksOff = conduct.breaksStreams && broken.add(requestId)
         for (event in first..EVENTS) {
