--- a/soak/src/main/kotlin/io/sequoiawheel/soak/rig/EntryProcess.kt
+++ b/soak/src/main/kotlin/io/sequoiawheel/soak/rig/EntryProcess.kt
@@ -143,7 +143,6 @@
     }
 
     private companion object {
-        
         /** Several times a start on a machine that is busy with other work. */
         const val READY_MILLIS = 30_000L
         const val PROBE_MILLIS = 500
