Write the last calls of a shutdown from one thread

Waking a thread for each call took longer than the few milliseconds between the close of the listener and the end of the process, so that few calls met them.

--- a/soak/src/main/kotlin/io/sequoiawheel/soak/rig/Callers.kt
+++ b/soak/src/main/kotlin/io/sequoiawheel/soak/rig/Callers.kt
@@ -12,7 +12,7 @@
 import org.apache.commons.rng.UniformRandomProvider
 import org.apache.commons.rng.simple.RandomSource
 import java.io.IOException
-import java.util.concurrent.CountDownLatch
+import java.util.concurrent.locks.LockSupport
 
 /** One open connection of a caller to [instance]. */
 class CallerSession(
@@ -30,16 +30,31 @@
     fun call(
         kind: CallKind,
         patienceMillis: Long? = null,
-    ): Call {
+    ) = begin(kind, patienceMillis)()
+
+    /** Sends a call. Returns the function that waits for its end and records it. */
+    fun begin(
+        kind: CallKind,
+        patienceMillis: Long? = null,
+    ): () -> Unit {
         val requestId = recorder.newRequestId()
         val sentMillis = recorder.nowMillis()
         val deadlineMillis = if (kind.isStream) STREAM_DEADLINE_MILLIS else DEADLINE_MILLIS
-        if (!connection.send("/${kind.route}/x", requestId, "body of $requestId", deadlineMillis)) {
-            isOpen = false
-            val now = recorder.nowMillis()
-            return Call(requestId, kind, instance, sentMillis, now, CallEnd.NOT_SENT).also { recorder.calls += it }
+        if (connection.send("/${kind.route}/x", requestId, "body of $requestId", deadlineMillis)) {
+            return { finish(kind, requestId, sentMillis, patienceMillis ?: deadlineMillis) }
         }
-        val response = connection.receive(patienceMillis ?: deadlineMillis)
+        isOpen = false
+        recorder.calls += Call(requestId, kind, instance, sentMillis, recorder.nowMillis(), CallEnd.NOT_SENT)
+        return {}
+    }
+
+    private fun finish(
+        kind: CallKind,
+        requestId: String,
+        sentMillis: Long,
+        patienceMillis: Long,
+    ) {
+        val response = connection.receive(patienceMillis)
         val end =
             when (response.end) {
                 ResponseEnd.WHOLE -> CallEnd.ANSWERED
@@ -48,7 +63,7 @@
                 ResponseEnd.TIMED_OUT -> CallEnd.LEFT
             }
         isOpen = !response.isLast
-        val call =
+        recorder.calls +=
             Call(
                 requestId,
                 kind,
@@ -62,9 +77,7 @@
                 response.body,
                 if (end == CallEnd.ANSWERED) connection.strayBytes() else 0,
             )
-        recorder.calls += call
         if (end == CallEnd.LEFT) connection.close()
-        return call
     }
 
     override fun close() = connection.close()
@@ -149,7 +162,6 @@
 ) {
     private val random: UniformRandomProvider = RandomSource.XO_RO_SHI_RO_128_PP.create(seed)
     private val sessions = ArrayList<CallerSession>()
-    private val listenerEnd = CountDownLatch(1)
 
     /** Opens [count] connections, with one call on each. */
     fun connect(count: Int) {
@@ -165,33 +177,39 @@
 
     /** Sends the last calls of a shutdown that begins now. Returns when all of them have ended. */
     fun send() {
-        val early = sessions.size / EARLY_SHARE
+        val (early, late) = sessions.withIndex().partition { it.index % EARLY_SHARE == 0 }
         val threads =
-            sessions.mapIndexed { index, session ->
-                val kind = if (index % 2 == 0) CallKind.UNSAFE else CallKind.SAFE
-                val delayMillis = random.nextInt(if (index < early) LEAVING_MILLIS else LAST_MOMENTS_MILLIS).toLong()
+            early.map { (index, session) ->
+                val delayMillis = random.nextInt(LEAVING_MILLIS).toLong()
                 startThread {
-                    if (index >= early) listenerEnd.await()
                     Thread.sleep(delayMillis)
-                    if (session.isOpen) session.call(kind)
+                    session.call(kind(index))
                 }
             }
-        watchListener()
-        threads.forEach { it.join() }
+        awaitListenerEnd()
+        // One thread writes all requests, since waking a thread for each takes longer than the moments that are meant.
+        val ends =
+            late.map { (index, session) ->
+                LockSupport.parkNanos(LATE_GAP_NANOS)
+                session.begin(kind(index))
+            }
+        (threads + ends.map { end -> startThread(end) }).forEach { it.join() }
         sessions.forEach { it.close() }
     }
 
-    private fun watchListener() {
+    private fun kind(index: Int) = if (index % 2 == 0) CallKind.SAFE else CallKind.UNSAFE
+
+    private fun awaitListenerEnd() {
         val end = System.nanoTime() + WATCH_NANOS
         Thread.sleep(SHORTEST_LEAVE_MILLIS)
-        while (System.nanoTime() < end && instance.isListening()) Thread.sleep(1)
-        listenerEnd.countDown()
+        while (System.nanoTime() < end && instance.isListening()) LockSupport.parkNanos(PROBE_GAP_NANOS)
     }
 
     private companion object {
         const val EARLY_SHARE = 4
         const val LEAVING_MILLIS = 2_500
-        const val LAST_MOMENTS_MILLIS = 5
+        const val LATE_GAP_NANOS = 50_000L
+        const val PROBE_GAP_NANOS = 300_000L
         const val SHORTEST_LEAVE_MILLIS = 1_500L
         const val WATCH_NANOS = 9_000_000_000L
     }
