--- a/relay/src/test/kotlin/io/sequoiawheel/relay/http/CallerResponseTest.kt
+++ b/relay/src/test/kotlin/io/sequoiawheel/relay/http/CallerResponseTest.kt
@@ -32,9 +32,15 @@
                 code: ResultCode,
                 detail: String,
             ) = Unit
+
+            override fun onUnanswered(
+                reason: UnansweredReason,
+                cause: Throwable?,
+            ) = Unit
         }
+    private val scope = CoroutineScope(Dispatchers.Unconfined)
     private val response =
-        CallerResponse(CallerConnection(channel, service, CoroutineScope(Dispatchers.Unconfined)), true) { false }
+        CallerResponse(CallerConnection(channel, service, scope, CallerConnections()), true) { false }
 
     /** Returns all bytes sent since the last call. */
     private fun sent(): String =
