Take the refusal of one send as proof for that send only

What callers saw: a generation that may run once is sent again, or refused with 503, while it runs at the replica that continued it from a copy.

Cause: handleNotRun looked at the send that was refused and not at the continuation that had been sent meanwhile.

A refusal of the source now leaves the generation to the continuation, and after a continuation that was not refused it is sent again only where the route allows that. Exchange.refuse fails a request that may have run, so that no other path can promise the contrary.

Evidence: both new tests of StreamMoveTest failed before (3 replicas instead of 2 received the generation; 2 sends without a copy instead of 1) and pass now, with the other tests of the class, 8 of 8.

--- a/relay/src/main/kotlin/io/sequoiawheel/relay/filter/Exchange.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/filter/Exchange.kt
@@ -46,13 +46,17 @@
     /** Additional fields for the request log that explain the result. */
     val logFields = LinkedHashMap<String, Any?>()
 
-    /** Refuses a request that certainly has not run, with the delay after which the caller should retry. */
+    /**
+     * Refuses a request that certainly has not run, with the delay after which the caller should retry. Fails it
+     * instead if it may have run: the refusal of one send says nothing of the others.
+     */
     suspend fun refuse(
         proof: NotRunProof,
         code: ResultCode,
         detail: String,
         retryAfterMillis: Long,
     ) {
+        if (mayHaveRun) return fail(ResultCode.OUTCOME_UNKNOWN, detail)
         result = code
         logFields["proof"] = proof.name
         logFields["detail"] = detail
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationRun.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationRun.kt
@@ -72,6 +72,9 @@
     /** Number of attempts that a replica may have executed, without those that continued from a copy. */
     private var runs = 0
     private var refusals = 0
+
+    /** Number of sends that continue from a copy and were not refused; each may have been executed. */
+    private var continuations = 0
     private var isFinished = false
     private var retryAfterMillis = ReplicaPlacement.FULL_GENERATIONS_MILLIS
 
@@ -102,9 +105,9 @@
         when (signal) {
             is GenerationSignal.Started -> handleStarted(signal.attempt, signal.head)
             is GenerationSignal.Failed -> handleFailed(signal)
-            is GenerationSignal.NotRun -> if (!discardSuccessor(signal.attempt, signal.detail)) handleNotRun(signal)
+            is GenerationSignal.NotRun -> if (!discardSuccessor(signal, signal.detail)) handleNotRun(signal)
             is GenerationSignal.ConnectionFailed ->
-                if (!discardSuccessor(signal.attempt, signal.detail)) handleConnectionFailed(signal)
+                if (!discardSuccessor(signal, signal.detail)) handleConnectionFailed(signal)
             is GenerationSignal.Event -> if (signal.attempt === current) deliver(signal)
             is GenerationSignal.Completed -> if (signal.attempt === current) complete(signal.attempt)
             else -> if (signal.attempt === current || signal.attempt === attemptAwaitingCopy) handleCurrent(signal)
@@ -124,13 +127,14 @@
         }
     }
 
-    /** Discards a successor that failed before it took over. Returns false if [attempt] is not the successor. */
+    /** Discards a successor that failed before it took over. Returns false if [signal] is not about the successor. */
     private suspend fun discardSuccessor(
-        attempt: GenerationAttempt,
+        signal: GenerationSignal,
         detail: String,
     ): Boolean {
-        if (attempt !== successor) return false
+        if (signal.attempt !== successor) return false
         successor = null
+        if (signal is GenerationSignal.NotRun) continuations--
         exchange.logFields["takeOverFailed"] = detail
         val source = current
         when {
@@ -186,7 +190,7 @@
 
     /** Forwards a replica's error response unchanged, unless the request is retried or the stream has started. */
     private suspend fun handleFailed(signal: GenerationSignal.Failed) {
-        if (discardSuccessor(signal.attempt, "${signal.attempt.replica} responded with ${signal.head.status()}")) return
+        if (discardSuccessor(signal, "${signal.attempt.replica} responded with ${signal.head.status()}")) return
         if (signal.attempt !== current) return
         runs++
         signal.attempt.replica.load
@@ -211,8 +215,14 @@
     private suspend fun handleNotRun(signal: GenerationSignal.NotRun) {
         if (signal.attempt !== current) return
         if (signal.proof == NotRunProof.NOTHING_SENT && !signal.isUnavailable) signal.attempt.replica.markUnreachable()
-        if (runs == 0 && delivery.delivered == 0) exchange.mayHaveRun = false
         abandoned += signal.attempt.replica
+        if (continuations > 0) {
+            // The generation may run, or have run, at the replica that continued from the copy.
+            current = null
+            if (successor == null) retryWithoutCopy(signal.detail)
+            return
+        }
+        if (runs == 0 && delivery.delivered == 0) exchange.mayHaveRun = false
         if (mayRetryElsewhere(signal) && startAttempt(abandoned)) {
             if (signal.proof == NotRunProof.REFUSED_BY_REPLICA) {
                 context.logResend(exchange, signal.attempt.replica, signal.detail, signal.isReusedConnection)
@@ -274,6 +284,7 @@
         val headers = HashMap<String, String>()
         headers[Headers.CONTINUE_FROM] = copy.copy.headerValue
         headers[Headers.LAST_EVENT_ID] = (delivery.lastId ?: 0).toString()
+        continuations++
         successor = createAttempt(copy.destination, headers, SendPurpose.CONTINUATION).also { it.start(scope) }
     }
 
--- a/relay/src/test/kotlin/io/sequoiawheel/relay/StreamFixture.kt
+++ b/relay/src/test/kotlin/io/sequoiawheel/relay/StreamFixture.kt
@@ -6,6 +6,7 @@
 import java.io.ByteArrayOutputStream
 import java.io.IOException
 import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.CopyOnWriteArrayList
 
 /** Writes one replica's response to a generation. */
 internal typealias StreamScript = (ReceivedRequest, ReplicaAnswer) -> Unit
@@ -62,6 +63,9 @@
     /** Ids of the engines that received the generation, in the order of arrival. */
     val receivers = ArrayList<String>()
 
+    /** Ids of the engines that were asked to continue from a copy. */
+    val continued = CopyOnWriteArrayList<String>()
+
     /** Starts the relay and its engines. The last of [scripts] also answers all further attempts. */
     fun start(
         vararg scripts: StreamScript,
@@ -74,6 +78,7 @@
                         onCopy()
                         answer.sendComplete(request, """{"session":"h-1","created":1}""")
                     } else {
+                        if (request.header("Kv-From") != null) continued += id
                         scripts[minOf(nextAttempt(id), scripts.lastIndex)](request, answer)
                     }
                 }
--- a/relay/src/test/kotlin/io/sequoiawheel/relay/StreamMoveTest.kt
+++ b/relay/src/test/kotlin/io/sequoiawheel/relay/StreamMoveTest.kt
@@ -57,6 +57,59 @@
         assertTrue(received.isComplete)
     }
 
+    // The refusal was taken for proof that nothing runs, so a generation that runs from its copy was sent once more.
+    @Test
+    fun `a refusal by the first replica does not restart a generation that continues from a copy`() {
+        val hasSuccessor = CountDownLatch(1)
+        val hasRefused = CountDownLatch(1)
+        fixture.start(
+            { request, answer ->
+                fixture.drainSource()
+                hasSuccessor.await()
+                answer.sendNotExecuted(request)
+                hasRefused.countDown()
+            },
+            { request, answer ->
+                hasSuccessor.countDown()
+                hasRefused.await()
+                Thread.sleep(SETTLE_MILLIS)
+                complete(request, answer)
+            },
+            complete,
+        )
+        val received = fixture.send(NOT_RESUMABLE)
+        assertEquals(2, fixture.receivers.size, "replicas that received the generation: ${fixture.receivers}")
+        assertEquals(events(1..LAST_EVENT), received.body)
+        assertTrue(received.isComplete)
+    }
+
+    // The same, where the replica with the copy has broken off: it may have run the generation.
+    @Test
+    fun `a refusal by the first replica is no proof after a copy was continued and broke off`() {
+        val hasBrokenOff = CountDownLatch(1)
+        fixture.start(
+            { request, answer ->
+                fixture.drainSource()
+                hasBrokenOff.await()
+                Thread.sleep(SETTLE_MILLIS)
+                answer.sendNotExecuted(request)
+            },
+            { _, answer ->
+                answer.reset()
+                hasBrokenOff.countDown()
+            },
+            { _, answer ->
+                Thread.sleep(LONG_RUN_MILLIS)
+                answer.reset()
+            },
+        )
+        val received = fixture.send(NOT_RESUMABLE)
+        assertTrue(received.head.startsWith("HTTP/1.1 5"), received.text)
+        assertFalse(received.head.startsWith("HTTP/1.1 503"), received.text)
+        val continued = fixture.continued.size
+        assertEquals(1, fixture.receivers.size - continued, "sends without a copy; with one: $continued")
+    }
+
     // Guards against a successor whose late error or events follow the end of a stream.
     @Test
     fun `a stream whose replica completes it while a successor starts is complete`() {
@@ -182,6 +235,9 @@
     }
 
     private companion object {
+        /** Longer than the relay takes to read a response of another replica. */
+        const val LONG_RUN_MILLIS = 600L
+
         const val SETTLE_MILLIS = 60L
         const val EVENT_MILLIS = 15L
         const val STOP_SECONDS = 2L
