Confirm no state that lacks a change which could not be applied

What callers would see: a revoked key that is accepted for good, if the configuration that revokes it could not be applied. No text that triggers it is known; found by the review.

Cause: since a failing listener no longer ends the watcher, the state was confirmed as current without the change. Now it is confirmed again only after a listing or a later change of the same object has been applied.

--- a/relay/src/main/kotlin/io/sequoiawheel/relay/control/KindWatcher.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/control/KindWatcher.kt
@@ -76,6 +76,9 @@
     var failedObjects = 0L
         private set
 
+    /** Objects whose last change could not be applied. The state is not confirmed as current without them. */
+    private val unappliedNames = HashSet<String>()
+
     private var isRunning = false
     private var consecutiveFailures = 0
     private var era: Long? = null
@@ -105,6 +108,7 @@
             }
             recordStoreResponse()
             listener.onListed(listing, reliabilityOf(listing.era))
+            unappliedNames.clear()
             isListed = true
             era = listing.era
             listener.onConfirmed(asOf)
@@ -210,14 +214,16 @@
     ) {
         changes.events.forEach(::applyEvent)
         lastConfirmedAt = confirmedAt ?: lastConfirmedAt
-        if (confirmedAt != null) listener.onConfirmed(confirmedAt)
+        if (confirmedAt != null && unappliedNames.isEmpty()) listener.onConfirmed(confirmedAt)
     }
 
     /** Applies one change. If the listener fails, the other changes of the response still count. */
     private fun applyEvent(event: StoreEvent) {
         try {
             listener.onChanged(event, contact.isAfterOutage)
+            unappliedNames -= event.target.name
         } catch (failure: RuntimeException) {
+            unappliedNames += event.target.name
             failedObjects++
             log.dependency(
                 "change not applied",
--- a/relay/src/test/kotlin/io/sequoiawheel/relay/KindWatcherTest.kt
+++ b/relay/src/test/kotlin/io/sequoiawheel/relay/KindWatcherTest.kt
@@ -4,6 +4,7 @@
 import io.netty.channel.nio.NioIoHandler
 import io.sequoiawheel.core.model.Clock
 import io.sequoiawheel.core.model.ZoneName
+import io.sequoiawheel.core.relay.ClockReading
 import io.sequoiawheel.core.relay.Endpoint
 import io.sequoiawheel.core.relay.Freshness
 import io.sequoiawheel.core.relay.HubSelection
@@ -29,6 +30,7 @@
 import kotlinx.serialization.json.JsonObject
 import org.apache.commons.rng.simple.RandomSource
 import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Assertions.assertFalse
 import org.junit.jupiter.api.Test
 import java.util.concurrent.ConcurrentLinkedQueue
 
@@ -43,6 +45,9 @@
     private val random = RandomSource.XO_RO_SHI_RO_128_PP.create(SEED)
     private val applied = ConcurrentLinkedQueue<String>()
 
+    @Volatile
+    private var isReadable = false
+
     @AfterEach
     fun close() {
         scope.cancel()
@@ -93,9 +98,51 @@
         RelayFixture.awaitTrue("later changes are applied") { "r-3" in applied }
     }
 
+    // The state was confirmed as current without the change, so a revoked key could have been accepted for ever.
+    @Test
+    fun `a state that lacks a change which cannot be applied is not confirmed`() {
+        watch(
+            object : KindListener {
+                override fun onListed(
+                    listing: StoreListing,
+                    reliability: ListReliability,
+                ) {
+                    applied += "listed"
+                }
+
+                override fun onChanged(
+                    event: StoreEvent,
+                    afterOutage: Boolean,
+                ) {
+                    check(event.target.name != "odd" || isReadable) { "planted failure" }
+                    applied += event.target.name
+                }
+
+                override fun onConfirmed(asOf: ClockReading) {
+                    applied += "confirmed"
+                }
+            },
+        )
+        RelayFixture.awaitTrue("the kind is watched") { "listed" in applied && store.isWatchedToEnd("servers") }
+        put("odd")
+        put("r-1")
+        RelayFixture.awaitTrue("the other change is applied") { "r-1" in applied }
+        applied.clear()
+        put("r-2")
+        RelayFixture.awaitTrue("a later change is applied") { "r-2" in applied }
+        Thread.sleep(SETTLE_MILLIS)
+        assertFalse("confirmed" in applied)
+        isReadable = true
+        put("odd")
+        RelayFixture.awaitTrue("the state is confirmed again") { "confirmed" in applied }
+    }
+
     private companion object {
         const val SEED = 30L
         const val FRESH_MILLIS = 5_000L
         const val WAIT_MILLIS = 2_000L
+
+        /** Longer than the watcher takes between a change and its confirmation. */
+        const val SETTLE_MILLIS = 200L
     }
 }
