Deliver a whole response although its request could not be written to the end

What callers would see: 502 for a call, or a second attempt, although its replica had answered and closed before it had read the whole request.

Cause: an error of the connection counted against the end of every response. Only a response that ends with its connection can be cut by it; one with a length or chunks states its own end.

--- a/relay/src/main/kotlin/io/sequoiawheel/relay/backend/BackendConnection.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/backend/BackendConnection.kt
@@ -43,6 +43,7 @@
     private var isPersistent = true
     private var hasDecodedMessage = false
     private var isInResponse = false
+    private var isFramed = false
     private var headTimeout: ScheduledFuture<*>? = null
 
     /** Called with each response head, including those that belong to no request of this connection. */
@@ -199,7 +200,7 @@
             ReferenceCountUtil.release(message)
             throw InvalidResponseException("a response started within the body of another")
         }
-        if (content is LastHttpContent && inbound.failure != null) {
+        if (content is LastHttpContent && !isFramed && inbound.failure != null) {
             content.release()
             throw ConnectionEndedException("connection was reset within the response", isReset = true)
         }
@@ -293,7 +294,7 @@
 
     private fun updateKeepAlive(head: HttpResponse) {
         val headers = head.headers()
-        val isFramed = HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head)
+        isFramed = HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head)
         isPersistent = isPersistent && isFramed && HttpUtil.isKeepAlive(head)
         val seconds =
             headers
