Compare what repeated responses state, not only their status

What callers would see: 503, not run, for a call whose replica also signed a failure of the same status.

Cause: only the statuses of two responses to one request were compared. The signature and the statement count too.

--- a/relay/src/main/kotlin/io/sequoiawheel/relay/backend/BackendConnection.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/backend/BackendConnection.kt
@@ -53,10 +53,10 @@
     private var sentRequestId: String? = null
     private var sentAtMillis: Long? = null
 
-    /** Status of the first final response to the request in progress, or null if none was received. */
-    private var answeredStatus: Int? = null
+    /** What the first final response to the request in progress states, or null if none was received. */
+    private var answered: Evidence? = null
 
-    /** Whether the request in progress, or the last one, received several responses that differ in their status. */
+    /** Whether the request in progress, or the last one, received several responses that state different results. */
     var isContradicted = false
         private set
 
@@ -106,7 +106,7 @@
             !isExchanging -> UnmatchedReason.NO_REQUEST
             sentRequestId != null && echoedId == null -> UnmatchedReason.NO_ID
             sentRequestId != null && echoedId != sentRequestId -> UnmatchedReason.OTHER_ID
-            answeredStatus != null -> UnmatchedReason.REPEATED
+            answered != null -> UnmatchedReason.REPEATED
             else -> null
         }
     }
@@ -116,9 +116,14 @@
         unmatched: UnmatchedReason?,
     ) {
         if (head.status().codeClass() == HttpStatusClass.INFORMATIONAL) return
-        val status = head.status().code()
-        if (unmatched == null) answeredStatus = status
-        if (unmatched == UnmatchedReason.REPEATED && status != answeredStatus) isContradicted = true
+        val evidence =
+            Evidence(
+                head.status().code(),
+                isSigned = head.headers().contains(Headers.SIGNATURE),
+                isNotRun = head.headers().contains(Headers.NOT_RUN),
+            )
+        if (unmatched == null) answered = evidence
+        if (unmatched == UnmatchedReason.REPEATED && evidence != answered) isContradicted = true
     }
 
     /** Starts a timeout for an incomplete response head, so that an endless stream of bytes fails the exchange. */
@@ -160,7 +165,7 @@
             throw ConnectionEndedException("connection closed before the request was sent", isReset = false)
         }
         isExchanging = true
-        answeredStatus = null
+        answered = null
         isContradicted = false
         sentRequestId = request.headers().get(Headers.REQUEST_ID)?.also(sentIds::add)
         sentAtMillis = clock.nowMillis()
@@ -308,6 +313,13 @@
         headers.remove(HttpHeaderNames.KEEP_ALIVE)
     }
 
+    /** What a response states of the execution of its request. */
+    private data class Evidence(
+        val status: Int,
+        val isSigned: Boolean,
+        val isNotRun: Boolean,
+    )
+
     private companion object {
         const val KEEP_ALIVE_HEADER = "Keep-Alive"
         val KEEP_ALIVE_TIMEOUT = Regex("""timeout\s*=\s*(\d+)""")
--- a/relay/src/test/kotlin/io/sequoiawheel/relay/RefusalEvidenceTest.kt
+++ b/relay/src/test/kotlin/io/sequoiawheel/relay/RefusalEvidenceTest.kt
@@ -242,6 +242,21 @@
         assertTrue(response.endsWith("world"), response)
     }
 
+    // The statuses were compared, so a refusal was proof although the replica also signed a failure of the call.
+    @Test
+    fun `a refusal that is followed by a signed response of the same status is no proof`() {
+        start { _, _, answer ->
+            ran += "id-1"
+            answer.write(
+                lateRefusal("X-Request-Id: id-1\r\n") + "HTTP/1.1 503 Service Unavailable\r\nX-Request-Id: id-1\r\n" +
+                    "X-Response-Signature: s\r\nContent-Length: 0\r\n\r\n",
+            )
+        }
+        val response = fixture.send(fixture.request("/unsafe/a"))
+        assertTrue(statusOf(response) !in PROMISES, response)
+        assertEquals(listOf("id-1"), settledRuns())
+    }
+
     // A refusal that its replica contradicts at once was taken as proof, so the call ran twice.
     @Test
     fun `a refusal that is followed by the answer to the same request is no proof`() {
