Close a connection that opens while its attempt is cancelled

A connection that was established between the end of the connect and the cancellation of its attempt stayed open unused and held a place at the replica. One that the replica had reset by then had no handlers left and ended the request with 500 instead of "nothing sent".

Both were found by reading and depend on the order of events within one turn of the event loop; there is no test that fails without the change.

--- a/relay/src/main/kotlin/io/sequoiawheel/relay/backend/Connector.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/backend/Connector.kt
@@ -11,6 +11,7 @@
 import io.sequoiawheel.core.model.Clock
 import io.sequoiawheel.core.relay.Endpoint
 import jdk.net.ExtendedSocketOptions
+import kotlinx.coroutines.CancellationException
 import java.io.IOException
 
 /** Thrown when no connection could be opened, so that no part of the request was sent. */
@@ -51,10 +52,14 @@
             future.awaitDone()
         } catch (failure: IOException) {
             throw ConnectFailedException(endpoint, failure)
-        } finally {
-            if (!future.isDone) future.cancel(true)
+        } catch (cancelled: CancellationException) {
+            // The connection may have been established in the meantime; it would hold a place at the peer.
+            if (!future.cancel(true)) future.channel().close()
+            throw cancelled
         }
+        // A connection that the peer has reset by now has no handlers left.
         return future.channel().pipeline().get(BackendConnection::class.java)
+            ?: throw ConnectFailedException(endpoint, IOException("connection closed at once"))
     }
 
     private companion object {
