Log the prompt parts of runs that are lost with their replica

No decision uses it. A stream that ends inside an event is a lost connection like one that ends inside a chunk.

--- a/relay/src/main/kotlin/io/sequoiawheel/relay/filter/Exchange.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/filter/Exchange.kt
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.sequoiawheel.core.model.ResultCode
+import io.sequoiawheel.core.quarantine.PromptPart
 import io.sequoiawheel.core.relay.GenerationDemand
 import io.sequoiawheel.core.relay.NotRunProof
 import io.sequoiawheel.core.relay.RelayConfiguration
@@ -11,6 +12,7 @@
 import io.sequoiawheel.platform.Headers
 import io.sequoiawheel.relay.http.CallerRequest
 import io.sequoiawheel.relay.http.CallerResponse
+import kotlinx.collections.immutable.ImmutableSet
 
 /** A request and its response, with the state that the filters set as they handle it. Confined to the event loop. */
 internal class Exchange(
@@ -24,6 +26,11 @@
         EngineProtocol.decodeDemand(request.headers.get(Headers.TOKENS), request.headers.get(Headers.OUTPUT_ESTIMATE))
     }
 
+    /** The parts of the prompt that other requests may share; empty if the request has no prompt. */
+    val sharedParts: ImmutableSet<PromptPart> by lazy {
+        EngineProtocol.decodeSharedParts(request.headers.get(Headers.PREFIX_HASH))
+    }
+
     var configuration: RelayConfiguration? = null
     var route: Route? = null
     var workspace: Workspace? = null
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/CallRelay.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/CallRelay.kt
@@ -14,6 +14,7 @@
 import io.sequoiawheel.core.relay.Replica
 import io.sequoiawheel.core.relay.ReplicaPlacement
 import io.sequoiawheel.relay.backend.ConnectFailedException
+import io.sequoiawheel.relay.backend.ConnectionEndedException
 import io.sequoiawheel.relay.backend.ConnectionLease
 import io.sequoiawheel.relay.filter.Exchange
 import kotlinx.coroutines.withTimeoutOrNull
@@ -208,6 +209,7 @@
 
         private suspend fun send(replica: Replica): AttemptResult {
             val startedMillis = context.clock.nowMillis()
+            var isSent = false
             replica.load.begin(0)
             try {
                 return context.pool.use(replica, exchange.requestId, mustBeRecent = !route.isRepeatable) { lease ->
@@ -224,6 +226,7 @@
                     exchange.mayHaveRun = true
                     exchange.sends++
                     connection.send(requests.build(exchange, replica))
+                    isSent = true
                     val head = connection.receiveHead(exchange.requestId)
                     if (head.isMisdirected) replica.leave(LeaveReason.REPLACED)
                     if (head.isNotRun) return@use handleRefusal(replica, head, lease)
@@ -234,9 +237,11 @@
             } catch (failure: ConnectFailedException) {
                 replica.markUnreachable()
                 return AttemptResult.NotRun(NotRunProof.NOTHING_SENT, failure.message.orEmpty())
+            } catch (ended: ConnectionEndedException) {
+                if (isSent) context.outcomes.recordLoss(exchange, replica, begunMillis = null)
+                return unknownResult(replica, ended)
             } catch (failure: IOException) {
-                replica.load.recordOutcome(failed = true)
-                return AttemptResult.Unknown("$replica: ${failure.message}")
+                return unknownResult(replica, failure)
             } finally {
                 replica.load.end(0)
                 // A call that was cancelled at its timeout has no response to record.
@@ -245,6 +250,14 @@
             }
         }
 
+        private fun unknownResult(
+            replica: Replica,
+            failure: IOException,
+        ): AttemptResult {
+            replica.load.recordOutcome(failed = true)
+            return AttemptResult.Unknown("$replica: ${failure.message}")
+        }
+
         private fun recordEnd(
             replica: Replica,
             elapsedMillis: Long,
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationAttempt.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationAttempt.kt
@@ -12,6 +12,7 @@
 import io.sequoiawheel.platform.Headers
 import io.sequoiawheel.relay.backend.BackendConnection
 import io.sequoiawheel.relay.backend.ConnectFailedException
+import io.sequoiawheel.relay.backend.ConnectionEndedException
 import io.sequoiawheel.relay.filter.Exchange
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
@@ -116,14 +117,17 @@
     private val requests = BackendRequests(context.clock)
     private var job: Job? = null
     private var connection: BackendConnection? = null
+    private var isSent = false
     private var isExchangeComplete = false
 
+    /** When the response stream started, or null. */
+    private var begunMillis: Long? = null
+
     /** Whether the replica has yet to process the prompt; a run that continues from a copy skips most of it. */
     private var needsPrefill = Headers.CONTINUE_FROM !in headers
 
     /** Whether the replica's response stream has started. */
-    var hasStarted = false
-        private set
+    val hasStarted: Boolean get() = begunMillis != null
 
     /** Whether the attempt has ended, successfully or not. */
     val isFinished: Boolean get() = job?.isCompleted ?: false
@@ -158,16 +162,21 @@
                             failure.message.orEmpty(),
                         ),
                     )
+                } catch (ended: ConnectionEndedException) {
+                    if (isSent) context.outcomes.recordLoss(exchange, replica, begunMillis)
+                    reportConnectionFailure(ended)
                 } catch (failure: IOException) {
-                    signals.trySend(
-                        GenerationSignal.ConnectionFailed(this@GenerationAttempt, "$replica: ${failure.message}"),
-                    )
+                    reportConnectionFailure(failure)
                 } finally {
                     releaseResources()
                 }
             }
     }
 
+    private fun reportConnectionFailure(failure: IOException) {
+        signals.trySend(GenerationSignal.ConnectionFailed(this, "$replica: ${failure.message}"))
+    }
+
     /** Cancels the attempt; closing its connection makes the replica stop the run. */
     fun cancel() {
         job?.cancel()
@@ -218,6 +227,7 @@
         exchange.mayHaveRun = true
         exchange.sends++
         opened.send(requests.build(exchange, replica, headers))
+        isSent = true
         val head = opened.receiveHead(exchange.requestId)
         val status = head.status().code()
         if (head.isMisdirected) replica.leave(LeaveReason.REPLACED)
@@ -245,9 +255,9 @@
         }
         if (!head.isSigned) throw IOException("success response without a signature")
         if (!head.canContinue(exchange.response)) throw IOException("response of another status or media type")
-        hasStarted = true
         finishPrefill()
         lastProgressMillis = context.clock.nowMillis()
+        begunMillis = lastProgressMillis
         signals.trySend(GenerationSignal.Started(this, head))
         relayEvents(opened)
     }
@@ -267,7 +277,9 @@
             }
             exchange.response.awaitWritable()
             if (!isLast) continue
-            if (splitter.pendingBytes > 0) throw IOException("the stream ended inside an event")
+            if (splitter.pendingBytes > 0) {
+                throw ConnectionEndedException("the stream ended inside an event", isReset = false)
+            }
             isExchangeComplete = true
             signals.trySend(GenerationSignal.Completed(this))
             return
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationLog.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationLog.kt
@@ -52,6 +52,7 @@
     /** Sets the fields that describe the delivery for the log line of the request's end, however it ended. */
     fun recordEnd(replica: Replica?) {
         exchange.logFields["moves"] = moveCount.takeIf { it > 0 }
+        exchange.logFields["parts"] = exchange.sharedParts.joinToString(",").ifEmpty { null }
         exchange.logFields["events"] = delivery.delivered
         exchange.logFields["lastEvent"] = delivery.lastId
         exchange.logFields += timing.logFields()
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/RelayContext.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/RelayContext.kt
@@ -35,6 +35,9 @@
 ) {
     private val retryBudgets = HashMap<ServiceName, SlidingWindowRetryBudget>()
 
+    /** Records runs that were lost with the connection to their replica. */
+    val outcomes = RunOutcomes(clock, log, metrics)
+
     private val limiter = RequestLimiter(fleet)
 
     /** Limits the calls to replicas that take those of a restricted one. */
