Quarantine prompt parts that end the replicas that run them

What callers saw: generations broke off all over the fleet while one replica after the other ended, for as long as requests with one prompt part came.

Cause: nothing looked at the parts of a prompt when a run was lost. Each instance sent such requests on, and each lost one at once to the next replica, a copy or a backup, so that every send ended another replica with all that ran there. The class: a failure that its request carries along is taken for one of the replica, and a retry spreads it.

Now lost runs accuse their shared parts and runs that go on clear them (CrashEvidence); three crashes lead to a verdict that all instances share by their load messages (PartQuarantine), and every send asks it. A lost request is not sent again once two crashes speak against its part.

--- a/core/src/main/kotlin/io/sequoiawheel/core/quarantine/PromptPart.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/quarantine/PromptPart.kt
@@ -10,3 +10,13 @@
 ) {
     override fun toString(): String = id
 }
+
+/**
+ * One run of a replica's process.
+ *
+ * @property startedAtMillis start time in Unix milliseconds, or null if the replica does not state it
+ */
+data class Incarnation(
+    val replica: String,
+    val startedAtMillis: Long?,
+)
--- a/core/src/main/kotlin/io/sequoiawheel/core/relay/LoadExchange.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/LoadExchange.kt
@@ -8,6 +8,7 @@
 
 import io.sequoiawheel.core.model.Clock
 import io.sequoiawheel.core.model.ZoneName
+import io.sequoiawheel.core.quarantine.PartQuarantine
 
 /** A message to send to [destinations]. */
 class OutgoingMessage(
@@ -20,17 +21,22 @@
  *
  * @param start start time in Unix milliseconds, which identifies this incarnation; larger than that of earlier
  *   incarnations of the same name
+ * @property quarantine what the instances tell each other about prompt parts that end replicas
  */
 class LoadExchange(
     private val self: Peer,
     private val start: Long,
     private val clock: Clock,
+    val quarantine: PartQuarantine,
 ) : FleetMembership {
+    constructor(self: Peer, start: Long, clock: Clock) : this(self, start, clock, PartQuarantine(self.name, clock))
+
     /** The content of the last message that is compared to decide whether a new message is needed. */
     private data class SentContent(
         val generationTokens: Map<String, Pair<Long, Long>> = emptyMap(),
         val leaving: StartsByReplica = emptyMap(),
         val rates: Map<String, Double?> = emptyMap(),
+        val partsVersion: Int = 0,
     )
 
     private val roster = PeerRoster(clock)
@@ -42,6 +48,12 @@
     private var meshRounds = 0L
     private var totalsRounds = 0L
     private var isListed = false
+    private var sentPartsVersion = 0
+    private var hasNewIncarnation = false
+
+    /** Whether the other instances should learn something about prompt parts soon. */
+    private val hasPartNotices: Boolean
+        get() = quarantine.version != sentPartsVersion || (hasNewIncarnation && quarantine.isActive)
     private var reportSentMillis: Long? = null
     private var totalsSentMillis: Long? = null
     private var sumsSentMillis: Long? = null
@@ -94,7 +106,7 @@
         limits: LimitsByReplica = emptyMap(),
     ): List<OutgoingMessage> {
         val outgoing = ArrayList<OutgoingMessage>()
-        val hasNewNotices = leaving != this.leaving || rates(limits) != rates(this.limits)
+        val hasNewNotices = leaving != this.leaving || rates(limits) != rates(this.limits) || hasPartNotices
         val hasChanged = hasNewNotices || generationTokens(work) != generationTokens(sentReports.latestWork)
         this.leaving = leaving
         this.limits = limits
@@ -112,6 +124,7 @@
     fun receive(message: PeerMessage): List<OutgoingMessage> {
         val endpoint = Endpoint.parseOrNull(message.endpoint) ?: return emptyList()
         if (message.sender == self.name) return emptyList()
+        quarantine.merge(message.parts)
         val sender = Peer(message.sender, ZoneName(message.zone), endpoint)
         when (message) {
             is PeerReport -> receive(message, sender)
@@ -136,7 +149,9 @@
         report: PeerReport,
         sender: Peer,
     ) {
+        val isNewIncarnation = received.isNewIncarnation(report)
         if (!received.accept(report)) return
+        if (isNewIncarnation) hasNewIncarnation = true
         if (report.isLeaving) return roster.remove(report.sender)
         roster.recordContact(sender)
         if (report.wantsTotals && sender.zone == self.zone) aggregators.recordRequest()
@@ -183,7 +198,10 @@
                 wantsTotals,
                 leaving,
                 ReportedLimit.of(limits, clock.nowMillis()),
+                quarantine.report(),
             )
+        sentPartsVersion = quarantine.version
+        hasNewIncarnation = false
         sentReports.add(report)
         reportSentMillis = clock.nowMillis()
         return OutgoingMessage((if (isMesh()) meshPeers() else aggregators.current()).map { it.endpoint }, report)
@@ -200,7 +218,13 @@
         if (requesters.isEmpty()) return null
         val totals = (received.work() + listOf(work)).sumByReplica()
         val allLimits = listOf(limits, received.reportedLimits()).latestByReplica()
-        val content = SentContent(generationTokens(totals), leaving + received.reportedLeaving(), rates(allLimits))
+        val content =
+            SentContent(
+                generationTokens(totals),
+                leaving + received.reportedLeaving(),
+                rates(allLimits),
+                quarantine.version,
+            )
         if (content == lastTotals && !isElapsed(totalsSentMillis, TOTALS_INTERVAL_LIMIT_MILLIS)) return null
         lastTotals = content
         totalsSentMillis = clock.nowMillis()
@@ -218,6 +242,7 @@
                 if (hasAddresses) reports.associate { it.sender to it.endpoint } else emptyMap(),
                 content.leaving,
                 ReportedLimit.of(allLimits, clock.nowMillis()),
+                quarantine.report(),
             )
         totalsBytes = (report.work.size + report.members.size) * BYTES_PER_ENTRY
         return OutgoingMessage(requesters, report)
@@ -231,7 +256,7 @@
         val sums = (reports.map { it.work } + listOf(work)).sumByReplica()
         val zoneLimits = listOf(limits, received.localLimits()).latestByReplica()
         val zoneLeaving = reports.fold(leaving) { known, member -> known + member.leaving }
-        val content = SentContent(generationTokens(sums), zoneLeaving, rates(zoneLimits))
+        val content = SentContent(generationTokens(sums), zoneLeaving, rates(zoneLimits), quarantine.version)
         if (content == lastSums && !isElapsed(sumsSentMillis, HEARTBEAT_MILLIS)) return null
         lastSums = content
         sumsSentMillis = clock.nowMillis()
@@ -247,6 +272,7 @@
                 sums,
                 leaving = content.leaving,
                 limits = ReportedLimit.of(zoneLimits, clock.nowMillis()),
+                parts = quarantine.report(),
             )
         return OutgoingMessage(targets.map { it.endpoint }, report)
     }
@@ -275,8 +301,11 @@
 
     private fun isMesh() = roster.size < MESH_INSTANCES
 
-    private fun meshPeers(): List<Peer> =
-        if (meshRounds++ % SILENT_ROUNDS == 0L) roster.all() else roster.activeWithin(SILENT_MILLIS)
+    /** Instances that were cut off must learn of parts that end replicas before they serve again. */
+    private fun meshPeers(): List<Peer> {
+        val silentRounds = if (quarantine.isActive) 1L else SILENT_ROUNDS
+        return if (meshRounds++ % silentRounds == 0L) roster.all() else roster.activeWithin(SILENT_MILLIS)
+    }
 
     /** Reports more often to a newly selected aggregator, so that one lost datagram does not make it appear failed. */
     private fun heartbeatMillis(): Long {
--- a/core/src/main/kotlin/io/sequoiawheel/core/relay/PeerMessage.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/PeerMessage.kt
@@ -6,6 +6,7 @@
 package io.sequoiawheel.core.relay
 
 import io.sequoiawheel.core.model.NestingLimit
+import io.sequoiawheel.core.quarantine.PartReport
 import kotlinx.serialization.KSerializer
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
@@ -84,6 +85,7 @@
  * @property leaving replicas that announced in a response, to one of the instances whose load the message includes,
  *   that they are leaving
  * @property limits request limits that replicas named, by replica id
+ * @property parts what the sender knows of prompt parts that end replicas
  */
 @Serializable
 sealed interface PeerMessage {
@@ -94,6 +96,7 @@
     val zone: String
     val leaving: StartsByReplica
     val limits: Map<String, ReportedLimit>
+    val parts: PartReport
 
     /** Whether this message is not newer than [other], a message of the same sender. */
     fun isNotNewerThan(other: PeerMessage): Boolean =
@@ -144,6 +147,7 @@
     @SerialName("a") val wantsTotals: Boolean = false,
     @SerialName("q") override val leaving: StartsByReplica = emptyMap(),
     @SerialName("r") override val limits: Map<String, ReportedLimit> = emptyMap(),
+    @SerialName("p") override val parts: PartReport = PartReport.NONE,
 ) : PeerMessage
 
 /**
@@ -165,6 +169,7 @@
     @SerialName("f") val isForwarded: Boolean = false,
     @SerialName("q") override val leaving: StartsByReplica = emptyMap(),
     @SerialName("r") override val limits: Map<String, ReportedLimit> = emptyMap(),
+    @SerialName("p") override val parts: PartReport = PartReport.NONE,
 ) : PeerMessage
 
 /**
@@ -188,4 +193,5 @@
     @SerialName("d") val addresses: Map<String, String> = emptyMap(),
     @SerialName("q") override val leaving: StartsByReplica = emptyMap(),
     @SerialName("r") override val limits: Map<String, ReportedLimit> = emptyMap(),
+    @SerialName("p") override val parts: PartReport = PartReport.NONE,
 ) : PeerMessage
--- a/core/src/main/kotlin/io/sequoiawheel/core/relay/ReceivedLoads.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/ReceivedLoads.kt
@@ -45,6 +45,9 @@
         return true
     }
 
+    /** Whether nothing is stored of the incarnation of the sender of [report]. */
+    fun isNewIncarnation(report: PeerReport): Boolean = reports[report.sender]?.message?.start != report.start
+
     /** Stores the sums of another zone; of two senders, the first by name takes precedence. */
     fun accept(report: ZoneReport) {
         val known = zones[report.zone]
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/RelayDaemon.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/RelayDaemon.kt
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.sequoiawheel.core.model.Clock
 import io.sequoiawheel.core.model.ResultCode
+import io.sequoiawheel.core.quarantine.PartQuarantine
 import io.sequoiawheel.core.relay.ConfigurationOrder
 import io.sequoiawheel.core.relay.Endpoint
 import io.sequoiawheel.core.relay.Freshness
@@ -53,6 +54,7 @@
 import io.sequoiawheel.relay.internal.RelayMetrics
 import io.sequoiawheel.relay.serving.CallRelay
 import io.sequoiawheel.relay.serving.GenerationRelay
+import io.sequoiawheel.relay.serving.QuarantineLog
 import io.sequoiawheel.relay.serving.RelayContext
 import io.sequoiawheel.relay.serving.ReplicaNotices
 import kotlinx.coroutines.CoroutineScope
@@ -86,8 +88,9 @@
     private val contact = StoreContact(monotonic)
     private val directory = ReplicaDirectory(monotonic, coldPhase = random.nextDouble())
     private val self = Peer(settings.name, settings.zone, Endpoint(settings.host, settings.peerPorts.first))
-    private val loads = LoadExchange(self, start = wall.nowMillis(), monotonic)
-    private val notices = ReplicaNotices(log, metrics)
+    private val quarantine = PartQuarantine(settings.name, monotonic, QuarantineLog(log, metrics))
+    private val loads = LoadExchange(self, start = wall.nowMillis(), monotonic, quarantine)
+    private val notices = ReplicaNotices(log, metrics, quarantine)
     private val pool = BackendPool(connector, notices::onResponseHead)
     private val configuration = ConfigurationController(store, freshness, ConfigurationOrder(monotonic), scope, log)
     private val replicas = ReplicaController(directory, log, metrics)
@@ -103,6 +106,7 @@
             random,
             settings.bounds,
             fleet = loads,
+            quarantine,
         )
     private val peers = PeerController(self, directory, loads, store, random, log, metrics)
     private val hubSelection = HubSelection(settings.name, settings.zone, monotonic, random, loads::live)
@@ -278,6 +282,7 @@
         metrics.gauge("replicas.quiet") { directory.all().count { it.isPaused } }
         metrics.gauge("replicas.limited") { directory.all().count { it.requestLimit.perSecond != null } }
         metrics.gauge("replicas.leaving.by.answer") { directory.announcedLeaving().size }
+        metrics.gauge("parts.quarantined") { quarantine.quarantined.size }
         metrics.gauge("replicas.unreadable") { replicas.unreadableCount }
         metrics.gauge("store.kinds.unfollowed") { watchers.count { !it.isFollowed } }
         metrics.gauge("objects.failed") { watchers.sumOf { it.failedObjects } }
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/filter/Exchange.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/filter/Exchange.kt
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.sequoiawheel.core.model.ResultCode
+import io.sequoiawheel.core.quarantine.PartQuarantine
 import io.sequoiawheel.core.quarantine.PromptPart
 import io.sequoiawheel.core.relay.GenerationDemand
 import io.sequoiawheel.core.relay.NotRunProof
@@ -21,6 +22,13 @@
 ) {
     val requestId: String? = request.headers.get(Headers.REQUEST_ID)
 
+    /** Id of the last event of the stream that the caller received before, or null. */
+    val lastEventId: Long? get() =
+        request.headers
+            .get(Headers.LAST_EVENT_ID)
+            ?.trim()
+            ?.toLongOrNull()
+
     /** Estimated resource demand of the request if it is a generation. */
     val demand: GenerationDemand by lazy {
         EngineProtocol.decodeDemand(request.headers.get(Headers.TOKENS), request.headers.get(Headers.OUTPUT_ESTIMATE))
@@ -70,6 +78,15 @@
         endWithError(HttpResponseStatus.SERVICE_UNAVAILABLE, code, detail, retryAfterMillis)
     }
 
+    /** Refuses a request because of a quarantined [part] of its prompt; fails it if it may have run. */
+    suspend fun refuseQuarantined(part: PromptPart) =
+        refuse(
+            NotRunProof.NOTHING_SENT,
+            ResultCode.PROMPT_QUARANTINED,
+            "part $part of the prompt is quarantined",
+            PartQuarantine.RETRY_AFTER_MILLIS,
+        )
+
     /** Rejects a request that the configuration does not allow. */
     suspend fun reject(
         code: ResultCode,
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/CallRelay.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/CallRelay.kt
@@ -87,6 +87,11 @@
 
         suspend fun run() {
             while (true) {
+                val part = context.refuseQuarantined(exchange)
+                if (part != null) {
+                    if (!deliverEarlierResponse()) exchange.refuseQuarantined(part)
+                    return
+                }
                 val placement = place()
                 if (placement !is Placement.Assigned) {
                     retryAfterMillis =
@@ -154,6 +159,7 @@
             route.isRepeatable &&
                 runs < route.maximumAttempts &&
                 hasTimeLeft() &&
+                !context.outcomes.isSuspected(exchange) &&
                 context.retryBudget(service.name).tryRetry()
 
         private fun mayRetryRefused(): Boolean = hasTimeLeft() && context.retryBudget(service.name).tryRetry()
@@ -219,7 +225,7 @@
                     }
                     val isFirst = runs == 0 && refusals == 0
                     val purpose = if (isFirst) SendPurpose.FIRST_ATTEMPT else SendPurpose.RETRY
-                    if (!context.tryAdmit(replica, purpose)) {
+                    if (!context.tryAdmit(replica, purpose, exchange)) {
                         lease.complete()
                         return@use AttemptResult.ReplicaUnavailable
                     }
@@ -280,6 +286,7 @@
                 return AttemptResult.Unknown("$replica sent status $status without the required header")
             }
             val elapsedMillis = context.clock.nowMillis() - startedMillis
+            context.outcomes.recordCompletion(exchange, replica, startedMillis)
             replica.load.recordResponseTime(elapsedMillis)
             recordEnd(replica, elapsedMillis)
             return AttemptResult.Responded(head, body)
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationAttempt.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationAttempt.kt
@@ -123,6 +123,9 @@
     /** When the response stream started, or null. */
     private var begunMillis: Long? = null
 
+    /** Whether the attempt was recorded as one that went on. */
+    private var isRecordedSound = false
+
     /** Whether the replica has yet to process the prompt; a run that continues from a copy skips most of it. */
     private var needsPrefill = Headers.CONTINUE_FROM !in headers
 
@@ -143,6 +146,10 @@
     fun recordProgress() {
         lastProgressMillis = context.clock.nowMillis()
         staleBytes = 0
+        val begun = begunMillis
+        if (begun != null && !isRecordedSound) {
+            isRecordedSound = context.outcomes.recordProgress(exchange, replica, begun)
+        }
     }
 
     fun start(scope: CoroutineScope) {
@@ -216,7 +223,7 @@
             signals.trySend(GenerationSignal.NotRun(this, NotRunProof.NOTHING_SENT, "connection closed"))
             return
         }
-        if (!context.tryAdmit(replica, purpose)) {
+        if (!context.tryAdmit(replica, purpose, exchange)) {
             isExchangeComplete = true
             val detail = "$replica no longer accepts generations"
             signals.trySend(
@@ -281,6 +288,7 @@
                 throw ConnectionEndedException("the stream ended inside an event", isReset = false)
             }
             isExchangeComplete = true
+            begunMillis?.let { context.outcomes.recordCompletion(exchange, replica, it) }
             signals.trySend(GenerationSignal.Completed(this))
             return
         }
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationRun.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationRun.kt
@@ -10,6 +10,7 @@
 
 import io.netty.handler.codec.http.HttpResponse
 import io.sequoiawheel.core.model.ResultCode
+import io.sequoiawheel.core.quarantine.PromptPart
 import io.sequoiawheel.core.relay.Delivery
 import io.sequoiawheel.core.relay.DeliveryDecision
 import io.sequoiawheel.core.relay.EngineProfile
@@ -38,14 +39,7 @@
     private val requests = BackendRequests(context.clock)
     private val signals = SignalQueue<GenerationSignal>()
     private val demand = exchange.demand
-    private val delivery =
-        Delivery(
-            exchange.request.headers
-                .get(Headers.LAST_EVENT_ID)
-                ?.trim()
-                ?.toLongOrNull(),
-        )
-
+    private val delivery = Delivery(exchange.lastEventId)
     private val log = GenerationLog(context, exchange, delivery)
 
     /** Only generations whose streams cannot be resumed are backed up to another replica. */
@@ -76,6 +70,9 @@
     /** Number of sends that continue from a copy and were not refused; each may have been executed. */
     private var continuations = 0
     private var isFinished = false
+
+    /** The part of the prompt because of which no further attempt was started, or null. */
+    private var quarantinedPart: PromptPart? = null
     private var retryAfterMillis = ReplicaPlacement.FULL_GENERATIONS_MILLIS
 
     /** Handles the request until it ends. */
@@ -245,7 +242,7 @@
     private suspend fun handleConnectionFailed(signal: GenerationSignal.ConnectionFailed) {
         if (signal.attempt !== current) return
         val attempt = signal.attempt
-        attempt.replica.load.recordOutcome(failed = true)
+        if (!context.outcomes.isSuspected(exchange)) attempt.replica.load.recordOutcome(failed = true)
         abandoned += attempt.replica
         if (!attempt.hasStarted) runs++
         current = null
@@ -261,6 +258,7 @@
     /** Continues on the replica that holds the backup of [attempt]'s run. Returns false if no backup is usable. */
     private fun continueFromBackup(attempt: GenerationAttempt): Boolean {
         val backup = attempt.backup?.takeIf(context.directory::mayReceive) ?: return false
+        if (context.outcomes.isSuspected(exchange)) return false
         if (!attempt.hasStarted || !usedBackups.add(backup)) return false
         continueFrom(copier.backupCopy(backup, exchange.requestId.orEmpty()))
         return true
@@ -272,7 +270,10 @@
         fail(if (exchange.response.isStarted) ResultCode.STREAM_INTERRUPTED else ResultCode.OUTCOME_UNKNOWN, detail)
     }
 
-    private fun mayRetry() = runs < route.maximumAttempts && context.retryBudget(service.name).tryRetry()
+    private fun mayRetry() =
+        runs < route.maximumAttempts &&
+            !context.outcomes.isSuspected(exchange) &&
+            context.retryBudget(service.name).tryRetry()
 
     private fun handleReplicaLeaving(signal: GenerationSignal.ReplicaLeaving) {
         exchange.logFields["left"] = signal.reason.name
@@ -291,6 +292,7 @@
     /** Copies the run's KV cache from a leaving replica to another one, so that the run can continue there. */
     private fun migrate(attempt: GenerationAttempt) {
         if (!engine.supportsMigration || exchange.requestId == null || copyJob?.isActive == true) return
+        if (context.outcomes.isSuspected(exchange)) return
         copyJob =
             scope.launch {
                 val signal =
@@ -317,6 +319,8 @@
      */
     private fun startAttempt(excluded: Set<Replica>): Boolean {
         if (delivery.delivered > 0 && delivery.lastId == null) return false
+        quarantinedPart = context.refuseQuarantined(exchange)
+        if (quarantinedPart != null) return false
         val usable = context.directory.usable(service.name)
         val placement = context.placement.forGeneration(usable, excluded, demand, engine, service)
         retryAfterMillis =
@@ -378,6 +382,7 @@
         detail: String,
     ) {
         isFinished = true
+        quarantinedPart?.let { return exchange.refuseQuarantined(it) }
         exchange.refuse(proof, code, detail, context.retryAfterMillis(service) ?: retryAfterMillis)
     }
 
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/RelayContext.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/RelayContext.kt
@@ -2,6 +2,8 @@
 
 import io.sequoiawheel.core.model.Clock
 import io.sequoiawheel.core.model.ServiceName
+import io.sequoiawheel.core.quarantine.PartQuarantine
+import io.sequoiawheel.core.quarantine.PromptPart
 import io.sequoiawheel.core.relay.ColdShare
 import io.sequoiawheel.core.relay.FleetMembership
 import io.sequoiawheel.core.relay.OverflowLimiter
@@ -32,11 +34,12 @@
     private val random: UniformRandomProvider,
     private val bounds: ServiceBounds,
     private val fleet: FleetMembership,
+    val quarantine: PartQuarantine,
 ) {
     private val retryBudgets = HashMap<ServiceName, SlidingWindowRetryBudget>()
 
-    /** Records runs that were lost with the connection to their replica. */
-    val outcomes = RunOutcomes(clock, log, metrics)
+    /** Records which runs were lost with their replica and which went on. */
+    val outcomes = RunOutcomes(clock, quarantine, log, metrics)
 
     private val limiter = RequestLimiter(fleet)
 
@@ -90,13 +93,28 @@
     fun waitMillis(replica: Replica): Long = placement.waitMillis(replica)
 
     /**
-     * Consumes the permission to send a caller's request to [replica] now. Returns false if the request must not be
-     * sent. Call it immediately before sending, since the replica may have left or become limited in the meantime.
+     * Consumes the permission to send the request of [exchange] to [replica] now. Returns false if it must not be sent.
+     * Call it immediately before sending, since the replica may have left or become limited in the meantime, and a part
+     * of the prompt may have been quarantined.
      */
     fun tryAdmit(
         replica: Replica,
         purpose: SendPurpose,
-    ): Boolean = directory.mayReceive(replica) && tryAdmitControl(replica, purpose)
+        exchange: Exchange,
+    ): Boolean =
+        directory.mayReceive(replica) &&
+            quarantine.blocking(exchange.sharedParts) == null &&
+            tryAdmitControl(replica, purpose) &&
+            quarantine.tryAdmit(exchange.sharedParts)
+
+    /** Records that the request of [exchange] is refused because of a quarantined part, which is returned if so. */
+    fun refuseQuarantined(exchange: Exchange): PromptPart? {
+        val part = quarantine.blocking(exchange.sharedParts) ?: return null
+        quarantine.recordRefusal(exchange.sharedParts)
+        exchange.logFields["quarantinedPart"] = part.id
+        metrics.count("parts", "refused")
+        return part
+    }
 
     /** Like [tryAdmit], for requests of this instance itself, which leaving replicas accept too. */
     fun tryAdmitControl(
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/RunOutcomes.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/RunOutcomes.kt
@@ -1,14 +1,20 @@
 package io.sequoiawheel.relay.serving
 
 import io.sequoiawheel.core.model.Clock
+import io.sequoiawheel.core.quarantine.Incarnation
+import io.sequoiawheel.core.quarantine.PartQuarantine
 import io.sequoiawheel.core.relay.Replica
 import io.sequoiawheel.relay.filter.Exchange
 import io.sequoiawheel.relay.internal.DecisionLog
 import io.sequoiawheel.relay.internal.RelayMetrics
 
-/** Records runs that were lost with the connection to their replica. Confined to the event loop. */
+/**
+ * Records which runs were lost with the connection to their replica and which went on, as evidence against and for the
+ * parts of their prompts. Confined to the event loop.
+ */
 internal class RunOutcomes(
     private val clock: Clock,
+    private val quarantine: PartQuarantine,
     private val log: DecisionLog,
     private val metrics: RelayMetrics,
 ) {
@@ -34,5 +40,42 @@
                 "sends" to exchange.sends,
             ),
         )
+        quarantine.recordLoss(replica.incarnation, exchange.sharedParts, begunMillis)
     }
+
+    /** Records that the response of [replica], which began at [begunMillis], is complete. */
+    fun recordCompletion(
+        exchange: Exchange,
+        replica: Replica,
+        begunMillis: Long,
+    ) {
+        recordLife(replica)
+        quarantine.recordSurvival(exchange.sharedParts, begunMillis)
+    }
+
+    /**
+     * Records that the response of [replica], which began at [begunMillis], goes on. Returns whether it has gone on for
+     * long enough to speak for its parts.
+     */
+    fun recordProgress(
+        exchange: Exchange,
+        replica: Replica,
+        begunMillis: Long,
+    ): Boolean {
+        recordLife(replica)
+        val isSound = clock.nowMillis() - begunMillis >= PartQuarantine.SURVIVAL_MILLIS
+        if (isSound) quarantine.recordSurvival(exchange.sharedParts, begunMillis)
+        return isSound
+    }
+
+    /** Records that something was received from [replica]. */
+    fun recordLife(replica: Replica) = quarantine.recordLife(replica.incarnation)
+
+    /** Whether a crash under this request is more likely the fault of a part of its prompt than of the replica. */
+    fun isSuspected(exchange: Exchange): Boolean =
+        quarantine.blocking(exchange.sharedParts) != null || quarantine.isSuspected(exchange.sharedParts)
 }
+
+/** The incarnation of the replica, as other instances know it. */
+internal val Replica.incarnation: Incarnation
+    get() = Incarnation(entry.id.value, entry.startedAtMillis)
--- a/relay/src/test/kotlin/io/sequoiawheel/relay/CrashingReplicas.kt
+++ b/relay/src/test/kotlin/io/sequoiawheel/relay/CrashingReplicas.kt
@@ -36,7 +36,7 @@
 
     fun start() = repeat(sites, ::startReplica)
 
-    /** Sends a request to one of [fleet] every [INTERVAL_MILLIS] for [millis] milliseconds, every third with a crash. */
+    /** Sends a request to one of [fleet] every [INTERVAL_MILLIS] for [millis] milliseconds; every third one crashes. */
     fun call(
         fleet: () -> List<RelayDaemon>,
         millis: Long,
--- a/standin/src/main/kotlin/io/sequoiawheel/standin/platform/PartCrashMeter.kt
+++ b/standin/src/main/kotlin/io/sequoiawheel/standin/platform/PartCrashMeter.kt
@@ -1,6 +1,6 @@
 /*
- * Counts what replicas that crash on a prompt part see of it, and how callers of other requests fare. Times are those of
- * the clock handed in, in milliseconds.
+ * Counts what replicas that crash on a prompt part receive with it, and how callers of other requests fare. Times are
+ * those of the clock handed in, in milliseconds.
  */
 package io.sequoiawheel.standin.platform
 
@@ -96,6 +96,8 @@
         val matching: Int,
         val total: Int,
     ) {
+        operator fun plus(other: Share) = Share(matching + other.matching, total + other.total)
+
         val value: Double get() = if (total == 0) 1.0 else matching.toDouble() / total
     }
 
