Answer requests that were taken late in the grace period

What callers saw (report of another operator, reproduced here): in a planned stop, a request whose body ended late in the grace period was passed on, and its connection ended without an answer when the process did; also for requests that may not be repeated.

Cause: a call is taken while 2.5 s are left, which is longer than calls take, but a route may allow more; a generation is taken by an estimate. Nothing ended such requests before the process did.

Now the deadline of requests taken during a shutdown is 0.2 s before the end of the process, also the one that the replica is told. Then the usual rules apply: 504 if the request may have run and no response has begun.

Two tests in InstanceShutdownTest (route timeout 15 s, body complete 4.5 s after the signal, replica needs 6 s) got no response before and get 504. A stream that has begun is still cut at the end of the grace period.

--- a/relay/src/main/kotlin/io/sequoiawheel/relay/RelayDaemon.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/RelayDaemon.kt
@@ -140,7 +140,7 @@
                 RouteFilter(),
                 WorkspaceFilter(configuration::awaitFresh) { configuration.current },
                 DeadlineFilter(monotonic),
-                ShutdownFilter(shutdown::remainingMillis),
+                ShutdownFilter(monotonic, shutdown::remainingMillis),
             ),
             ::relay,
         )
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/filter/ConfigurationFilters.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/filter/ConfigurationFilters.kt
@@ -125,11 +125,13 @@
 }
 
 /**
- * Refuses requests during shutdown that may not finish before the process exits.
+ * Refuses requests during shutdown that may not finish before the process exits, and ends the others early enough that
+ * their callers get an answer.
  *
  * @param remainingMillis returns the time until the process exits, or null if it is not shutting down
  */
 internal class ShutdownFilter(
+    private val clock: Clock,
     private val remainingMillis: () -> Long?,
 ) : RequestFilter {
     override suspend fun handle(
@@ -147,6 +149,10 @@
             )
             return
         }
+        if (remaining != null) {
+            val lastMillis = clock.nowMillis() + remaining - ANSWER_MILLIS
+            exchange.deadlineMillis = minOf(exchange.deadlineMillis, lastMillis)
+        }
         next(exchange)
     }
 
@@ -158,6 +164,11 @@
         val demand = if (route.kind == RequestKind.STREAM) exchange.demand else null
         return ShutdownAdmission.canFinish(route, demand, remaining)
     }
+
+    private companion object {
+        /** Time to write the answer of a request that did not end in time. */
+        const val ANSWER_MILLIS = 200L
+    }
 }
 
 /** Short delay, since a retry reaches another instance that can usually serve it at once. */
--- a/relay/src/test/kotlin/io/sequoiawheel/relay/InstanceShutdownTest.kt
+++ b/relay/src/test/kotlin/io/sequoiawheel/relay/InstanceShutdownTest.kt
@@ -89,7 +89,61 @@
         }
     }
 
+    /**
+     * Sends a request to [path] whose body ends late in the grace period, to a replica that works beyond its end.
+     * Returns the response, or null if the process would have ended without one.
+     */
+    private fun callLateInGracePeriod(path: String): Pair<Int, String>? {
+        val service = if (path.startsWith("/stream")) RelayFixture.ENGINE else RelayFixture.PLAIN
+        val reached = CountDownLatch(1)
+        fixture.replica("r-1", service) { request, answer ->
+            reached.countDown()
+            Thread.sleep(BEYOND_GRACE_MILLIS)
+            answer.sendComplete(request, "world")
+        }
+        fixture.configure(timeoutMillis = LONG_TIMEOUT_MILLIS)
+        fixture.start()
+        connect().use { caller ->
+            val ended = CountDownLatch(1)
+            thread {
+                runBlocking { fixture.daemon.leave() }
+                fixture.daemon.close()
+                ended.countDown()
+            }
+            val output = caller.socket.getOutputStream()
+            output.write(
+                (
+                    "POST $path HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: id-1\r\nApi-Key: key-1\r\n" +
+                        "X-Deadline-Ms: $LONG_TIMEOUT_MILLIS\r\nX-Token-Usage: 10,10\r\nContent-Length: 5\r\n\r\nhel"
+                ).toByteArray(),
+            )
+            Thread.sleep(LATE_MILLIS)
+            output.write("lo".toByteArray())
+            assertTrue(reached.await(2, TimeUnit.SECONDS), "the request was not passed on")
+            return caller.receive().also { ended.await() }
+        }
+    }
+
+    // The end of the process cut requests that had been taken late, among them ones that may not be repeated.
+    @Test
+    fun `a call that is taken late in the grace period is answered before the process ends`() {
+        assertEquals(504, callLateInGracePeriod("/unsafe/a")?.first)
+    }
+
+    @Test
+    fun `a generation that is taken late in the grace period and does not begin is answered before the process ends`() {
+        assertEquals(504, callLateInGracePeriod("/stream/a")?.first)
+    }
+
     private companion object {
+        const val LONG_TIMEOUT_MILLIS = 15_000
+
+        /** After the connections of callers are told to close, and early enough to be taken. */
+        const val LATE_MILLIS = 4_500L
+
+        /** From then on longer than the rest of the grace period of 8 s. */
+        const val BEYOND_GRACE_MILLIS = 6_000L
+
         /** A request that was read and not passed on must end within this time. */
         const val ENDED_WITHIN_MILLIS = 200
 
