Take a stream without framing and without events as broken off

A report of another operator: a replica stopped in its head and closed, and callers got a 200 with an empty or short body, framed as whole. CutResponseTest stops five kinds of responses after every byte. No head that stops, no body short of its length and no chunked body reaches a caller as whole, before this change as well. One case did: a stream with neither length nor chunks whose connection closes right after the head, which was passed on as an empty, complete stream.

Now such a stream counts as broken off, unless the request asked for the events after a given one, when there may be none. The test failed on (whole after 97 and 114 bytes, expected after 114 only) and passes now. A stream without framing that closes between two events still looks complete: nothing in it says otherwise.

--- a/relay/src/main/kotlin/io/sequoiawheel/relay/backend/BackendConnection.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/backend/BackendConnection.kt
@@ -43,7 +43,6 @@
     private var isPersistent = true
     private var hasDecodedMessage = false
     private var isInResponse = false
-    private var isFramed = false
     private var headTimeout: ScheduledFuture<*>? = null
 
     /** Called with each response head, including those that belong to no request of this connection. */
@@ -60,6 +59,10 @@
     var isContradicted = false
         private set
 
+    /** Whether the response has a length or chunks; without, it ends with the connection. */
+    var isFramed = false
+        private set
+
     /** Whether at least one exchange was completed before. */
     var isReused = false
         private set
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationAttempt.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationAttempt.kt
@@ -271,6 +271,7 @@
 
     private suspend fun relayEvents(opened: BackendConnection) {
         val splitter = EventSplitter(keepsByteOrderMark = !exchange.response.isStarted)
+        var hasEvents = false
         while (true) {
             val content = opened.receiveContent()
             val isLast = content is LastHttpContent
@@ -280,13 +281,12 @@
             staleBytes += bytes.size
             if (staleBytes > MAXIMUM_STALE_BYTES) throw IOException("$staleBytes bytes received without the next event")
             for (event in splitter.append(bytes)) {
+                hasEvents = true
                 signals.trySend(GenerationSignal.Event(this, event))
             }
             exchange.response.awaitWritable()
             if (!isLast) continue
-            if (splitter.pendingBytes > 0) {
-                throw ConnectionEndedException("the stream ended inside an event", isReset = false)
-            }
+            requireWhole(opened, splitter, hasEvents)
             isExchangeComplete = true
             begunMillis?.let { context.outcomes.recordCompletion(exchange, replica, it) }
             signals.trySend(GenerationSignal.Completed(this))
@@ -294,6 +294,23 @@
         }
     }
 
+    /** Throws if the stream that ended was broken off, as far as that can be told from what was received. */
+    private fun requireWhole(
+        opened: BackendConnection,
+        splitter: EventSplitter,
+        hasEvents: Boolean,
+    ) {
+        // Without framing, a connection that closes after the head looks like an empty stream.
+        val mayBeEmpty = opened.isFramed || exchange.lastEventId != null || Headers.LAST_EVENT_ID in headers
+        val place =
+            when {
+                splitter.pendingBytes > 0 -> "inside an event"
+                !hasEvents && !mayBeEmpty -> "before its first event"
+                else -> return
+            }
+        throw ConnectionEndedException("the stream ended $place", isReset = false)
+    }
+
     private companion object {
         val SUCCESS = 200..299
 
