Crash replicas on prompt parts in the soak, and check two promises of it

Now CRASHING_PART lets stream replicas crash on a part of a prompt, sent by callers to all instances among sound calls that share the first part. BUDGET counts arrivals later than the contact time after the fifth crash, LOST also the share of sound streams that begin at the first attempt; HistoryCheckerTest plants a fault for each.

--- a/soak/src/main/kotlin/io/sequoiawheel/soak/history/History.kt
+++ b/soak/src/main/kotlin/io/sequoiawheel/soak/history/History.kt
@@ -41,6 +41,7 @@
  * One attempt of a caller. [requestId] is unique in the run; [responseId] and [signature] are those of the response.
  *
  * @property strayBytes bytes that arrived on the connection after the response
+ * @property parts the parts of the prompt that other calls share
  */
 @Serializable
 data class Call(
@@ -55,6 +56,7 @@
     val signature: String? = null,
     val body: String = "",
     val strayBytes: Int = 0,
+    val parts: List<String> = emptyList(),
 )
 
 @Serializable
@@ -107,6 +109,14 @@
     val acknowledgedMillis: Long,
 )
 
+/** [replica] crashed on [part] of a prompt. */
+@Serializable
+data class PartCrash(
+    val part: String,
+    val replica: String,
+    val atMillis: Long,
+)
+
 /** A fault of an instance as a process: it ended unasked, did not become ready, or did not follow the store. */
 @Serializable
 data class InstanceFault(
@@ -122,4 +132,5 @@
     val disturbances: List<Disturbance> = emptyList(),
     val departures: List<Departure> = emptyList(),
     val instanceFaults: List<InstanceFault> = emptyList(),
+    val partCrashes: List<PartCrash> = emptyList(),
 )
--- a/soak/src/main/kotlin/io/sequoiawheel/soak/history/HistoryChecker.kt
+++ b/soak/src/main/kotlin/io/sequoiawheel/soak/history/HistoryChecker.kt
@@ -8,7 +8,7 @@
 
 /** A promise that a run puts to the test; docs/soak.md says when each is broken. */
 @Serializable
-enum class Promise { LOST, TWICE, REFUSED, MIXED, ORDER, DRAIN, PROCESS }
+enum class Promise { LOST, TWICE, REFUSED, MIXED, ORDER, DRAIN, BUDGET, PROCESS }
 
 /** A broken promise. [requestId] is empty if it concerns no single request. */
 @Serializable
@@ -53,7 +53,8 @@
         val departures = history.departures.associateBy { it.replica }
         val callsById = history.calls.associateBy { it.requestId }
         val violations =
-            excuseOf.filterValues { it == null }.keys.map { lostCall(it, runs.getValue(it.requestId)) } +
+            PartCheck(history, bounds).check() +
+                excuseOf.filterValues { it == null }.keys.map { lostCall(it, runs.getValue(it.requestId)) } +
                 single.mapNotNull { checkSingleRun(it, runs.getValue(it.requestId)) } +
                 refusals.mapNotNull { checkRefusal(it, runs.getValue(it.requestId)) } +
                 history.calls.mapNotNull { checkBytes(it, runs[it.requestId].orEmpty(), history.disturbances) } +
@@ -68,6 +69,7 @@
                 Promise.MIXED to history.calls.count { it.status != null },
                 Promise.ORDER to streams.size,
                 Promise.DRAIN to history.runs.size,
+                Promise.BUDGET to history.partCrashes.distinctBy { it.part }.size,
                 Promise.PROCESS to history.calls.distinctBy { it.instance }.size,
             )
         val excused =
--- a/soak/src/main/kotlin/io/sequoiawheel/soak/plan/FaultPlan.kt
+++ b/soak/src/main/kotlin/io/sequoiawheel/soak/plan/FaultPlan.kt
@@ -33,6 +33,9 @@
     /** Streams break off, and the next replica answers by an error. */
     STREAM_BREAK_THEN_ERROR,
     ODD_ENTRY,
+
+    /** Replicas crash when they begin an answer to prompts with a certain part, and callers send such prompts. */
+    CRASHING_PART,
     STORE_OUTAGE,
     PATH_DELAY,
     PATH_RESET,
--- a/soak/src/main/kotlin/io/sequoiawheel/soak/rig/Callers.kt
+++ b/soak/src/main/kotlin/io/sequoiawheel/soak/rig/Callers.kt
@@ -30,18 +30,20 @@
     fun call(
         kind: CallKind,
         patienceMillis: Long? = null,
-    ) = begin(kind, patienceMillis)()
+        parts: List<String> = emptyList(),
+    ) = begin(kind, patienceMillis, parts)()
 
     /** Sends a call. Returns the function that waits for its end and records it. */
     fun begin(
         kind: CallKind,
         patienceMillis: Long? = null,
+        parts: List<String> = emptyList(),
     ): () -> Unit {
         val requestId = recorder.newRequestId()
         val sentMillis = recorder.nowMillis()
         val deadlineMillis = if (kind.isStream) STREAM_DEADLINE_MILLIS else DEADLINE_MILLIS
-        if (connection.send("/${kind.route}/x", requestId, "body of $requestId", deadlineMillis)) {
-            return { finish(kind, requestId, sentMillis, patienceMillis ?: deadlineMillis) }
+        if (connection.send("/${kind.route}/x", requestId, "body of $requestId", deadlineMillis, parts)) {
+            return { finish(kind, requestId, sentMillis, patienceMillis ?: deadlineMillis, parts) }
         }
         isOpen = false
         recorder.calls += Call(requestId, kind, instance, sentMillis, recorder.nowMillis(), CallEnd.NOT_SENT)
@@ -53,6 +55,7 @@
         requestId: String,
         sentMillis: Long,
         patienceMillis: Long,
+        parts: List<String>,
     ) {
         val response = connection.receive(patienceMillis)
         val end =
@@ -76,6 +79,7 @@
                 response.signature,
                 response.body,
                 if (end == CallEnd.ANSWERED) connection.strayBytes() else 0,
+                parts,
             )
         if (end == CallEnd.LEFT) connection.close()
     }
@@ -88,6 +92,16 @@
     }
 }
 
+/** Parts of the prompts that callers send. */
+object PromptParts {
+    /** The first part of all prompts. */
+    const val FIRST = "a0"
+    private const val SECOND_PARTS = 6
+
+    /** Returns parts on which no replica crashes. */
+    fun sound(random: UniformRandomProvider) = listOf(FIRST, "b${random.nextInt(SECOND_PARTS)}")
+}
+
 /** One caller with random habits, which are a function of [seed]. */
 class Caller(
     seed: Long,
@@ -125,7 +139,9 @@
         while (calls-- > 0 && session.isOpen && !isEnding()) {
             val isLeavingEarly = random.nextInt(CALLS_PER_EARLY_LEAVE) == 0
             val patienceMillis = if (isLeavingEarly) random.nextInt(1, EARLY_LEAVE_MILLIS).toLong() else null
-            session.call(KINDS[random.nextInt(KINDS.size)], patienceMillis)
+            val kind = KINDS[random.nextInt(KINDS.size)]
+            val parts = if (kind.isStream) PromptParts.sound(random) else emptyList()
+            session.call(kind, patienceMillis, parts)
             Thread.sleep(random.nextInt(LONGEST_PAUSE_MILLIS).toLong())
         }
     }
--- a/soak/src/main/kotlin/io/sequoiawheel/soak/rig/FaultInjector.kt
+++ b/soak/src/main/kotlin/io/sequoiawheel/soak/rig/FaultInjector.kt
@@ -3,6 +3,7 @@
  */
 package io.sequoiawheel.soak.rig
 
+import io.sequoiawheel.soak.history.CallKind
 import io.sequoiawheel.soak.history.DisturbanceKind
 import io.sequoiawheel.soak.plan.FaultKind
 import io.sequoiawheel.soak.plan.Path
@@ -10,7 +11,10 @@
 import io.sequoiawheel.standin.platform.PlatformEntries
 import io.sequoiawheel.standin.platform.PlatformStoreStandIn
 import io.sequoiawheel.standin.platform.ReplicaConduct
+import org.apache.commons.rng.simple.RandomSource
+import java.io.IOException
 import java.util.EnumMap
+import java.util.concurrent.Semaphore
 import java.util.concurrent.atomic.AtomicInteger
 
 class FaultInjector(
@@ -22,6 +26,7 @@
     private val recorder: Recorder,
     private val lastCallers: Int,
 ) {
+    private val activeParts = Semaphore(MAXIMUM_PARTS)
     private val counts = EnumMap<FaultKind, AtomicInteger>(FaultKind::class.java)
 
     /** How often each kind of fault was carried out. */
@@ -43,6 +48,7 @@
             FaultKind.REPLICA_DEPARTURE -> synchronized(replica) { replica.depart(fault.durationMillis) }
             FaultKind.ODD_ENTRY -> addOddEntry(fault)
             FaultKind.STORE_OUTAGE -> loseStore(fault)
+            FaultKind.CRASHING_PART -> crashOnPart(fault)
             in CONDUCTS -> behave(fault)
             else -> disturbPath(fault, instance, replica)
         }
@@ -130,6 +136,44 @@
             store.isDown = false
         }
 
+    /** Sends calls with a part on which every replica crashes to all instances, no two alike. */
+    private fun crashOnPart(fault: PlannedFault) {
+        // More parts at a time would leave no replica for the calls of others, whatever the instances do.
+        if (!activeParts.tryAcquire()) return
+        try {
+            sendCrashingCalls(fault)
+        } finally {
+            activeParts.release()
+        }
+    }
+
+    private fun sendCrashingCalls(fault: PlannedFault) {
+        val part = "dead%x".format(fault.atMillis)
+        val random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed + fault.atMillis)
+        val endMillis = recorder.nowMillis() + PART_MILLIS + fault.durationMillis
+        streamReplicas.forEach { site -> synchronized(site) { site.crashingParts += part } }
+        while (recorder.nowMillis() < endMillis) {
+            val instance = instances[random.nextInt(instances.size)]
+            val kind = if (random.nextBoolean()) CallKind.STREAM else CallKind.RESUMABLE_STREAM
+            startThread { callOnce(instance, kind, listOf(PromptParts.FIRST, part)) }
+            Thread.sleep(random.nextInt(LONGEST_PART_GAP_MILLIS).toLong())
+        }
+        streamReplicas.forEach { site -> synchronized(site) { site.crashingParts -= part } }
+    }
+
+    private fun callOnce(
+        instance: EntryProcess,
+        kind: CallKind,
+        parts: List<String>,
+    ) {
+        try {
+            CallerSession(instance.name, instance.callerPath.port, recorder).use { it.call(kind, parts = parts) }
+        } catch (_: IOException) {
+            // The instance is down, as a fault of its own.
+            return
+        }
+    }
+
     private fun disturbPath(
         fault: PlannedFault,
         instance: EntryProcess,
@@ -168,6 +212,11 @@
         const val LONG_WORK_MILLIS = 120L
         const val IDLE_MILLIS = 30L
 
+        /** Covers the fifth crash, the time until calls have to be contained, and some time after it. */
+        const val PART_MILLIS = 14_000L
+        const val LONGEST_PART_GAP_MILLIS = 500
+        const val MAXIMUM_PARTS = 2
+
         val CONDUCTS =
             mapOf(
                 FaultKind.REFUSAL to ReplicaConduct(refusesFirst = true),
--- a/soak/src/main/kotlin/io/sequoiawheel/soak/rig/Recorder.kt
+++ b/soak/src/main/kotlin/io/sequoiawheel/soak/rig/Recorder.kt
@@ -6,6 +6,7 @@
 import io.sequoiawheel.soak.history.DisturbanceKind
 import io.sequoiawheel.soak.history.History
 import io.sequoiawheel.soak.history.InstanceFault
+import io.sequoiawheel.soak.history.PartCrash
 import io.sequoiawheel.soak.history.Run
 import io.sequoiawheel.soak.history.RunEnd
 import io.sequoiawheel.standin.platform.RunObserver
@@ -22,6 +23,7 @@
     private val disturbances = ConcurrentLinkedQueue<AtomicReference<Disturbance>>()
     val calls = ConcurrentLinkedQueue<Call>()
     val departures = ConcurrentLinkedQueue<Departure>()
+    val partCrashes = ConcurrentLinkedQueue<PartCrash>()
     val instanceFaults = ConcurrentLinkedQueue<InstanceFault>()
 
     fun nowMillis(): Long = (System.nanoTime() - startNanos) / NANOS_PER_MILLI
@@ -68,6 +70,7 @@
             disturbances.map { it.get() },
             departures.toList(),
             instanceFaults.toList(),
+            partCrashes.toList(),
         )
 
     private companion object {
--- a/soak/src/main/kotlin/io/sequoiawheel/soak/rig/ReplicaSite.kt
+++ b/soak/src/main/kotlin/io/sequoiawheel/soak/rig/ReplicaSite.kt
@@ -6,6 +6,7 @@
 
 import io.sequoiawheel.soak.history.Departure
 import io.sequoiawheel.soak.history.DisturbanceKind
+import io.sequoiawheel.soak.history.PartCrash
 import io.sequoiawheel.standin.platform.PlatformEntries
 import io.sequoiawheel.standin.platform.PlatformStoreStandIn
 import io.sequoiawheel.standin.platform.ReplicaConduct
@@ -34,6 +35,10 @@
             replica.conduct = value
         }
 
+    /** Prompt parts on which every replica at this place crashes. */
+    @Volatile
+    var crashingParts: Set<String> = emptySet()
+
     init {
         start()
     }
@@ -41,7 +46,10 @@
     /** Starts a new replica at the address, and registers it. */
     fun start() {
         val newId = "$name.${++starts}"
-        replica = WorkingReplicaStandIn(newId, recorder.observe(newId))
+        replica =
+            WorkingReplicaStandIn(newId, recorder.observe(newId), { crashingParts }) { part ->
+                startThread { crashOn(part, newId) }
+            }
         register("ready")
     }
 
@@ -57,6 +65,16 @@
         start()
     }
 
+    private fun crashOn(
+        part: String,
+        crashingId: String,
+    ) = synchronized(this) {
+        if (id == crashingId) {
+            recorder.partCrashes += PartCrash(part, id, recorder.nowMillis())
+            crash(PART_CRASH_MILLIS)
+        }
+    }
+
     /** Ends the replica with notice once its drain time is over, and starts another one at once. */
     fun depart(millis: Long) {
         register("draining")
@@ -78,4 +96,9 @@
 
     private fun register(state: String) =
         store.put(PlatformEntries.REPLICA_KIND, id, PlatformEntries.replica(service, path.port, state))
+
+    private companion object {
+        /** How long the place is empty after a crash on a part. */
+        const val PART_CRASH_MILLIS = 1_500L
+    }
 }
--- a/soak/src/test/kotlin/io/sequoiawheel/soak/SoakTest.kt
+++ b/soak/src/test/kotlin/io/sequoiawheel/soak/SoakTest.kt
@@ -44,6 +44,8 @@
         val verdict = SoakRun(options).use { it.run() }.verdict
         assertEquals(emptyList<String>(), verdict.violations.map { "${it.promise} ${it.requestId}: ${it.detail}" })
         assertTrue((verdict.tested[Promise.TWICE] ?: 0) > 0, "no call reached a replica")
+        val hasPart = faults.any { it.kind == FaultKind.CRASHING_PART }
+        assertTrue(!hasPart || (verdict.tested[Promise.BUDGET] ?: 0) > 0, "no replica crashed on a part")
     }
 
     /** Guards against requests that are read from open connections after the last check for requests in progress. */
@@ -101,6 +103,18 @@
             fault(FaultKind.PATH_IDLE_DROP, 4_000, path = Path.REPLICA, target = 0),
         )
 
+    /** Guards against calls with a part that ends replicas, sent on to one after the other. */
+    @Test
+    fun `calls with a part that crashes replicas are contained, also while instances end and start`() =
+        assertKept(
+            seconds = 20,
+            instances = 4,
+            replicas = 4,
+            fault(FaultKind.CRASHING_PART, 800),
+            fault(FaultKind.KILL, 6_000, 300, target = 1),
+            fault(FaultKind.SHUTDOWN, 9_000, target = 2),
+        )
+
     private companion object {
         /** Enough callers that some of them meet the few milliseconds between the last check and the end. */
         const val LAST_CALLERS = 48
--- a/soak/src/test/kotlin/io/sequoiawheel/soak/history/HistoryCheckerTest.kt
+++ b/soak/src/test/kotlin/io/sequoiawheel/soak/history/HistoryCheckerTest.kt
@@ -226,7 +226,94 @@
         assertEquals(listOf(Promise.PROCESS), broken(ended))
     }
 
+    /** [arrivals] calls with a part, one a second, of which the first [crashes] ended the replica that they reached. */
+    private fun crashing(
+        arrivals: Int,
+        crashes: Int,
+        disturbances: List<Disturbance> = emptyList(),
+    ): History {
+        val ids = (1..arrivals).map { "crashing-$it" }
+        val calls =
+            ids.mapIndexed { index, id ->
+                val atMillis = index * SECOND
+                Call(
+                    id,
+                    CallKind.STREAM,
+                    "entry-1",
+                    atMillis,
+                    atMillis + 90,
+                    CallEnd.CLOSED,
+                    parts = listOf("a0", "dead"),
+                )
+            }
+        val runs =
+            calls.map {
+                Run(
+                    it.requestId,
+                    "r-${it.requestId}",
+                    it.sentMillis + 1,
+                    it.endMillis,
+                    RunEnd.BROKEN_OFF,
+                )
+            }
+        val ends = runs.take(crashes).map { PartCrash("dead", it.replica, it.startMillis + 80) }
+        return History(calls, runs, disturbances, partCrashes = ends)
+    }
+
+    private fun sound(
+        fromMillis: Long,
+        isServed: Boolean,
+    ): History {
+        val calls =
+            (0 until SOUND_CALLS).map { number ->
+                val id = "sound-$fromMillis-$number"
+                val status = if (isServed) 200 else 503
+                val atMillis = fromMillis + number
+                call(CallKind.STREAM).copy(
+                    requestId = id,
+                    sentMillis = atMillis,
+                    endMillis = atMillis + 50,
+                    status = status,
+                    responseId = id,
+                    signature = "s-$id",
+                    body = if (isServed) events(id, 1..EVENTS) else "",
+                    parts = listOf("a0", "b1"),
+                )
+            }
+        val runs =
+            calls.filter { isServed }.map {
+                Run(it.requestId, "r-1", it.sentMillis + 1, it.endMillis, RunEnd.ANSWERED, "", "s-${it.requestId}")
+            }
+        return History(calls, runs)
+    }
+
+    private operator fun History.plus(other: History) =
+        copy(calls = calls + other.calls, runs = runs + other.runs, disturbances = disturbances + other.disturbances)
+
+    @Test
+    fun `more than three arrivals of a crashing part later than the contact time break BUDGET`() {
+        assertEquals(emptyList<Promise>(), broken(crashing(arrivals = 11, crashes = 5)))
+        assertEquals(listOf(Promise.BUDGET), broken(crashing(arrivals = 12, crashes = 5)))
+        assertEquals(emptyList<Promise>(), broken(crashing(arrivals = 12, crashes = 4)))
+    }
+
+    @Test
+    fun `arrivals from an instance that is out of touch are not counted`() {
+        val kill = Disturbance(DisturbanceKind.KILL, "entry-1", 7_000, 9_000)
+        assertEquals(emptyList<Promise>(), broken(crashing(arrivals = 12, crashes = 5, listOf(kill))))
+    }
+
+    @Test
+    fun `sound streams that are refused while a crashing part comes break LOST`() {
+        val part = crashing(arrivals = 14, crashes = 3)
+        val before = sound(fromMillis = -5_000, isServed = true)
+        assertEquals(emptyList<Promise>(), broken(part + before + sound(fromMillis = 9_000, isServed = true)))
+        assertEquals(listOf(Promise.LOST), broken(part + before + sound(fromMillis = 9_000, isServed = false)))
+    }
+
     private companion object {
+        const val SECOND = 1_000L
+        const val SOUND_CALLS = 30
         const val EVENTS = 4
         const val TIMEOUT_MILLIS = 1_200L
         const val CONTACT_MILLIS = 3_000L
--- a/standin/src/main/kotlin/io/sequoiawheel/standin/platform/CallerStandIn.kt
+++ b/standin/src/main/kotlin/io/sequoiawheel/standin/platform/CallerStandIn.kt
@@ -54,19 +54,25 @@
     private var deadlineNanos = 0L
     private var hasBytes = false
 
-    /** Sends a request on [path]. Returns false if the connection was already closed. */
+    /**
+     * Sends a request on [path]. Returns false if the connection was already closed.
+     *
+     * @param sharedParts ids of the parts of the prompt before the one that belongs to the request itself
+     */
     fun send(
         path: String,
         requestId: String,
         body: String,
         deadlineMillis: Long,
+        sharedParts: List<String> = emptyList(),
     ): Boolean =
         try {
+            val parts = sharedParts + requestId.hashCode().toUInt().toString(HEX)
             socket.getOutputStream().write(
                 (
                     "POST $path HTTP/1.1\r\nHost: $HOST\r\nX-Request-Id: $requestId\r\n" +
                         "X-Deadline-Ms: $deadlineMillis\r\nX-Model: m\r\nX-Token-Usage: 200,48\r\n" +
-                        "X-Prefix-Hash: ${requestId.hashCode().toUInt().toString(HEX)}:200\r\n" +
+                        "X-Prefix-Hash: ${parts.joinToString(",") { "$it:$PART_TOKENS" }}\r\n" +
                         "Content-Length: ${body.length}\r\n\r\n$body"
                 ).toByteArray(),
             )
@@ -170,6 +176,7 @@
         private const val NANOS_PER_MILLI = 1_000_000L
         private const val STATUS_DIGITS = 3
         private const val HEX = 16
+        private const val PART_TOKENS = 100
         private const val BYTE_MASK = 0xff
     }
 }
--- a/standin/src/main/kotlin/io/sequoiawheel/standin/platform/WorkingReplicaStandIn.kt
+++ b/standin/src/main/kotlin/io/sequoiawheel/standin/platform/WorkingReplicaStandIn.kt
@@ -41,9 +41,15 @@
 
 enum class RunResult { ANSWERED, CONNECTION_LOST, BROKEN_OFF }
 
+/**
+ * @param crashingParts returns the prompt parts on which the replica crashes
+ * @param onCrash called once an answer to a prompt with such a part has begun; it is to end the replica soon
+ */
 class WorkingReplicaStandIn(
     val id: String,
     private val observer: RunObserver,
+    private val crashingParts: () -> Set<String> = { emptySet() },
+    private val onCrash: (String) -> Unit = {},
 ) : AutoCloseable {
     private val refused = ConcurrentHashMap.newKeySet<String>()
     private val broken = ConcurrentHashMap.newKeySet<String>()
@@ -139,7 +145,17 @@
             return false
         }
         Thread.sleep(conduct.workMillis)
-        return answer.whole { writeEvents(requestId, first, answer, head) }
+        return answer.whole { writeEvents(requestId, first, answer, head, crashingPart(request)) }
+    }
+
+    private fun crashingPart(request: ReceivedRequest): String? {
+        val shared =
+            request
+                .header("X-Prefix-Hash")
+                .orEmpty()
+                .split(',')
+                .dropLast(1)
+        return shared.map { it.substringBefore(':') }.firstOrNull { it in crashingParts() }
     }
 
     private fun writeEvents(
@@ -147,6 +163,7 @@
         first: Int,
         answer: ReplicaAnswer,
         head: String,
+        crashingPart: String?,
     ): Boolean {
         answer.write("${head}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
         val breaksOff = conduct.breaksStreams && broken.add(requestId)
@@ -159,6 +176,10 @@
             }
             answer.sendChunk(text)
             Thread.sleep(EVENT_MILLIS)
+            if (crashingPart != null) {
+                onCrash(crashingPart)
+                Thread.sleep(CRASH_WAIT_MILLIS)
+            }
         }
         answer.endStream()
         return true
@@ -169,6 +190,9 @@
         const val EVENTS = 12
         private const val EVENT_MILLIS = 15L
 
+        /** Long enough for the end of the replica, which interrupts the wait. */
+        private const val CRASH_WAIT_MILLIS = 10_000L
+
         /** Returns the event [number] of the stream of [requestId], as replica [id] writes it. */
         fun event(
             requestId: String,
