Look for signs of life of replicas only while a crash is known

Each response head and event built an incarnation to tell the quarantine that its replica lives, also when no crash was known to be refuted. One RunOutcomes serves response heads and runs, and asks first.

--- a/core/src/main/kotlin/io/sequoiawheel/core/quarantine/PartQuarantine.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/quarantine/PartQuarantine.kt
@@ -90,9 +90,12 @@
         if (addCrash(incarnation, now, writing, waiting, isRefuted = false)) decide()
     }
 
+    /** Whether any crash is known, so that signs of life of replicas say something. */
+    val hasEvidence: Boolean get() = !evidence.isEmpty()
+
     /** Records that [incarnation] was heard of: it has not ended with the connections that were lost before. */
     fun recordLife(incarnation: Incarnation) {
-        if (evidence.isEmpty() || !evidence.addLife(incarnation)) return
+        if (!evidence.addLife(incarnation)) return
         version++
         listener.onCrash(incarnation, emptySet(), emptySet(), isRefuted = true)
     }
@@ -162,7 +165,7 @@
      * lead to a verdict on one of its parts.
      */
     fun isSuspected(parts: Set<PromptPart>): Boolean {
-        if (evidence.isEmpty() || parts.isEmpty()) return false
+        if (!hasEvidence || parts.isEmpty()) return false
         val accusations = evidence.accusations(quarantined)
         return parts.any { (accusations[it]?.size ?: 0) >= SUSPICION_CRASHES }
     }
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/RelayDaemon.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/RelayDaemon.kt
@@ -57,6 +57,7 @@
 import io.sequoiawheel.relay.serving.QuarantineLog
 import io.sequoiawheel.relay.serving.RelayContext
 import io.sequoiawheel.relay.serving.ReplicaNotices
+import io.sequoiawheel.relay.serving.RunOutcomes
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.SupervisorJob
@@ -90,7 +91,8 @@
     private val self = Peer(settings.name, settings.zone, Endpoint(settings.host, settings.peerPorts.first))
     private val quarantine = PartQuarantine(settings.name, monotonic, QuarantineLog(log, metrics))
     private val loads = LoadExchange(self, start = wall.nowMillis(), monotonic, quarantine)
-    private val notices = ReplicaNotices(log, metrics, quarantine)
+    private val outcomes = RunOutcomes(monotonic, quarantine, log, metrics)
+    private val notices = ReplicaNotices(log, metrics, outcomes)
     private val pool = BackendPool(connector, notices::onResponseHead)
     private val configuration = ConfigurationController(store, freshness, ConfigurationOrder(monotonic), scope, log)
     private val replicas = ReplicaController(directory, log, metrics)
@@ -107,6 +109,7 @@
             settings.bounds,
             fleet = loads,
             quarantine,
+            outcomes,
         )
     private val peers = PeerController(self, directory, loads, store, random, log, metrics)
     private val hubSelection = HubSelection(settings.name, settings.zone, monotonic, random, loads::live)
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/RelayContext.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/RelayContext.kt
@@ -34,13 +34,11 @@
     private val random: UniformRandomProvider,
     private val bounds: ServiceBounds,
     private val fleet: FleetMembership,
-    val quarantine: PartQuarantine,
+    private val quarantine: PartQuarantine,
+    val outcomes: RunOutcomes,
 ) {
     private val retryBudgets = HashMap<ServiceName, SlidingWindowRetryBudget>()
 
-    /** Records which runs were lost with their replica and which went on. */
-    val outcomes = RunOutcomes(clock, quarantine, log, metrics)
-
     private val limiter = RequestLimiter(fleet)
 
     /** Limits the calls to replicas that take those of a restricted one. */
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/ReplicaNotices.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/ReplicaNotices.kt
@@ -2,7 +2,6 @@
 
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpStatusClass
-import io.sequoiawheel.core.quarantine.PartQuarantine
 import io.sequoiawheel.core.relay.LeaveReason
 import io.sequoiawheel.core.relay.Replica
 import io.sequoiawheel.platform.Headers
@@ -17,7 +16,7 @@
 internal class ReplicaNotices(
     private val log: DecisionLog,
     private val metrics: RelayMetrics,
-    private val quarantine: PartQuarantine,
+    private val outcomes: RunOutcomes,
 ) {
     /** Handles the head of any response received from [replica], including responses that no request waits for. */
     fun onResponseHead(
@@ -30,7 +29,7 @@
         val respondingId = head.headers().get(Headers.REPLICA)
         if (head.isMisdirected || respondingId != null && respondingId != replica.entry.id.value) return
         replica.markReachable()
-        quarantine.recordLife(replica.incarnation)
+        outcomes.recordLife(replica)
         val notice = ReplicaNotice.decode(head.status().code()) { head.headers().getAll(it) }
         notice.coldForMillis?.let(replica::coldFor)
         if (notice.isLeaving) markLeaving(replica, head)
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/RunOutcomes.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/RunOutcomes.kt
@@ -69,7 +69,9 @@
     }
 
     /** Records that something was received from [replica]. */
-    fun recordLife(replica: Replica) = quarantine.recordLife(replica.incarnation)
+    fun recordLife(replica: Replica) {
+        if (quarantine.hasEvidence) quarantine.recordLife(replica.incarnation)
+    }
 
     /** Whether a crash under this request is more likely the fault of a part of its prompt than of the replica. */
     fun isSuspected(exchange: Exchange): Boolean =
@@ -77,5 +79,5 @@
 }
 
 /** The incarnation of the replica, as other instances know it. */
-internal val Replica.incarnation: Incarnation
+private val Replica.incarnation: Incarnation
     get() = Incarnation(entry.id.value, entry.startedAtMillis)
