Count as evidence for a part only what a crash cannot look like

By reading: a stream without framing that a crash ends between two events looks complete and cleared the part that had ended its replica; a plain call cleared its parts also by a failure; a long run whose part was suspected because of others was no longer moved from a leaving replica, though it had itself gone on; and a load message with an impossible time or revision could make a probe due at once or overflow the revision.

Now only framed completions and responses that go on for a second speak for parts, only successes of plain calls do, a request whose run went on is not suspected, and reports with impossible values are ignored. PartQuarantineTest covers the last; the others have no test of their own.

--- a/core/src/main/kotlin/io/sequoiawheel/core/quarantine/PartReport.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/quarantine/PartReport.kt
@@ -22,9 +22,9 @@
     /** Returns the valid content within the bounds. */
     internal fun bounded() =
         PartReport(
-            crashes.filter { it.ageMillis >= 0 }.take(MAXIMUM_CRASHES),
+            crashes.filter { it.isValid }.take(MAXIMUM_CRASHES),
             survivals.entries
-                .filter { it.value >= 0 && it.key.id.length <= MAXIMUM_ID_LENGTH }
+                .filter { it.value in MILLIS && it.key.id.length <= MAXIMUM_ID_LENGTH }
                 .take(MAXIMUM_SURVIVALS)
                 .associate { it.toPair() },
             verdicts.filter { it.isValid }.take(MAXIMUM_VERDICTS),
@@ -35,10 +35,17 @@
 
         /** Longer ids are ignored, so that callers cannot make load messages large. */
         const val MAXIMUM_ID_LENGTH = 32
+        internal const val MAXIMUM_REPLICA_LENGTH = 128
         internal const val MAXIMUM_CRASHES = 16
         internal const val MAXIMUM_PARTS_PER_CRASH = 16
         internal const val MAXIMUM_SURVIVALS = 32
         internal const val MAXIMUM_VERDICTS = 32
+
+        /** Times of one day at most, far beyond those that instances report. */
+        internal val MILLIS = 0L..86_400_000L
+
+        /** Far beyond the number of changes of a verdict. */
+        internal const val MAXIMUM_REVISION = 1_000_000
     }
 }
 
@@ -51,7 +58,10 @@
     @SerialName("w") val writing: List<PromptPart> = emptyList(),
     @SerialName("q") val waiting: List<PromptPart> = emptyList(),
     @SerialName("x") val isRefuted: Boolean = false,
-)
+) {
+    internal val isValid: Boolean
+        get() = ageMillis in PartReport.MILLIS && replica.length <= PartReport.MAXIMUM_REPLICA_LENGTH
+}
 
 /**
  * The state of one verdict. Of two states of a part, the one with the higher [revision] is in force.
@@ -77,6 +87,7 @@
     internal val isValid: Boolean
         get() =
             part.id.length <= PartReport.MAXIMUM_ID_LENGTH &&
-                revision >= 1 &&
-                minOf(accusedForMillis, probeInMillis, heldForMillis, unseenForMillis) >= 0
+                revision in 1..PartReport.MAXIMUM_REVISION &&
+                probes in 0..revision &&
+                listOf(accusedForMillis, probeInMillis, heldForMillis, unseenForMillis).all { it in PartReport.MILLIS }
 }
--- a/core/src/test/kotlin/io/sequoiawheel/core/quarantine/PartQuarantineTest.kt
+++ b/core/src/test/kotlin/io/sequoiawheel/core/quarantine/PartQuarantineTest.kt
@@ -270,6 +270,7 @@
         repeat(10) { quarantine.merge(PartReport(verdicts = verdicts.drop(it * 32))) }
         assertTrue(quarantine.quarantined.size <= 64, "${quarantine.quarantined.size} verdicts")
         quarantine.merge(PartReport(listOf(ReportedCrash("r", 1, ageMillis = -5, writing = listOf(PromptPart(bad))))))
+        quarantine.merge(PartReport(verdicts = listOf(verdicts.first().copy(probeInMillis = Long.MAX_VALUE))))
         quarantine.merge(PartReport(survivals = mapOf(PromptPart("e".repeat(99)) to 1L)))
         assertFalse(blocks(bad))
     }
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/filter/Exchange.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/filter/Exchange.kt
@@ -39,6 +39,9 @@
         EngineProtocol.decodeSharedParts(request.headers.get(Headers.PREFIX_HASH))
     }
 
+    /** Whether a run went on for so long that the request is not one that ends its replica. */
+    var isProvenSound = false
+
     var configuration: RelayConfiguration? = null
     var route: Route? = null
     var workspace: Workspace? = null
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/CallRelay.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/CallRelay.kt
@@ -238,6 +238,9 @@
                     if (head.isNotRun) return@use handleRefusal(replica, head, lease)
                     val body = connection.receiveBody()
                     lease.complete()
+                    if (head.status().code() in SUCCESS) {
+                        context.outcomes.recordCompletion(exchange, replica, startedMillis, connection.isFramed)
+                    }
                     classifyResponse(replica, head, body, startedMillis)
                 }
             } catch (failure: ConnectFailedException) {
@@ -286,7 +289,6 @@
                 return AttemptResult.Unknown("$replica sent status $status without the required header")
             }
             val elapsedMillis = context.clock.nowMillis() - startedMillis
-            context.outcomes.recordCompletion(exchange, replica, startedMillis)
             replica.load.recordResponseTime(elapsedMillis)
             recordEnd(replica, elapsedMillis)
             return AttemptResult.Responded(head, body)
@@ -317,6 +319,7 @@
     }
 
     private companion object {
+        val SUCCESS = 200..299
         const val CLIENT_ERROR = 400
         const val SERVER_ERROR = 500
 
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationAttempt.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationAttempt.kt
@@ -123,9 +123,6 @@
     /** When the response stream started, or null. */
     private var begunMillis: Long? = null
 
-    /** Whether the attempt was recorded as one that went on. */
-    private var isRecordedSound = false
-
     /** Whether the replica has yet to process the prompt; a run that continues from a copy skips most of it. */
     private var needsPrefill = Headers.CONTINUE_FROM !in headers
 
@@ -146,10 +143,7 @@
     fun recordProgress() {
         lastProgressMillis = context.clock.nowMillis()
         staleBytes = 0
-        val begun = begunMillis
-        if (begun != null && !isRecordedSound) {
-            isRecordedSound = context.outcomes.recordProgress(exchange, replica, begun)
-        }
+        begunMillis?.let { context.outcomes.recordProgress(exchange, replica, it) }
     }
 
     fun start(scope: CoroutineScope) {
@@ -288,7 +282,7 @@
             if (!isLast) continue
             requireWhole(opened, splitter, hasEvents)
             isExchangeComplete = true
-            begunMillis?.let { context.outcomes.recordCompletion(exchange, replica, it) }
+            begunMillis?.let { context.outcomes.recordCompletion(exchange, replica, it, opened.isFramed) }
             signals.trySend(GenerationSignal.Completed(this))
             return
         }
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/RunOutcomes.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/RunOutcomes.kt
@@ -43,29 +43,31 @@
         quarantine.recordLoss(replica.incarnation, exchange.sharedParts, begunMillis)
     }
 
-    /** Records that the response of [replica], which began at [begunMillis], is complete. */
+    /**
+     * Records that the response of [replica], which began at [begunMillis], is complete. Without framing that says
+     * nothing for its parts, since a crash may end the connection in the same way.
+     */
     fun recordCompletion(
         exchange: Exchange,
         replica: Replica,
         begunMillis: Long,
+        isFramed: Boolean,
     ) {
+        if (!isFramed) return
         recordLife(replica)
         quarantine.recordSurvival(exchange.sharedParts, begunMillis)
     }
 
-    /**
-     * Records that the response of [replica], which began at [begunMillis], goes on. Returns whether it has gone on for
-     * long enough to speak for its parts.
-     */
+    /** Records that the response of [replica], which began at [begunMillis], goes on. */
     fun recordProgress(
         exchange: Exchange,
         replica: Replica,
         begunMillis: Long,
-    ): Boolean {
+    ) {
         recordLife(replica)
-        val isSound = clock.nowMillis() - begunMillis >= PartQuarantine.SURVIVAL_MILLIS
-        if (isSound) quarantine.recordSurvival(exchange.sharedParts, begunMillis)
-        return isSound
+        if (exchange.isProvenSound || clock.nowMillis() - begunMillis < PartQuarantine.SURVIVAL_MILLIS) return
+        exchange.isProvenSound = true
+        quarantine.recordSurvival(exchange.sharedParts, begunMillis)
     }
 
     /** Records that something was received from [replica]. */
@@ -73,9 +75,12 @@
         if (quarantine.hasEvidence) quarantine.recordLife(replica.incarnation)
     }
 
-    /** Whether a crash under this request is more likely the fault of a part of its prompt than of the replica. */
-    fun isSuspected(exchange: Exchange): Boolean =
-        quarantine.blocking(exchange.sharedParts) != null || quarantine.isSuspected(exchange.sharedParts)
+    /** Whether one more attempt at this request might end one more replica. */
+    fun isSuspected(exchange: Exchange): Boolean {
+        if (exchange.isProvenSound) return false
+        val parts = exchange.sharedParts
+        return quarantine.blocking(parts) != null || quarantine.isSuspected(parts)
+    }
 }
 
 /** The incarnation of the replica, as other instances know it. */
