Bound the verdicts that one piece of evidence can lead to

By reading: where more parts are accused than verdicts are kept, each verdict displaced another, whose crashes were then unexplained and led to a verdict again, without end. One caller with 16 parts in each of a few crashing prompts could hold up the event loop. Now one decision makes at most eight rounds; the next crash decides again.

The new test of PartQuarantineTest did not end within 30 s before and ends at once now.

--- a/core/src/main/kotlin/io/sequoiawheel/core/quarantine/CrashEvidence.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/quarantine/CrashEvidence.kt
@@ -31,6 +31,18 @@
         var isRefuted = false
 
         fun involves(parts: Set<PromptPart>) = parts.any { it in writing || it in waiting }
+
+        fun report(nowMillis: Long): ReportedCrash {
+            val reportedWriting = writing.take(PartReport.MAXIMUM_PARTS_PER_CRASH)
+            return ReportedCrash(
+                incarnation.replica,
+                incarnation.startedAtMillis,
+                nowMillis - atMillis,
+                reportedWriting,
+                waiting.take(PartReport.MAXIMUM_PARTS_PER_CRASH - reportedWriting.size),
+                isRefuted,
+            )
+        }
     }
 
     private val crashes = LinkedHashMap<Incarnation, Crash>()
--- a/core/src/main/kotlin/io/sequoiawheel/core/quarantine/PartQuarantine.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/quarantine/PartQuarantine.kt
@@ -11,36 +11,6 @@
 
 import io.sequoiawheel.core.model.Clock
 
-/** Receives the changes of a [PartQuarantine], for logs and metrics. */
-interface QuarantineListener {
-    /** A replica ended, or another one of the requests that were lost with it became known. */
-    fun onCrash(
-        incarnation: Incarnation,
-        writing: Collection<PromptPart>,
-        waiting: Collection<PromptPart>,
-        isRefuted: Boolean,
-    ) = Unit
-
-    /** [part] was quarantined; [accusations] crashes spoke against it, or 0 if another instance decided it. */
-    fun onQuarantined(
-        part: PromptPart,
-        accusations: Int,
-    ) = Unit
-
-    /** [part] is no longer under quarantine. */
-    fun onReleased(
-        part: PromptPart,
-        reason: String,
-    ) = Unit
-
-    /** A request with [part] is let through to find out whether the verdict still holds. */
-    fun onProbe(part: PromptPart) = Unit
-
-    companion object {
-        val NONE = object : QuarantineListener {}
-    }
-}
-
 /**
  * The evidence and the verdicts of one instance. Confined to one thread.
  *
@@ -60,14 +30,7 @@
 
     /** The parts under quarantine. */
     val quarantined: Set<PromptPart>
-        get() =
-            if (verdicts.isEmpty()) {
-                emptySet()
-            } else {
-                verdicts.values.filter { it.isInForce }.mapTo(
-                    HashSet(),
-                ) { it.part }
-            }
+        get() = verdicts.values.filter { it.isInForce }.mapTo(HashSet()) { it.part }
 
     /** Whether there is anything that the other instances have to learn. */
     val isActive: Boolean get() = verdicts.isNotEmpty() || evidence.crashesWithin(REPORTED_MILLIS).isNotEmpty()
@@ -177,30 +140,12 @@
         val recent = evidence.crashesWithin(REPORTED_MILLIS).takeLast(PartReport.MAXIMUM_CRASHES)
         if (verdicts.isEmpty() && recent.isEmpty()) return PartReport.NONE
         val parts = (recent.flatMap { it.writing + it.waiting } + quarantined).distinct()
+        val survivals = parts.mapNotNull { part -> evidence.survivalOf(part)?.let { part to now - it } }
+        val newestVerdicts = verdicts.values.sortedByDescending { it.seenMillis }.take(PartReport.MAXIMUM_VERDICTS)
         return PartReport(
-            recent.map { crash ->
-                ReportedCrash(
-                    crash.incarnation.replica,
-                    crash.incarnation.startedAtMillis,
-                    now - crash.atMillis,
-                    crash.writing.take(PartReport.MAXIMUM_PARTS_PER_CRASH),
-                    crash.waiting.take(
-                        PartReport.MAXIMUM_PARTS_PER_CRASH -
-                            minOf(crash.writing.size, PartReport.MAXIMUM_PARTS_PER_CRASH),
-                    ),
-                    crash.isRefuted,
-                )
-            },
-            parts
-                .mapNotNull { part -> evidence.survivalOf(part)?.let { part to now - it } }
-                .filter { it.second in 0..REPORTED_SURVIVAL_MILLIS }
-                .take(PartReport.MAXIMUM_SURVIVALS)
-                .toMap(),
-            verdicts.values
-                .sortedByDescending { it.seenMillis }
-                .take(
-                    PartReport.MAXIMUM_VERDICTS,
-                ).map { it.report(now) },
+            recent.map { it.report(now) },
+            survivals.filter { it.second in REPORTED_SURVIVAL_MILLIS }.take(PartReport.MAXIMUM_SURVIVALS).toMap(),
+            newestVerdicts.map { it.report(now) },
         )
     }
 
@@ -209,18 +154,8 @@
         if (received == PartReport.NONE) return
         val now = clock.nowMillis()
         val report = received.bounded()
-        var hasNewCrash = false
-        for (crash in report.crashes) {
-            val isNew =
-                addCrash(
-                    Incarnation(crash.replica, crash.startedAtMillis),
-                    now - crash.ageMillis,
-                    crash.writing.filter(::isBounded).take(PartReport.MAXIMUM_PARTS_PER_CRASH),
-                    crash.waiting.filter(::isBounded).take(PartReport.MAXIMUM_PARTS_PER_CRASH),
-                    crash.isRefuted,
-                )
-            hasNewCrash = hasNewCrash || isNew
-        }
+        // Each crash must be added, so the list may not end at the first new one.
+        val hasNewCrash = report.crashes.map { add(it, now) }.any { it }
         report.verdicts.forEach { mergeVerdict(Verdict.received(it, now), now) }
         report.survivals.forEach { (part, ageMillis) ->
             val known = evidence.survivalOf(part)
@@ -230,7 +165,13 @@
         if (hasNewCrash) decide()
     }
 
-    private fun isBounded(part: PromptPart) = part.id.length <= PartReport.MAXIMUM_ID_LENGTH
+    private fun add(
+        crash: ReportedCrash,
+        now: Long,
+    ): Boolean {
+        val incarnation = Incarnation(crash.replica, crash.startedAtMillis)
+        return addCrash(incarnation, now - crash.ageMillis, crash.writing, crash.waiting, crash.isRefuted)
+    }
 
     private fun addCrash(
         incarnation: Incarnation,
@@ -276,11 +217,14 @@
 
     /** Quarantines the part that most crashes speak against, as long as there is one with enough of them. */
     private fun decide() {
-        while (true) {
-            val moments =
-                evidence.accusations(quarantined).filter { (part, accusations) -> accusations.size >= crashesFor(part) }
-            val most = moments.values.maxOfOrNull { it.size } ?: return
-            moments.filterValues { it.size == most }.forEach { (part, accusations) -> quarantine(part, accusations) }
+        // A verdict may displace another whose crashes are then unexplained again.
+        repeat(MAXIMUM_DECISIONS) {
+            val accused =
+                evidence.accusations(quarantined).filter { (part, crashes) ->
+                    crashes.size >= crashesFor(part)
+                }
+            val most = accused.values.maxOfOrNull { it.size } ?: return
+            accused.filterValues { it.size == most }.forEach { (part, crashes) -> quarantine(part, crashes) }
         }
     }
 
@@ -381,8 +325,9 @@
 
         /** Longer than an instance can miss the messages of the others and still be one that serves. */
         private const val REPORTED_MILLIS = 10_000L
-        private const val REPORTED_SURVIVAL_MILLIS = 5_000L
+        private val REPORTED_SURVIVAL_MILLIS = 0L..5_000L
         private const val ECHO_MILLIS = 500L
         private const val MAXIMUM_VERDICTS = 64
+        private const val MAXIMUM_DECISIONS = 8
     }
 }
--- a/core/src/main/kotlin/io/sequoiawheel/core/quarantine/PartReport.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/quarantine/PartReport.kt
@@ -22,7 +22,7 @@
     /** Returns the valid content within the bounds. */
     internal fun bounded() =
         PartReport(
-            crashes.filter { it.isValid }.take(MAXIMUM_CRASHES),
+            crashes.filter { it.isValid }.take(MAXIMUM_CRASHES).map { it.bounded() },
             survivals.entries
                 .filter { it.value in MILLIS && it.key.id.length <= MAXIMUM_ID_LENGTH }
                 .take(MAXIMUM_SURVIVALS)
@@ -61,6 +61,11 @@
 ) {
     internal val isValid: Boolean
         get() = ageMillis in PartReport.MILLIS && replica.length <= PartReport.MAXIMUM_REPLICA_LENGTH
+
+    internal fun bounded() = copy(writing = writing.bounded(), waiting = waiting.bounded())
+
+    private fun List<PromptPart>.bounded() =
+        filter { it.id.length <= PartReport.MAXIMUM_ID_LENGTH }.take(PartReport.MAXIMUM_PARTS_PER_CRASH)
 }
 
 /**
--- a/core/src/test/kotlin/io/sequoiawheel/core/quarantine/PartQuarantineTest.kt
+++ b/core/src/test/kotlin/io/sequoiawheel/core/quarantine/PartQuarantineTest.kt
@@ -247,6 +247,16 @@
         assertEquals(partsOf(bad), quarantine.quarantined)
     }
 
+    // Verdicts that displace each other were decided again and again, without end.
+    @Test
+    fun `more accused parts than verdicts are kept do not hold up the instance`() {
+        for (group in 1..4) {
+            val parts = Array(32) { "$group-$it" }
+            repeat(3) { crash(*parts) }
+        }
+        assertTrue(quarantine.quarantined.size in 1..64)
+    }
+
     @Test
     fun `reports and verdicts are bounded, and what exceeds the bounds is ignored`() {
         repeat(500) { number ->
