--- a/relay/src/test/kotlin/io/sequoiawheel/relay/CrashingFleet.kt
+++ b/relay/src/test/kotlin/io/sequoiawheel/relay/CrashingFleet.kt
@@ -18,7 +18,6 @@
 import io.sequoiawheel.standin.platform.PartCrashMeter
 import org.apache.commons.rng.UniformRandomProvider
 import org.apache.commons.rng.simple.RandomSource
-import java.util.PriorityQueue
 
 /**
  * @param instances number of instances that start at once; later ones start as new incarnations of these
@@ -34,12 +33,10 @@
     seed: Long,
 ) {
     private val random: UniformRandomProvider = RandomSource.XO_RO_SHI_RO_128_PP.create(seed)
-    private val events = PriorityQueue<Event>(compareBy({ it.atMillis }, { it.number }))
-    private var eventNumber = 0L
+    private val events = EventQueue()
     private var requestNumber = 0L
 
-    var nowMillis = 0L
-        private set
+    val nowMillis: Long get() = events.nowMillis
 
     /** Parts on which every replica crashes. */
     var crashingParts: List<String> = emptyList()
@@ -67,12 +64,6 @@
     var largestMessageBytes = 0
         private set
 
-    private class Event(
-        val atMillis: Long,
-        val number: Long,
-        val run: () -> Unit,
-    )
-
     private class Request(
         val id: Long,
         val parts: Set<PromptPart>,
@@ -108,9 +99,9 @@
             val lost = attempts.toList()
             attempts.clear()
             lost.forEach { attempt ->
-                schedule(1L + random.nextInt(NETWORK_MILLIS)) { attempt.instance.onLost(attempt, ended) }
+                events.schedule(1L + random.nextInt(NETWORK_MILLIS)) { attempt.instance.onLost(attempt, ended) }
             }
-            schedule(RETURN_MILLIS + random.nextInt(RETURN_SPREAD_MILLIS)) {
+            events.schedule(RETURN_MILLIS + random.nextInt(RETURN_SPREAD_MILLIS)) {
                 starts++
                 isUp = true
             }
@@ -161,7 +152,7 @@
             if (random.nextDouble() < lossShare || isCut(this, receiver)) return
             val text = message.encode()
             largestMessageBytes = maxOf(largestMessageBytes, text.length)
-            schedule(1L + random.nextInt(NETWORK_MILLIS)) { receiver.receive(PeerMessage.decode(text)) }
+            events.schedule(1L + random.nextInt(NETWORK_MILLIS)) { receiver.receive(PeerMessage.decode(text)) }
         }
 
         private fun receive(message: PeerMessage) =
@@ -182,7 +173,7 @@
             val attempt = Attempt(request, this, incarnation)
             replica.attempts += attempt
             request.runs++
-            schedule(PREFILL_MILLIS + random.nextInt(PREFILL_SPREAD_MILLIS)) { write(attempt, replica) }
+            events.schedule(PREFILL_MILLIS + random.nextInt(PREFILL_SPREAD_MILLIS)) { write(attempt, replica) }
         }
 
         private fun write(
@@ -194,14 +185,16 @@
             quarantine.recordLife(replica.incarnation)
             val crashing = attempt.request.crashing?.takeIf { it in crashingParts }
             if (crashing != null) {
-                schedule(CRASH_MILLIS + random.nextInt(CRASH_SPREAD_MILLIS)) { crash(attempt, replica, crashing) }
+                events.schedule(
+                    CRASH_MILLIS + random.nextInt(CRASH_SPREAD_MILLIS),
+                ) { crash(attempt, replica, crashing) }
                 return
             }
             val soundAfterMillis = PartQuarantine.SURVIVAL_MILLIS
             if (attempt.request.writesMillis > soundAfterMillis) {
-                schedule(soundAfterMillis) { if (attempt in replica.attempts) recordSound(attempt) }
+                events.schedule(soundAfterMillis) { if (attempt in replica.attempts) recordSound(attempt) }
             }
-            schedule(attempt.request.writesMillis) {
+            events.schedule(attempt.request.writesMillis) {
                 if (replica.attempts.remove(attempt)) {
                     recordSound(attempt)
                     finish(attempt.request, isServed = true)
@@ -260,7 +253,7 @@
     fun run(millis: Long) {
         val end = nowMillis + millis
         while (nowMillis < end) {
-            nowMillis++
+            events.advance()
             all.forEachIndexed { index, instance ->
                 if (nowMillis % TICK_MILLIS ==
                     index % TICK_MILLIS
@@ -277,7 +270,7 @@
             ) {
                 replicas[random.nextInt(replicaCount)].end()
             }
-            while (events.isNotEmpty() && events.peek().atMillis <= nowMillis) events.poll().run()
+            events.runDue()
         }
     }
 
@@ -319,13 +312,6 @@
         return due.toInt() + if (random.nextDouble() < due - due.toInt()) 1 else 0
     }
 
-    private fun schedule(
-        afterMillis: Long,
-        run: () -> Unit,
-    ) {
-        events += Event(nowMillis + afterMillis, eventNumber++, run)
-    }
-
     companion object {
         /** Part that all prompts share. */
         const val FIRST_PART = "a0"
--- a/relay/src/test/kotlin/io/sequoiawheel/relay/LimitedFleet.kt
+++ b/relay/src/test/kotlin/io/sequoiawheel/relay/LimitedFleet.kt
@@ -28,7 +28,6 @@
 import io.sequoiawheel.standin.platform.RequestLimitMeter
 import org.apache.commons.rng.UniformRandomProvider
 import org.apache.commons.rng.simple.RandomSource
-import java.util.PriorityQueue
 
 /**
  * @param instances number of instances that start at once; [add] starts more
@@ -48,13 +47,11 @@
     seed: Long = 7L,
 ) {
     private val random: UniformRandomProvider = RandomSource.XO_RO_SHI_RO_128_PP.create(seed)
-    private val events = PriorityQueue<Event>(compareBy({ it.atMillis }, { it.number }))
-    private var eventNumber = 0L
+    private val events = EventQueue()
     private val service = RelayService(ServiceName("desk"), "/healthz", 100, 0.0, 0.0, null)
     private var nextInstance = 0
 
-    var nowMillis = 0L
-        private set
+    val nowMillis: Long get() = events.nowMillis
 
     /** Longest delay of a datagram between instances. */
     var maximumDelayMillis = 20
@@ -67,12 +64,6 @@
     var served = 0
     var deferred = 0
 
-    private class Event(
-        val atMillis: Long,
-        val number: Long,
-        val run: () -> Unit,
-    )
-
     /** A replica that executes [SLOTS] calls at a time, queues the others, and names [limit] in its answers. */
     inner class LimitedReplica(
         val id: String,
@@ -178,7 +169,7 @@
         ) {
             val receiver = all.firstOrNull { it.peer.endpoint == destination } ?: return
             if (random.nextDouble() < lossShare || isCut(this, receiver)) return
-            schedule(1L + random.nextInt(maximumDelayMillis)) { receiver.receive(message) }
+            events.schedule(1L + random.nextInt(maximumDelayMillis)) { receiver.receive(message) }
         }
 
         fun call() {
@@ -195,7 +186,7 @@
             chosen.load.begin(0)
             target.meter.recordRequest(name)
             served++
-            schedule(target.execute()) {
+            events.schedule(target.execute()) {
                 if (sender != incarnation) return@schedule
                 chosen.load.end(0)
                 chosen.load.recordResponseTime(nowMillis - sentAtMillis)
@@ -232,7 +223,7 @@
     fun run(millis: Long) {
         val end = nowMillis + millis
         while (nowMillis < end) {
-            nowMillis++
+            events.advance()
             all.forEachIndexed { index, instance ->
                 if (nowMillis % TICK_MILLIS ==
                     index % TICK_MILLIS
@@ -245,19 +236,12 @@
                 caller().call()
                 due--
             }
-            while (events.isNotEmpty() && events.peek().atMillis <= nowMillis) events.poll().run()
+            events.runDue()
         }
     }
 
     private fun caller(): Instance = all[(Math.pow(random.nextDouble(), skew) * all.size).toInt()]
 
-    private fun schedule(
-        afterMillis: Long,
-        run: () -> Unit,
-    ) {
-        events += Event(nowMillis + afterMillis, eventNumber++, run)
-    }
-
     companion object {
         const val SLOTS = 6
         const val RESPONSE_MILLIS = 30L
