--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/CallRelay.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/CallRelay.kt
@@ -87,7 +87,7 @@
 
         suspend fun run() {
             while (true) {
-                val part = context.refuseQuarantined(exchange)
+                val part = context.refusedPart(exchange)
                 if (part != null) {
                     if (!deliverEarlierResponse()) exchange.refuseQuarantined(part)
                     return
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationRun.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationRun.kt
@@ -319,7 +319,7 @@
      */
     private fun startAttempt(excluded: Set<Replica>): Boolean {
         if (delivery.delivered > 0 && delivery.lastId == null) return false
-        quarantinedPart = context.refuseQuarantined(exchange)
+        quarantinedPart = context.refusedPart(exchange)
         if (quarantinedPart != null) return false
         val usable = context.directory.usable(service.name)
         val placement = context.placement.forGeneration(usable, excluded, demand, engine, service)
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/RelayContext.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/RelayContext.kt
@@ -105,8 +105,11 @@
             tryAdmitControl(replica, purpose) &&
             quarantine.tryAdmit(exchange.sharedParts)
 
-    /** Records that the request of [exchange] is refused because of a quarantined part, which is returned if so. */
-    fun refuseQuarantined(exchange: Exchange): PromptPart? {
+    /**
+     * Returns the quarantined part because of which the request of [exchange] must be refused, and records the refusal,
+     * or returns null.
+     */
+    fun refusedPart(exchange: Exchange): PromptPart? {
         val part = quarantine.blocking(exchange.sharedParts) ?: return null
         quarantine.recordRefusal(exchange.sharedParts)
         exchange.logFields["quarantinedPart"] = part.id
