Remove unused code and casts from the stand-ins of crashing replicas

Found on reading the diff: CrashingReplicas.crashAtRandom had no caller, CrashingFleet passed its own types as Any and numbered requests that nothing read.

--- a/relay/src/test/kotlin/io/sequoiawheel/relay/CrashingFleet.kt
+++ b/relay/src/test/kotlin/io/sequoiawheel/relay/CrashingFleet.kt
@@ -34,7 +34,6 @@
 ) {
     private val random: UniformRandomProvider = RandomSource.XO_RO_SHI_RO_128_PP.create(seed)
     private val events = EventQueue()
-    private var requestNumber = 0L
 
     val nowMillis: Long get() = events.nowMillis
 
@@ -64,8 +63,7 @@
     var largestMessageBytes = 0
         private set
 
-    private class Request(
-        val id: Long,
+    class Request(
         val parts: Set<PromptPart>,
         val crashing: String?,
         val isRepeatable: Boolean,
@@ -76,7 +74,7 @@
     }
 
     /** One run of a request on a replica. */
-    private inner class Attempt(
+    inner class Attempt(
         val request: Request,
         val instance: Instance,
         val incarnationOfInstance: Int,
@@ -162,9 +160,8 @@
 
         val isReady get() = nowMillis >= readyMillis
 
-        fun serve(request: Any) = start(request as Request)
-
-        private fun start(request: Request) {
+        /** Sends [request] to a replica, unless a part of its prompt is quarantined or no replica is up. */
+        fun serve(request: Request) {
             val open = replicas.filter { it.isUp }
             if (quarantine.blocking(request.parts) != null) quarantine.recordRefusal(request.parts)
             if (open.isEmpty() || !quarantine.tryAdmit(request.parts)) return finish(request, isServed = false)
@@ -218,22 +215,15 @@
         }
 
         fun onLost(
-            attempt: Any,
+            lost: Attempt,
             ended: Incarnation,
         ) {
-            val lost = attempt as Attempt
             if (lost.incarnationOfInstance != incarnation) return
             quarantine.recordLoss(ended, lost.request.parts, lost.begunMillis)
             val request = lost.request
             val isSuspected = quarantine.blocking(request.parts) != null || quarantine.isSuspected(request.parts)
-            if (request.isRepeatable &&
-                request.runs < MAXIMUM_RUNS &&
-                !isSuspected
-            ) {
-                start(request)
-            } else {
-                finish(request, false)
-            }
+            val isSentAgain = request.isRepeatable && request.runs < MAXIMUM_RUNS && !isSuspected
+            if (isSentAgain) serve(request) else finish(request, isServed = false)
         }
 
         private fun finish(
@@ -254,13 +244,7 @@
         val end = nowMillis + millis
         while (nowMillis < end) {
             events.advance()
-            all.forEachIndexed { index, instance ->
-                if (nowMillis % TICK_MILLIS ==
-                    index % TICK_MILLIS
-                ) {
-                    instance.tick()
-                }
-            }
+            all.forEachIndexed { index, instance -> if ((nowMillis - index) % TICK_MILLIS == 0L) instance.tick() }
             repeat(arrivals(requestsPerSecond)) { arrive(crashing = null) }
             if (crashingParts.isNotEmpty()) {
                 repeat(arrivals(crashingPerSecond)) { arrive(crashingParts[random.nextInt(crashingParts.size)]) }
@@ -298,7 +282,6 @@
         val isLong = random.nextInt(10) < LONG_SHARE
         val writesMillis = if (isLong) LONG_MILLIS + random.nextInt(LONG_SPREAD_MILLIS) else SHORT_MILLIS
         return Request(
-            requestNumber++,
             parts.mapTo(LinkedHashSet(), ::PromptPart),
             crashing,
             isRepeatable = !isLong,
--- a/relay/src/test/kotlin/io/sequoiawheel/relay/CrashingReplicas.kt
+++ b/relay/src/test/kotlin/io/sequoiawheel/relay/CrashingReplicas.kt
@@ -67,12 +67,6 @@
         }
     }
 
-    /** Crashes a replica for a reason of its own every [intervalMillis], until closed. */
-    fun crashAtRandom(intervalMillis: Long) {
-        val crashOne = Runnable { crash(random.nextInt(sites)) }
-        timer.scheduleAtFixedRate(crashOne, intervalMillis, intervalMillis, TimeUnit.MILLISECONDS)
-    }
-
     override fun close() {
         timer.shutdownNow()
         callers.shutdown()
