Let the engines of case 3 hold backups, as those of the site do

With backups the run goes on at the replica that holds the backup, and the source works on as before.

--- a/review/stand/Deployment.java
+++ b/review/stand/Deployment.java
@@ -40,7 +40,7 @@
             "slo_ms", 1800, "prio", 1, "svc", "writers", "attempts", 1, "public", false, "sticky", true, "resumable", false,
             "itl_target_ms", 180);
         Object runtime = Json.map("slots", 24, "kv_capacity", 34252, "kv_token_bytes", 163840, "link_mbps", 24000.0, "moves", true,
-            "backups", false, "stride", 4, "most", 12, "pin_ms", 4000.0, "hold_ms", 2000.0, "session_ttl_s", 5.0,
+            "backups", true, "stride", 4, "most", 12, "pin_ms", 4000.0, "hold_ms", 2000.0, "session_ttl_s", 5.0,
             "model_list", List.of(Json.map("name", "m")));
         store.put("config", "main", Json.map("version", version, "routes", List.of(route),
             "svcs", List.of(Json.map("name", "writers", "health_path", "/healthz", "max_conns", 242, "proto", "h1", "tls", false,
--- a/review/stand/Engine.java
+++ b/review/stand/Engine.java
@@ -12,7 +12,8 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * A stand-in for a replica of a model engine: it streams events and copies running requests to other replicas on order.
+ * A stand-in for a replica of a model engine: it streams events, and copies running requests to other replicas, on order
+ * or as backups.
  * Most replicas drop a request when its connection closes; this one may be of the others.
  */
 final class Engine {
@@ -161,6 +162,8 @@
         }
         int events = Integer.parseInt(request.header("X-Token-Usage").split(",")[1]) / 4;
         int first = from == null ? 0 : Integer.parseInt(request.header("Last-Event-Id"));
+        String backup = request.header("X-Kv-Backup");
+        if (backup != null && byAddress.containsKey(backup)) byAddress.get(backup).copies.put(backup + "/" + requestId, requestId);
         Run run = new Run(id, requestId, from != null);
         runs.add(run);
         running.put(requestId, run);
