Keep the share of case 3 inside that of the site

One of six engines drains instead of one of four, since the entries of the site have a share of 0.17.

--- a/review/stand/Moved.java
+++ b/review/stand/Moved.java
@@ -11,8 +11,8 @@
  * The check compares when a run goes on at another replica with how long the replica before works on it.
  */
 public final class Moved {
-    private static final int ENGINES = 4;
-    private static final int CLIENTS = 16;
+    private static final int ENGINES = 6;
+    private static final int CLIENTS = 24;
 
     /** Time for which the replica before may still work, by the rule. */
     private static final long OVERLAP_MILLIS = 400;
