Keep the doses of cases 1 and 2 inside those of the site

Stray bytes come for 5 s at a time, and storms of versions have pauses of 3 s. Unused parts of the stand-ins are removed.

--- a/review/stand/Entry.java
+++ b/review/stand/Entry.java
@@ -84,6 +84,7 @@
         environment.keySet().retainAll(List.of("PATH", "HOME", "JAVA_HOME", "LANG"));
         environment.put("SEQUOIAWHEEL_NODE_FILE", settingsPath().toString());
         process = builder.start();
+        Runtime.getRuntime().addShutdownHook(new Thread(process::destroyForcibly));
         record.line("%s started", name);
     }
 
@@ -113,12 +114,6 @@
         return false;
     }
 
-    /** Sends a signal to the process that this test started. */
-    void signal(String signal) throws IOException, InterruptedException {
-        record.line("SIG%s to %s", signal, name);
-        new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid())).inheritIO().start().waitFor();
-    }
-
     void end() throws InterruptedException {
         if (process == null) return;
         process.destroyForcibly();
--- a/review/stand/ExtraBytes.java
+++ b/review/stand/ExtraBytes.java
@@ -5,10 +5,9 @@
 import java.net.Socket;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
-import java.util.Map;
 import java.util.Random;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
@@ -20,6 +19,10 @@
     private static final int CLIENTS = 20;
     private static final long RUN_MILLIS = 45_000;
 
+    /** The replicas send additional bytes for a while, several times. */
+    private static final long FAULT_MILLIS = 5_000;
+    private static final long PERIOD_MILLIS = 7_500;
+
     /** Share of the replicas that send additional bytes, and of the answers that they do so after. */
     private static final int FAULTY_REPLICAS = 2;
     private static final double EXTRA_SHARE = 0.03;
@@ -27,11 +30,10 @@
     /** Shares of the replica's own failures, those of the site's two kinds of request. */
     private static final double UNSAFE_ERROR_SHARE = 0.004;
     private static final double SAFE_ERROR_SHARE = 0.14;
-    
+
     /** The first bytes of a repeated response, as [Replica.answer] writes it. */
     private static final String EXTRA = "HTTP/1.1 200 X\r\nContent-Type: text/pl";
 
-    private static final Map<String, Integer> given = new ConcurrentHashMap<>();
     private static final Random random = new Random(7);
 
     public static void main(String[] arguments) throws Exception {
@@ -44,20 +46,19 @@
             Entry entry = new Entry("edge-1", directory, store.port(), record);
             AtomicInteger extras = new AtomicInteger();
             for (int i = 0; i < REPLICAS; i++) {
-                Replica replica = new Replica("i-" + i, "desk", store, record);
+                String replica = "i-" + i;
                 boolean isFaulty = hasTrouble && i < FAULTY_REPLICAS;
-                replica.work((request, out) -> {
+                new Replica(replica, "desk", store, (request, out) -> {
                     Thread.sleep(30);
                     boolean isSafe = request.startLine.startsWith("GET");
                     boolean fails = next() < (isSafe ? SAFE_ERROR_SHARE : UNSAFE_ERROR_SHARE);
                     String id = request.header("X-Request-Id");
-                    given.merge(id + " " + replica.id, fails ? 500 : 200, Math::max);
-                    record.line("%s gives %d to %s", replica.id, fails ? 500 : 200, id);
+                    record.line("%s gives %d to %s", replica, fails ? 500 : 200, id);
                     Replica.answer(out, request, fails ? 500 : 200, ((fails ? "failure of " : "answer to ") + id).getBytes());
-                    if (isFaulty && next() < EXTRA_SHARE) {
+                    if (isFaulty && record.millis() % PERIOD_MILLIS < FAULT_MILLIS && next() < EXTRA_SHARE) {
                         out.write(EXTRA.getBytes());
                         out.flush();
-                        record.line("%s sends %d additional bytes after the answer to %s", replica.id, EXTRA.length(), id);
+                        record.line("%s sends %d additional bytes after the answer to %s", replica, EXTRA.length(), id);
                         extras.incrementAndGet();
                     }
                 });
@@ -84,7 +85,7 @@
     }
 
     private static List<String> run(Entry entry, Record record) throws InterruptedException {
-        List<String> broken = java.util.Collections.synchronizedList(new ArrayList<>());
+        List<String> broken = Collections.synchronizedList(new ArrayList<>());
         AtomicInteger ids = new AtomicInteger();
         long end = System.nanoTime() + RUN_MILLIS * 1_000_000;
         List<Thread> clients = new ArrayList<>();
--- a/review/stand/Replica.java
+++ b/review/stand/Replica.java
@@ -5,45 +5,33 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
-import java.util.List;
-import java.util.concurrent.CopyOnWriteArrayList;
 
 /** A stand-in for a replica of a plain service. It registers itself in the store and answers after some work. */
 final class Replica {
-    /** One request that the replica ran. */
-    record Run(String replica, String id, String method, String target, Http request) {}
-
-    /** Answers a request that runs; the default answers after the work. */
+    /** Runs a request and answers it. */
     interface Work {
         void run(Http request, OutputStream out) throws Exception;
     }
 
     final String id;
     final String service;
-    final List<Run> runs = new CopyOnWriteArrayList<>();
     private final ServerSocket listener;
     private final Store store;
-    private final Record record;
     private final long born = System.currentTimeMillis();
-    private volatile Work work = (request, out) -> {
-        Thread.sleep(30);
-        answer(out, request, 200, ("answer to " + request.header("X-Request-Id")).getBytes());
-    };
-    volatile boolean logsRuns = true;
-    private volatile boolean isListed = true;
+    private final Work work;
     private int sequence;
 
-    Replica(String id, String service, Store store, Record record) throws IOException {
+    Replica(String id, String service, Store store, Work work) throws IOException {
         this.id = id;
         this.service = service;
         this.store = store;
-        this.record = record;
+        this.work = work;
         listener = new ServerSocket(0, 500, InetAddress.getByName("127.0.0.1"));
         register();
         Threads.start("heartbeat", () -> {
             while (true) {
                 Thread.sleep(1200);
-                if (isListed) register();
+                register();
             }
         });
         Threads.start("replica", () -> {
@@ -59,10 +47,6 @@
         return "127.0.0.1:" + listener.getLocalPort();
     }
 
-    void work(Work work) {
-        this.work = work;
-    }
-
     private void register() {
         store.put("servers", id, Json.map("svc", service, "addr", address(), "zone", "colombo-a", "version", "v1",
             "slots", 6, "state", "ready", "warmup_left_ms", 0, "seq", ++sequence, "born", born));
@@ -81,9 +65,6 @@
                         + "X-Request-Id: " + request.header("X-Request-Id") + "\r\nContent-Length: 0\r\n\r\n", new byte[0]);
                     continue;
                 }
-                String[] words = request.startLine.split(" ");
-                runs.add(new Run(id, request.header("X-Request-Id"), words[0], words[1], request));
-                if (logsRuns) record.line("replica %s runs %s %s %s, body of %d bytes", id, request.header("X-Request-Id"), words[0], words[1], request.body.length);
                 work.run(request, out);
             }
         }
--- a/review/stand/Versions.java
+++ b/review/stand/Versions.java
@@ -15,9 +15,9 @@
     private static final int MORE_ROUTES = 350;
     private static final long STORM_MILLIS = 4_000;
     private static final long CHANGE_MILLIS = 330;
-    private static final long PAUSE_MILLIS = 600;
-    private static final int STORMS = 19;
-    private static final long RUN_MILLIS = 96_000;
+    private static final long PAUSE_MILLIS = 3_000;
+    private static final int STORMS = 12;
+    private static final long RUN_MILLIS = 92_000;
 
     /** The bound of the rule: the route's timeout and half a second. */
     private static final long ANSWER_MILLIS = Deployment.TIMEOUT_MILLIS + 500;
@@ -36,15 +36,13 @@
             Deployment.configure(store, 7, 0);
             Entry entry = new Entry("edge-1", directory, store.port(), record);
             for (int i = 0; i < 3; i++) {
-                Replica replica = new Replica("i-" + i, "desk", store, record);
-                replica.logsRuns = false;
-                replica.work((request, out) -> {
+                new Replica("i-" + i, "desk", store, (request, out) -> {
                     Thread.sleep(30);
                     Replica.answer(out, request, 200, "ok".getBytes());
                 });
             }
             entry.start();
-            if (!entry.awaitReady(30_000)) System.exit(2);
+            if (!entry.awaitReady(20_000)) System.exit(2);
             Thread.sleep(1_000);
             long end = System.nanoTime() + RUN_MILLIS * 1_000_000;
             if (hasTrouble) {
