Show CONFIG: a starting instance serves a key that was taken away

After the store came back from an older copy, an instance that starts takes the copy's configuration for the newest. Requests with a key that was taken away run over 5 s after the acknowledgement.

--- a/review/stand/Deployment.java
+++ b/review/stand/Deployment.java
@@ -23,6 +23,11 @@
 
     /** Writes a configuration with two routes in use and [more] others. */
     static void configure(Store store, long version, int more) {
+        configure(store, version, more, List.of(KEY));
+    }
+
+    /** Writes a configuration in which the tenant holds these keys. */
+    static void configure(Store store, long version, int more, List<String> keys) {
         List<Object> routes = new ArrayList<>();
         routes.add(route("record", "/record/", "unsafe", TIMEOUT_MILLIS, 1, "desk"));
         routes.add(route("lookup", "/lookup/", "safe", TIMEOUT_MILLIS, 2, "desk"));
@@ -31,7 +36,7 @@
             "svcs", List.of(Json.map("name", "desk", "health_path", "/healthz", "max_conns", 100, "proto", "h1", "tls", false,
                 "warmup_s", 0.0, "warmup_per_s", 0.0)),
             "limits", Json.map("max_header_bytes", 16384, "max_body_bytes", 4194304, "header_timeout_ms", 3000, "idle_timeout_ms", 15000),
-            "tenants", List.of(Json.map("name", "huka270", "api_keys", List.of(KEY), "prio", 1))));
+            "tenants", List.of(Json.map("name", "huka270", "api_keys", keys, "prio", 1))));
     }
 
     /** Writes a configuration with one route to a model engine whose streams may not be resumed. */
--- a/review/stand/Store.java
+++ b/review/stand/Store.java
@@ -11,15 +11,21 @@
 import java.util.Map;
 import java.util.TreeMap;
 
-/** A stand-in for the platform's store: objects by kind and name, lists, watches and writes. */
+/** A stand-in for the platform's store: objects by kind and name, lists, watches and writes. It may come back older. */
 final class Store {
     private record Event(long revision, String kind, Map<String, Object> object, boolean deleted) {}
 
     private final Map<String, TreeMap<String, Map<String, Object>>> objects = new TreeMap<>();
     private final List<Event> events = new ArrayList<>();
     private final ServerSocket listener;
+    private Map<String, TreeMap<String, Map<String, Object>>> copy;
+    private long copyRevision;
     private long revision = 1;
 
+    /** The number of times that the store came back from a copy, which all its answers carry. */
+    private long era = 1;
+    private volatile boolean isAway;
+
     Store() throws IOException {
         listener = new ServerSocket(0, 200, InetAddress.getByName("127.0.0.1"));
         Threads.start("store", () -> {
@@ -54,6 +60,29 @@
         return true;
     }
 
+    /** Keeps a copy of all objects, for [restore]. */
+    synchronized void keepCopy() {
+        copy = new TreeMap<>();
+        objects.forEach((kind, named) -> copy.put(kind, new TreeMap<>(named)));
+        copyRevision = revision;
+    }
+
+    /** Answers nothing any more. */
+    void leave() {
+        isAway = true;
+    }
+
+    /** Comes back from the copy: what was written since is gone, and its revisions are given out again. */
+    synchronized void restore() {
+        objects.clear();
+        objects.putAll(copy);
+        revision = copyRevision;
+        events.clear();
+        era++;
+        isAway = false;
+        notifyAll();
+    }
+
     synchronized boolean has(String kind, String name) {
         return objects.containsKey(kind) && objects.get(kind).containsKey(name);
     }
@@ -63,7 +92,7 @@
             BufferedInputStream in = new BufferedInputStream(socket.getInputStream());
             while (true) {
                 Http request = Http.readRequest(in);
-                if (request == null) return;
+                if (request == null || isAway) return;
                 String[] parts = request.startLine.split(" ");
                 String target = parts[1];
                 String path = target.split("\\?")[0].replaceFirst("^/v1/objects/", "");
@@ -76,7 +105,9 @@
                 }
                 String kind = path.split("/")[0];
                 String name = path.contains("/") ? URLDecoder.decode(path.split("/")[1], StandardCharsets.UTF_8) : null;
-                answer(socket.getOutputStream(), handle(parts[0], kind, name, query, request));
+                Answer answer = handle(parts[0], kind, name, query, request);
+                if (isAway) return;
+                answer(socket.getOutputStream(), answer, era);
             }
         }
     }
@@ -104,8 +135,10 @@
 
     private synchronized Answer watch(String kind, Map<String, String> query) throws InterruptedException {
         long since = Long.parseLong(query.get("watch"));
+        long began = era;
         long end = System.nanoTime() + Long.parseLong(query.get("wait_ms")) * 1_000_000;
         while (true) {
+            if (era != began || since > revision) return new Answer(410, Json.map());
             List<Object> found = new ArrayList<>();
             for (Event event : events) {
                 if (event.revision > since && event.kind.equals(kind)) {
@@ -118,9 +151,10 @@
         }
     }
 
-    private static void answer(OutputStream out, Answer answer) throws IOException {
+    private static void answer(OutputStream out, Answer answer, long era) throws IOException {
         byte[] body = Json.write(answer.body).getBytes(StandardCharsets.UTF_8);
-        String head = "HTTP/1.1 " + answer.status + " X\r\nContent-Type: application/json\r\nContent-Length: " + body.length + "\r\n\r\n";
+        String head = "HTTP/1.1 " + answer.status + " X\r\nContent-Type: application/json\r\nContent-Length: " + body.length + "\r\nStore-Era: " + era
+            + "\r\n\r\n";
         byte[] bytes = new byte[head.length() + body.length];
         System.arraycopy(head.getBytes(StandardCharsets.ISO_8859_1), 0, bytes, 0, head.length());
         System.arraycopy(body, 0, bytes, head.length(), body.length);
