Record what is sent and run in each case, and exit with 2 on a failure

record.txt lacked what was sent, and in case 1 what was run and answered. An unexpected exception ended a script with 1, which says that the rule was broken; it ends with 2 now. A script that is ended itself ends what it started.

--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -3,5 +3,13 @@
 cd "$(dirname "$0")/../.." || exit 2
 [ -f target/review/Versions.class ] && [ -f target/relay/sequoiawheel-relay.jar ] || exit 2
 directory=$(mktemp -d) || exit 2
-trap 'rm -rf "$directory"' EXIT
-java -cp target/review Versions review/1 "$directory"
+child=
+# The program ends the processes that it started when it is ended itself.
+trap '[ -z "$child" ] || { kill "$child"; wait "$child"; }; rm -rf "$directory"' EXIT
+trap 'exit 2' INT TERM
+java -cp target/review Versions review/1 "$directory" &
+child=$!
+wait "$child"
+status=$?
+child=
+exit "$status"
--- a/review/stand/ExtraBytes.java
+++ b/review/stand/ExtraBytes.java
@@ -37,6 +37,7 @@
     private static final Random random = new Random(7);
 
     public static void main(String[] arguments) throws Exception {
+        Threads.exitOnFailure();
         boolean hasTrouble = !"0".equals(System.getenv("TROUBLE"));
         Path directory = Path.of(arguments[1]);
         int result = 2;
@@ -53,7 +54,7 @@
                     boolean isSafe = request.startLine.startsWith("GET");
                     boolean fails = next() < (isSafe ? SAFE_ERROR_SHARE : UNSAFE_ERROR_SHARE);
                     String id = request.header("X-Request-Id");
-                    record.line("%s gives %d to %s", replica, fails ? 500 : 200, id);
+                    record.line("%s runs %s and answers %d", replica, id, fails ? 500 : 200);
                     Replica.answer(out, request, fails ? 500 : 200, ((fails ? "failure of " : "answer to ") + id).getBytes());
                     if (isFaulty && record.millis() % PERIOD_MILLIS < FAULT_MILLIS && next() < EXTRA_SHARE) {
                         out.write(EXTRA.getBytes());
@@ -103,6 +104,7 @@
                             in = new BufferedInputStream(socket.getInputStream());
                         }
                         OutputStream out = socket.getOutputStream();
+                        record.line("client sends %s, %s", id, isSafe ? "safe" : "unsafe");
                         out.write(request(id, isSafe).getBytes());
                         Http answer = Http.readHead(in);
                         if (answer == null) throw new EOFException("connection closed");
--- a/review/stand/Moved.java
+++ b/review/stand/Moved.java
@@ -18,6 +18,7 @@
     private static final long OVERLAP_MILLIS = 400;
 
     public static void main(String[] arguments) throws Exception {
+        Threads.exitOnFailure();
         boolean hasTrouble = !"0".equals(System.getenv("TROUBLE"));
         try (Record record = new Record(Path.of(arguments[0], "record.txt"))) {
             Store store = new Store();
@@ -39,6 +40,7 @@
                         String id = "g" + ids.incrementAndGet();
                         try (Socket socket = new Socket("127.0.0.1", entry.http)) {
                             socket.setSoTimeout(20_000);
+                            record.line("client sends %s", id);
                             socket.getOutputStream().write(("POST /draft/x HTTP/1.1\r\nHost: " + Deployment.HOST + "\r\nX-Request-Id: " + id
                                 + "\r\nX-Model: m\r\nX-Token-Usage: 200,800\r\nX-Prefix-Hash: 5c1e07a2:80,9" + id.substring(1)
                                 + ":120\r\nX-Deadline-Ms: 39000\r\nApi-Key: " + Deployment.KEY + "\r\nContent-Length: 2\r\n\r\nhi").getBytes());
--- a/review/stand/Restored.java
+++ b/review/stand/Restored.java
@@ -29,6 +29,7 @@
     private static final long REST_MILLIS = 8_000;
 
     public static void main(String[] arguments) throws Exception {
+        Threads.exitOnFailure();
         boolean hasTrouble = !"0".equals(System.getenv("TROUBLE"));
         try (Record record = new Record(Path.of(arguments[0], "record.txt"))) {
             Store store = new Store();
@@ -98,6 +99,7 @@
                 try (Socket socket = new Socket("127.0.0.1", entry.http)) {
                     socket.setSoTimeout(3_000);
                     sent.put(id, record.millis());
+                    record.line("%s is sent to %s", id, entry.name);
                     socket.getOutputStream().write(("POST /record/x HTTP/1.1\r\nHost: " + Deployment.HOST + "\r\nX-Request-Id: " + id
                         + "\r\nX-Deadline-Ms: 2500\r\nApi-Key: " + TAKEN + "\r\nContent-Length: 8\r\n\r\na pledge").getBytes());
                     Http answer = Http.readHead(socket.getInputStream());
--- a/review/stand/Threads.java
+++ b/review/stand/Threads.java
@@ -1,4 +1,4 @@
-/** Starts daemon threads. */
+/** Starts daemon threads, and ends the program if a case cannot run. */
 final class Threads {
     interface Body {
         void run() throws Exception;
@@ -6,6 +6,14 @@
 
     private Threads() {}
 
+    /** Ends the program with 2 if its main thread fails, since 1 says that the rule was broken. */
+    static void exitOnFailure() {
+        Thread.currentThread().setUncaughtExceptionHandler((thread, failure) -> {
+            failure.printStackTrace();
+            System.exit(2);
+        });
+    }
+
     static Thread start(String name, Body body) {
         Thread thread = new Thread(() -> {
             try {
--- a/review/stand/Versions.java
+++ b/review/stand/Versions.java
@@ -29,6 +29,7 @@
     private static final int ENOUGH = 60;
 
     public static void main(String[] arguments) throws Exception {
+        Threads.exitOnFailure();
         boolean hasTrouble = !"0".equals(System.getenv("TROUBLE"));
         Path directory = Path.of(arguments[1]);
         try (Record record = new Record(Path.of(arguments[0], "record.txt"))) {
@@ -36,7 +37,9 @@
             Deployment.configure(store, 7, 0);
             Entry entry = new Entry("edge-1", directory, store.port(), record);
             for (int i = 0; i < 3; i++) {
-                new Replica("i-" + i, "desk", store, (request, out) -> {
+                String replica = "i-" + i;
+                new Replica(replica, "desk", store, (request, out) -> {
+                    record.line("%s runs %s", replica, request.header("X-Request-Id"));
                     Thread.sleep(30);
                     Replica.answer(out, request, 200, "ok".getBytes());
                 });
@@ -49,6 +52,7 @@
                 Threads.start("operator", () -> {
                     long version = 10;
                     Deployment.configure(store, version, MORE_ROUTES);
+                    record.line("the configuration has %d routes more, version %d", MORE_ROUTES, version);
                     for (int storm = 0; storm < STORMS; storm++) {
                         record.line("configurations in quick succession, from version %d", version + 3);
                         for (long at = 0; at < STORM_MILLIS; at += CHANGE_MILLIS) {
@@ -83,6 +87,7 @@
                                 in = new BufferedInputStream(socket.getInputStream());
                             }
                             sent = System.nanoTime();
+                            record.line("client sends %s", id);
                             socket.getOutputStream().write(((isSafe ? "GET /lookup/x" : "POST /record/x") + " HTTP/1.1\r\nHost: " + Deployment.HOST
                                 + "\r\nX-Request-Id: " + id + "\r\nX-Deadline-Ms: 2500\r\nApi-Key: " + Deployment.KEY + "\r\n"
                                 + (isSafe ? "\r\n" : "Content-Length: 8\r\n\r\na pledge")).getBytes());
@@ -90,14 +95,14 @@
                             if (answer == null) throw new EOFException("closed");
                             answer.readBody(in, true);
                             what = "" + answer.status();
-                            if (answer.status() != 200) record.line("%s gets %d %s", id, answer.status(), new String(answer.body));
+                            record.line("client gets %d for %s: %s", answer.status(), id, new String(answer.body));
                             if ("close".equalsIgnoreCase(answer.header("Connection"))) {
                                 socket.close();
                                 socket = null;
                             }
                         } catch (IOException failure) {
                             what = failure.toString();
-                            record.line("%s gets no answer: %s", id, what);
+                            record.line("client gets no answer for %s: %s", id, what);
                             if (socket != null) socket.close();
                             socket = null;
                         }
