Bound the history of store changes by bytes

Cause: ChangeFeed kept the last 2,000 changes of each kind as decoded objects for the other instances of the zone. A decoded version of 352 routes occupies 0.7 MB, so the heap of 96 MB was full long before the limit.

The history now keeps encoded changes, 4 MiB for each of three kinds, and nothing beyond that. The class: a hub's responses to watches and their readers are bounded to 2 MiB, beyond which the objects are listed again; responses are written in slices and share the history's memory; a request keeps its route, service and workspace, not the whole version; fields of log lines are cut.

--- a/core/src/main/kotlin/io/sequoiawheel/core/relay/ChangeHistory.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/ChangeHistory.kt
@@ -4,18 +4,26 @@
  * A bounded history of changes to one kind of object, as batches ordered by revision, for readers that request all
  * changes after a revision. Confined to one thread.
  *
- * @param limit maximum number of retained changes; readers further behind must list the objects again
+ * Changes differ in size by orders of magnitude, so the history is bounded by their memory and not by their number.
+ *
+ * @param limitBytes maximum total size of the retained changes; readers further behind must list the objects again
+ * @param sizeOf returns the memory that a change occupies, in bytes
  */
 class ChangeHistory<E>(
-    private val limit: Int = DEFAULT_LIMIT,
+    private val limitBytes: Long,
+    private val sizeOf: (E) -> Long,
 ) {
     private class Batch<E>(
         val revision: Long,
         val changes: List<E>,
+        val sizeBytes: Long,
     )
 
     private val batches = ArrayDeque<Batch<E>>()
-    private var size = 0
+
+    /** Total size of the retained changes, in bytes. */
+    var sizeBytes = 0L
+        private set
 
     /** The revision after which all changes are retained. */
     var start = 0L
@@ -28,7 +36,7 @@
     /** Clears the history and restarts it after [revision]. */
     fun restart(revision: Long) {
         batches.clear()
-        size = 0
+        sizeBytes = 0
         start = revision
         this.revision = revision
     }
@@ -40,15 +48,20 @@
     ) {
         this.revision = maxOf(this.revision, revision)
         if (changes.isEmpty()) return
-        batches.addLast(Batch(revision, changes))
-        size += changes.size
-        while (size > limit && batches.size > 1) {
+        val batch = Batch(revision, changes, changes.sumOf(sizeOf))
+        batches.addLast(batch)
+        sizeBytes += batch.sizeBytes
+        while (sizeBytes > limitBytes) {
             val oldest = batches.removeFirst()
-            size -= oldest.changes.size
+            sizeBytes -= oldest.sizeBytes
             start = oldest.revision
         }
     }
 
+    /** Returns whether there are changes after [revision], or whether some may be missing from the history. */
+    fun hasAfter(revision: Long): Boolean =
+        revision < start || batches.lastOrNull()?.let { it.revision > revision } == true
+
     /**
      * Returns the changes after [revision] in order, or null if some of them are no longer retained. If [revision]
      * falls inside a batch, the whole batch is returned, so a reader may receive some of its changes twice.
@@ -57,9 +70,4 @@
         if (revision < start) return null
         return batches.takeLastWhile { it.revision > revision }.flatMap { it.changes }
     }
-
-    private companion object {
-        /** The number of changes in ten minutes if five replicas are replaced every three seconds, two changes each. */
-        const val DEFAULT_LIMIT = 2_000
-    }
 }
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/RelayDaemon.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/RelayDaemon.kt
@@ -248,6 +248,7 @@
     private suspend fun relay(exchange: Exchange) {
         val route = checkNotNull(exchange.route)
         val service = exchange.configuration?.let { context.chooseService(route, it) }
+        exchange.releaseConfiguration()
         if (service == null) {
             exchange.refuse(
                 NotRunProof.NOTHING_SENT,
@@ -282,6 +283,7 @@
         metrics.gauge("connections.passed.over") { pool.passedOver }
         metrics.gauge("configuration.version") { configuration.current?.version ?: 0 }
         metrics.gauge("configuration.age.milliseconds") { freshness.ageMillis() }
+        metrics.gauge("store.history.bytes") { feeds.values.sumOf { it.sizeBytes } }
         metrics.gauge("replicas.quiet") { directory.all().count { it.isPaused } }
         metrics.gauge("replicas.limited") { directory.all().count { it.requestLimit.perSecond != null } }
         metrics.gauge("replicas.leaving.by.answer") { directory.announcedLeaving().size }
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/backend/BackendConnection.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/backend/BackendConnection.kt
@@ -26,10 +26,15 @@
 import java.util.concurrent.TimeUnit
 
 /** Thrown when the received bytes are not a valid response, or are a response to another request. */
-internal class InvalidResponseException(
+internal open class InvalidResponseException(
     message: String,
 ) : IOException(message)
 
+/** Thrown when the body of a response exceeds the limit of its reader. */
+internal class ResponseTooLargeException(
+    limitBytes: Int,
+) : InvalidResponseException("response body exceeds $limitBytes bytes")
+
 internal class BackendConnection(
     private val channel: Channel,
     private val clock: Clock,
@@ -228,7 +233,7 @@
                 content.release()
                 memoryBudget.reserve(bytes)
                 body.write(part)
-                if (body.size() > limitBytes) throw InvalidResponseException("response body exceeds $limitBytes bytes")
+                if (body.size() > limitBytes) throw ResponseTooLargeException(limitBytes)
                 if (isLast) return body.toByteArray()
             }
         } finally {
@@ -323,30 +328,30 @@
         val isNotRun: Boolean,
     )
 
-    private companion object {
-        const val KEEP_ALIVE_HEADER = "Keep-Alive"
-        val KEEP_ALIVE_TIMEOUT = Regex("""timeout\s*=\s*(\d+)""")
-        const val MILLIS_PER_SECOND = 1_000L
+    companion object {
+        /** Limits the memory of one buffered response; a page of a store listing takes about a megabyte. */
+        const val BODY_LIMIT_BYTES = 8_388_608
+
+        private const val KEEP_ALIVE_HEADER = "Keep-Alive"
+        private val KEEP_ALIVE_TIMEOUT = Regex("""timeout\s*=\s*(\d+)""")
+        private const val MILLIS_PER_SECOND = 1_000L
 
         /** Used for peers that state no timeout, since they may close an idle connection in less than a second. */
-        const val DEFAULT_KEEP_ALIVE_MILLIS = 400L
+        private const val DEFAULT_KEEP_ALIVE_MILLIS = 400L
 
         /** A request must arrive before the peer's timeout expires; the timeout is stated in whole seconds. */
-        const val KEEP_ALIVE_MARGIN_MILLIS = 300L
-
-        /** Limits the memory of one buffered response; a page of a store listing takes about a megabyte. */
-        const val BODY_LIMIT_BYTES = 8_388_608
+        private const val KEEP_ALIVE_MARGIN_MILLIS = 300L
 
         /** Error responses carry one line of text. */
-        const val ERROR_BODY_LIMIT_BYTES = 262_144
+        private const val ERROR_BODY_LIMIT_BYTES = 262_144
 
         /** A body follows its head within one round trip; the rest allows for a lost packet. */
-        const val ERROR_BODY_TIMEOUT_MILLIS = 1_500L
+        private const val ERROR_BODY_TIMEOUT_MILLIS = 1_500L
 
         /** A head arrives in one or two packets; a lost packet is retransmitted within a second. */
-        const val HEAD_TIMEOUT_MILLIS = 2_000L
+        private const val HEAD_TIMEOUT_MILLIS = 2_000L
 
         /** Limits the informational responses and late responses to other requests that precede the expected one. */
-        const val MAXIMUM_HEADS = 32
+        private const val MAXIMUM_HEADS = 32
     }
 }
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/control/ChangeHub.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/control/ChangeHub.kt
@@ -5,8 +5,8 @@
 import io.sequoiawheel.core.relay.ClockReading
 import io.sequoiawheel.core.relay.Freshness
 import io.sequoiawheel.core.relay.HubSelection
+import io.sequoiawheel.platform.EncodedEvent
 import io.sequoiawheel.platform.StoreChanges
-import io.sequoiawheel.platform.StoreEvent
 import io.sequoiawheel.platform.StoreKind
 import io.sequoiawheel.platform.StoreProtocol
 import io.sequoiawheel.platform.WatchQuery
@@ -14,11 +14,14 @@
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.withTimeoutOrNull
 
-/** The changes to one kind of object that this instance read from the store, served to other instances of its zone. */
+/**
+ * The changes to one kind of object that this instance read from the store, served to other instances of its zone. They
+ * are kept encoded, up to [HISTORY_BYTES] for each kind.
+ */
 internal class ChangeFeed(
     val kind: StoreKind,
 ) {
-    private val history = ChangeHistory<StoreEvent>()
+    private val history = ChangeHistory(HISTORY_BYTES, EncodedEvent::sizeBytes)
     private var nextUpdate = CompletableDeferred<Unit>()
 
     /** The era of the store that the revisions belong to. */
@@ -35,6 +38,9 @@
 
     val revision: Long get() = history.revision
 
+    /** Memory that the recorded changes occupy, in bytes. */
+    val sizeBytes: Long get() = history.sizeBytes
+
     /** Restarts the feed from a listing at [revision] of [era], which was the current state at [asOf]. */
     fun restart(
         revision: Long,
@@ -66,7 +72,7 @@
         asOf: ClockReading,
     ) {
         resume(changes.revision, asOf, changes.era)
-        history.append(changes.revision, changes.events)
+        history.append(changes.revision, changes.events.map(StoreProtocol::encodeEvent))
         confirmedAt = asOf
         notifyWaiters()
     }
@@ -79,8 +85,17 @@
         notifyWaiters()
     }
 
-    /** Returns the changes after [revision], or null if the history no longer holds them. */
-    fun after(revision: Long): List<StoreEvent>? = history.after(revision)
+    /** Returns whether changes after [revision] were recorded, or may be missing from the history. */
+    fun hasAfter(revision: Long): Boolean = history.hasAfter(revision)
+
+    /**
+     * Returns the changes after [revision], or null if the history no longer holds them, or if they are larger than a
+     * response may be.
+     */
+    fun after(revision: Long): List<EncodedEvent>? =
+        history.after(revision)?.takeIf { events ->
+            events.sumOf { it.sizeBytes } <= StoreProtocol.MAXIMUM_CHANGES_BYTES
+        }
 
     /** Waits until the feed receives changes, is confirmed as current, or stops. */
     suspend fun awaitUpdate() = nextUpdate.await()
@@ -90,6 +105,14 @@
         nextUpdate = CompletableDeferred()
         previous.complete(Unit)
     }
+
+    private companion object {
+        /**
+         * Other instances follow within seconds; this is several versions of a configuration of the store's maximum
+         * size, or some ten thousand changes of replicas.
+         */
+        const val HISTORY_BYTES = 4_194_304L
+    }
 }
 
 /**
@@ -115,14 +138,14 @@
         if (!feed.isServing) return StatusResponse(HttpResponseStatus.SERVICE_UNAVAILABLE)
         val retained = feed.takeIf { it.era == query.era }?.after(query.revision)
         val events = retained ?: return StatusResponse(HttpResponseStatus.GONE)
-        val changes =
-            StoreChanges(
+        val body =
+            StoreProtocol.encodeChanges(
                 events,
                 maxOf(feed.revision, query.revision),
                 feed.confirmedAt?.let { freshness.offsetMillis(received, it) },
                 feed.era,
             )
-        return StatusResponse(HttpResponseStatus.OK, StoreProtocol.encodeChanges(changes))
+        return StatusResponse(HttpResponseStatus.OK, body)
     }
 
     private fun isResponseDue(
@@ -132,7 +155,7 @@
     ): Boolean {
         if (feed.era != query.era) return true
         val isConfirmedSinceRequest = feed.confirmedAt?.let { it.monotonicMillis > received.monotonicMillis } ?: false
-        return feed.after(query.revision)?.isEmpty() != true ||
+        return feed.hasAfter(query.revision) ||
             isConfirmedSinceRequest &&
             query.kind == StoreKind.CONFIGURATION
     }
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/control/StoreClient.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/control/StoreClient.kt
@@ -22,6 +22,7 @@
 import io.sequoiawheel.platform.UnreadableDocumentException
 import io.sequoiawheel.relay.backend.BackendConnection
 import io.sequoiawheel.relay.backend.Connector
+import io.sequoiawheel.relay.backend.ResponseTooLargeException
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.serialization.json.JsonElement
 import java.io.IOException
@@ -38,7 +39,10 @@
         override val detail: String,
     ) : StoreFailure
 
-    /** The watch starts at a revision older than the history that the store keeps. */
+    /**
+     * The watch starts at a revision older than the history that the store keeps, or so old that the response is too
+     * large.
+     */
     data class HistoryGone(
         override val detail: String,
     ) : StoreFailure
@@ -136,8 +140,13 @@
         kind: StoreKind,
         waitMillis: Long,
     ): Either<StoreFailure, Pair<Response, StoreChanges>> =
-        call("watch $kind", HttpMethod.GET, path, timeoutMillis = waitMillis + WATCH_GRACE_MILLIS)
-            .flatMap { response -> decode(response.text, StoreProtocol::decodeChanges).map { response to it } }
+        call(
+            "watch $kind",
+            HttpMethod.GET,
+            path,
+            timeoutMillis = waitMillis + WATCH_GRACE_MILLIS,
+            limitBytes = WATCH_LIMIT_BYTES,
+        ).flatMap { response -> decode(response.text, StoreProtocol::decodeChanges).map { response to it } }
 
     /** Creates an object, or fails with [StoreFailure.Conflict] if it exists. */
     suspend fun create(
@@ -189,6 +198,7 @@
         path: String,
         body: String? = null,
         timeoutMillis: Long = CALL_TIMEOUT_MILLIS,
+        limitBytes: Int = BackendConnection.BODY_LIMIT_BYTES,
     ): Either<StoreFailure, Response> {
         callsByOperation.merge(operation, 1L, Long::plus)
         val target = endpoint()
@@ -201,10 +211,12 @@
                     openConnection.send(request(target, method, path, body))
                     val head = openConnection.receiveHead(requestId = null)
                     val era = StoreProtocol.decodeEra(head.headers().get(Headers.STORE_ERA))
-                    Response(head.status().code(), String(openConnection.receiveBody()), era)
+                    Response(head.status().code(), String(openConnection.receiveBody(limitBytes)), era)
                 } ?: return StoreFailure.Unavailable("no response within $timeoutMillis ms").left()
             isResponseComplete = true
             return interpret(response)
+        } catch (tooLarge: ResponseTooLargeException) {
+            return StoreFailure.HistoryGone(tooLarge.message.orEmpty()).left()
         } catch (failure: IOException) {
             return StoreFailure.Unavailable(failure.message ?: failure.javaClass.simpleName).left()
         } finally {
@@ -267,6 +279,9 @@
         /** The store responds within 4 ms, and within 300 ms when it is slow. */
         const val CALL_TIMEOUT_MILLIS = 1_500L
 
+        /** The changes of a response, and its other fields. */
+        const val WATCH_LIMIT_BYTES = StoreProtocol.MAXIMUM_CHANGES_BYTES + 4_096
+
         /** Time that a watch may take beyond its wait before the call is given up as unanswered. */
         const val WATCH_GRACE_MILLIS = 800L
 
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/filter/Exchange.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/filter/Exchange.kt
@@ -42,7 +42,20 @@
     /** Whether a run went on for so long that the request is not one that ends its replica. */
     var isProvenSound = false
 
+    /**
+     * The configuration that the filters apply, or null if there is none or after [releaseConfiguration]. A stream may
+     * outlast many versions, so an exchange holds on to its own route, service and workspace only.
+     */
     var configuration: RelayConfiguration? = null
+        set(value) {
+            field = value
+            if (value != null) configurationVersion = value.version
+        }
+
+    /** Version of the last [configuration], or null if there was none. */
+    var configurationVersion: Long? = null
+        private set
+
     var route: Route? = null
     var workspace: Workspace? = null
 
@@ -64,6 +77,11 @@
     /** Additional fields for the request log that explain the result. */
     val logFields = LinkedHashMap<String, Any?>()
 
+    /** Drops the reference to the whole configuration once its decisions about the request are made. */
+    fun releaseConfiguration() {
+        configuration = null
+    }
+
     /**
      * Refuses a request that certainly has not run, with the delay after which the caller should retry. Fails it
      * instead if it may have run: the refusal of one send says nothing of the others.
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/filter/OutcomeFilter.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/filter/OutcomeFilter.kt
@@ -43,7 +43,7 @@
                 "request" to exchange.requestId,
                 "route" to exchange.route?.name,
                 "workspace" to exchange.workspace?.name?.value,
-                "configuration" to exchange.configuration?.version,
+                "configuration" to exchange.configurationVersion,
                 "code" to result.number,
                 "result" to result.name,
                 "status" to exchange.response.status,
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/internal/DecisionLog.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/internal/DecisionLog.kt
@@ -67,12 +67,19 @@
         fields: Map<String, Any?>,
     ) = logger.at(level) {
         message = text
-        payload = fields.filterValues { it != null }
+        payload = fields.filterValues { it != null }.mapValues { (_, value) -> shorten(value) }
     }
 
+    /** Peers choose the length of paths, ids and error texts; lines wait in a queue with a limit on their number. */
+    private fun shorten(value: Any?): Any? =
+        if (value is String && value.length > MAXIMUM_TEXT) value.take(MAXIMUM_TEXT) + "..." else value
+
     private companion object {
         const val MILLIS_PER_SECOND = 1_000L
 
+        /** Characters of one field of a line. */
+        const val MAXIMUM_TEXT = 512
+
         /** About two lines for each request of an instance at twice its usual load. */
         const val LINES_PER_SECOND = 100
     }
--- a/relay/src/test/kotlin/io/sequoiawheel/relay/RelayFixture.kt
+++ b/relay/src/test/kotlin/io/sequoiawheel/relay/RelayFixture.kt
@@ -10,6 +10,11 @@
 import io.sequoiawheel.standin.platform.ReplicaStandIn
 import kotlinx.coroutines.runBlocking
 import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonArray
+import kotlinx.serialization.json.JsonElement
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.jsonArray
+import kotlinx.serialization.json.jsonObject
 import org.junit.jupiter.api.Assertions.assertTrue
 import java.net.Socket
 
@@ -56,6 +61,21 @@
         timeoutMillis: Int = 1_200,
     ) = store.put("config", "main", Json.parseToJsonElement(configuration(version, keys, timeoutMillis)))
 
+    /** Writes a configuration as [configure] does, with additional [routes] and [workspaces]. */
+    fun configureLarge(
+        version: Int,
+        routes: List<JsonElement>,
+        workspaces: List<JsonElement>,
+    ) {
+        val spec = Json.parseToJsonElement(configuration(version, """["key-1"]""", timeoutMillis = 1_200)).jsonObject
+        val enlarged =
+            mapOf(
+                "routes" to JsonArray(spec.getValue("routes").jsonArray + routes),
+                "tenants" to JsonArray(spec.getValue("tenants").jsonArray + workspaces),
+            )
+        store.put("config", "main", JsonObject(spec + enlarged))
+    }
+
     /** Starts the instance and waits until it is ready. */
     fun start() = startOnPort(0)
 
--- a/relay/src/test/kotlin/io/sequoiawheel/relay/RelayProcessTest.kt
+++ b/relay/src/test/kotlin/io/sequoiawheel/relay/RelayProcessTest.kt
@@ -9,9 +9,7 @@
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.io.TempDir
-import java.net.HttpURLConnection
 import java.net.Socket
-import java.net.URI
 import java.nio.file.Files
 import java.nio.file.Path
 import java.util.concurrent.ConcurrentHashMap
@@ -35,34 +33,16 @@
     private fun settings(
         callers: Int,
         readiness: Int,
-    ) = """{"node":"entry-1","ip":"127.0.0.1","zone":"a","listen":{"http":"127.0.0.1:$callers",
-        "ready":"127.0.0.1:$readiness"},"port_range":[${FreePorts.allocate()},0],"limits":{"cpu_share":1.0,"memory_mb":280},
-        "bounds":{"contact_ms":3000,"drain_ms":2000,"grace_s":8,"revoke_ms":5000,"retry_ratio":0.2,"retry_extra":54,
-        "retry_window_s":10,"warmup_excess":1.5,"warmup_margin":5},
-        "platform":{"addr":"127.0.0.1:${fixture.store.port}"}}"""
+    ) = RelayChildProcess.settings(fixture, "entry-1", callers, readiness)
 
-    private fun start(settings: String): Process {
-        val file = directory.resolve("node.json")
-        Files.writeString(file, settings)
-        val java = Path.of(System.getProperty("java.home"), "bin", "java").toString()
-        val builder =
-            ProcessBuilder(java, "-cp", System.getProperty("java.class.path"), "io.sequoiawheel.relay.MainKt")
-                .redirectOutput(directory.resolve("out").toFile())
-                .redirectError(directory.resolve("err").toFile())
-        builder.environment()["SEQUOIAWHEEL_NODE_FILE"] = file.toString()
-        return builder.start().also { process = it }
-    }
+    private fun start(settings: String): Process = RelayChildProcess.start(directory, settings).also { process = it }
 
     private fun logLines(): List<JsonObject> =
         Files.readAllLines(directory.resolve("out")).map { Json.parseToJsonElement(it).jsonObject }
 
     private fun hasLogLine(message: String) = logLines().any { it["message"]?.jsonPrimitive?.content == message }
 
-    private fun statusOf(port: Int): Int =
-        runCatching {
-            val connection = URI("http://127.0.0.1:$port/v1/readyz").toURL().openConnection() as HttpURLConnection
-            connection.responseCode
-        }.getOrDefault(0)
+    private fun statusOf(port: Int): Int = RelayChildProcess.readiness(port)
 
     private fun signal(name: String) {
         val kill = ProcessBuilder("kill", "-$name", checkNotNull(process).pid().toString())
