Do not reuse a connection after a single stray byte

Cause: the replica sent the beginning of a second response after a whole one. A connection was reused if no decoded message was unread, but the beginning of a head is no message: it stayed in the decoder and swallowed the status line of the next response as part of a header value.

ResponseDecoder tracks whether any byte followed the last response, to the byte. Such a connection is closed at the end of the exchange or when the byte arrives. For bytes that arrive after the next request was sent, a head that contains a status line is invalid. This covers the connections to replicas, to the store and to other instances, which are of one class.

--- a/relay/src/main/kotlin/io/sequoiawheel/relay/backend/BackendConnection.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/backend/BackendConnection.kt
@@ -1,6 +1,6 @@
 /*
  * A client connection to a backend server or to the platform's store. It carries one exchange at a time. Any error
- * closes the connection; it is reused only after a complete exchange that left no unread data.
+ * closes the connection; it is reused only if not a single byte was received after the end of the last response.
  */
 package io.sequoiawheel.relay.backend
 
@@ -37,6 +37,7 @@
 
 internal class BackendConnection(
     private val channel: Channel,
+    private val decoder: ResponseDecoder,
     private val clock: Clock,
     private val memoryBudget: ResponseMemoryBudget,
 ) : ChannelInboundHandlerAdapter() {
@@ -136,6 +137,11 @@
 
     /** Starts a timeout for an incomplete response head, so that an endless stream of bytes fails the exchange. */
     override fun channelReadComplete(context: ChannelHandlerContext) {
+        if (!isExchanging && !decoder.isBetweenResponses) {
+            // The beginning of a message belongs to no request either.
+            abort()
+            return
+        }
         val isPartialHead = isExchanging && !isInResponse && !hasDecodedMessage
         if (hasDecodedMessage) cancelHeadTimeout()
         hasDecodedMessage = false
@@ -173,6 +179,7 @@
             throw ConnectionEndedException("connection closed before the request was sent", isReset = false)
         }
         isExchanging = true
+        decoder.requestMethod = request.method()
         answered = null
         isContradicted = false
         sentRequestId = request.headers().get(Headers.REQUEST_ID)?.also(sentIds::add)
@@ -261,7 +268,8 @@
         isReused = true
         idleSinceMillis = clock.nowMillis()
         // Data after the response belongs to no request and would be mistaken for the next response.
-        val reusable = isPersistent && isOpen && requestWrite?.isSuccess == true && !inbound.hasUnread
+        val hasReceivedAll = !inbound.hasUnread && decoder.isBetweenResponses
+        val reusable = isPersistent && isOpen && requestWrite?.isSuccess == true && hasReceivedAll
         if (!reusable) close()
         return reusable
     }
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/backend/Connector.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/backend/Connector.kt
@@ -7,7 +7,7 @@
 import io.netty.channel.EventLoop
 import io.netty.channel.socket.nio.NioChannelOption
 import io.netty.channel.socket.nio.NioSocketChannel
-import io.netty.handler.codec.http.HttpClientCodec
+import io.netty.handler.codec.http.HttpRequestEncoder
 import io.sequoiawheel.core.model.Clock
 import io.sequoiawheel.core.relay.Endpoint
 import jdk.net.ExtendedSocketOptions
@@ -39,8 +39,9 @@
             .handler(
                 object : ChannelInitializer<Channel>() {
                     override fun initChannel(channel: Channel) {
-                        channel.pipeline().addLast(HttpClientCodec())
-                        channel.pipeline().addLast(BackendConnection(channel, clock, memoryBudget))
+                        val decoder = ResponseDecoder()
+                        val connection = BackendConnection(channel, decoder, clock, memoryBudget)
+                        channel.pipeline().addLast(decoder, HttpRequestEncoder(), connection)
                     }
                 },
             )
--- /dev/null
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/backend/ResponseDecoder.kt
@@ -0,0 +1,62 @@
+package io.sequoiawheel.relay.backend
+
+import io.netty.buffer.ByteBuf
+import io.netty.channel.ChannelHandlerContext
+import io.netty.handler.codec.DecoderResult
+import io.netty.handler.codec.http.HttpDecoderConfig
+import io.netty.handler.codec.http.HttpMessage
+import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpResponseDecoder
+import io.netty.handler.codec.http.LastHttpContent
+
+/**
+ * Decodes the responses on one connection and tracks where they end, to the byte. Bytes after a response that do not
+ * complete a message yet produce no message, but would be taken for the beginning of the next response.
+ */
+internal class ResponseDecoder : HttpResponseDecoder(HttpDecoderConfig()) {
+    /** Method of the request in progress; a response to `HEAD` has no body, whatever its headers say. */
+    var requestMethod: HttpMethod = HttpMethod.GET
+
+    /** Whether no byte was received since the end of the last response, or ever. */
+    var isBetweenResponses = true
+        private set
+
+    override fun isContentAlwaysEmpty(message: HttpMessage): Boolean =
+        requestMethod == HttpMethod.HEAD || super.isContentAlwaysEmpty(message)
+
+    override fun decode(
+        context: ChannelHandlerContext,
+        buffer: ByteBuf,
+        out: MutableList<Any>,
+    ) {
+        val first = out.size
+        val available = buffer.readableBytes()
+        super.decode(context, buffer, out)
+        val decoded = out.subList(first, out.size)
+        decoded.filterIsInstance<HttpResponse>().forEach(::rejectMerged)
+        isBetweenResponses =
+            when {
+                decoded.lastOrNull() is LastHttpContent -> !buffer.isReadable
+                else -> isBetweenResponses && available == 0
+            }
+    }
+
+    /**
+     * Fails a head that contains the status line of another response: it consists of the beginning of one head, which
+     * may end at any byte, and of another that followed on the same connection.
+     */
+    private fun rejectMerged(head: HttpResponse) {
+        val isMerged =
+            STATUS_LINE.containsMatchIn(head.status().reasonPhrase()) ||
+                head.headers().any { (_, value) -> HTTP_VERSION in value && STATUS_LINE.containsMatchIn(value) }
+        if (isMerged && head.decoderResult().isSuccess) {
+            head.decoderResult = DecoderResult.failure(InvalidResponseException("a status line within a head"))
+        }
+    }
+
+    private companion object {
+        const val HTTP_VERSION = "HTTP/1."
+        val STATUS_LINE = Regex("""HTTP/1\.\d \d{3}""")
+    }
+}
--- a/relay/src/test/kotlin/io/sequoiawheel/relay/backend/BackendConnectionTest.kt
+++ b/relay/src/test/kotlin/io/sequoiawheel/relay/backend/BackendConnectionTest.kt
@@ -6,8 +6,8 @@
 import io.netty.channel.ChannelPromise
 import io.netty.channel.embedded.EmbeddedChannel
 import io.netty.handler.codec.http.DefaultFullHttpRequest
-import io.netty.handler.codec.http.HttpClientCodec
 import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpRequestEncoder
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.util.ReferenceCountUtil
 import io.sequoiawheel.core.model.Clock
@@ -20,7 +20,8 @@
 class BackendConnectionTest {
     private val writes = ArrayList<ChannelPromise>()
     private val channel = EmbeddedChannel()
-    private val connection = BackendConnection(channel, Clock { 0L }, ResponseMemoryBudget())
+    private val decoder = ResponseDecoder()
+    private val connection = BackendConnection(channel, decoder, Clock { 0L }, ResponseMemoryBudget())
 
     /** Keeps all writes pending, as a socket does whose peer does not read. */
     private val pendingWrites =
@@ -36,7 +37,7 @@
         }
 
     private fun send(lengthHeader: String = "") {
-        channel.pipeline().addLast(pendingWrites, HttpClientCodec(), connection)
+        channel.pipeline().addLast(pendingWrites, decoder, HttpRequestEncoder(), connection)
         val request = DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/a", Unpooled.EMPTY_BUFFER)
         request.headers().set("X-Request-Id", "id-1")
         runBlocking { connection.send(request) }
