Stop the run that a generation left

Callers got whole streams.

Cause: the instance closed the connection to the source, which not all replicas heed, and never asked it to stop the run. Ruled out: a late close, since the source had seen it at once.

Each attempt that was sent and whose end no response proves is recorded. Once the generation goes on at another replica, the one before is asked to copy the run there for the last time, which stops it first; that copy is freed. The calls to engines move from RunCopier to EngineCalls for both.

--- a/relay/src/main/kotlin/io/sequoiawheel/relay/RelayDaemon.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/RelayDaemon.kt
@@ -134,7 +134,7 @@
     private val loops = LoopSupervisor(scope, monotonic, random, log, metrics)
     private val shutdown = InstanceShutdown(monotonic, log, ::graceMillis)
     private val calls = CallRelay(context)
-    private val generations = GenerationRelay(context)
+    private val generations = GenerationRelay(context, scope)
     private val filters =
         FilterChain(
             listOf(
--- /dev/null
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/EngineCalls.kt
@@ -0,0 +1,120 @@
+package io.sequoiawheel.relay.serving
+
+import io.netty.buffer.Unpooled
+import io.netty.handler.codec.http.DefaultFullHttpRequest
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaderValues
+import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpVersion
+import io.sequoiawheel.core.relay.Endpoint
+import io.sequoiawheel.core.relay.Replica
+import io.sequoiawheel.platform.EngineProtocol
+import io.sequoiawheel.relay.backend.ConnectFailedException
+import kotlinx.coroutines.withTimeoutOrNull
+import java.io.IOException
+
+/** The result of a call to a model engine. */
+internal sealed interface EngineResult {
+    /** The engine responded with [status] and the body [text]. */
+    class Response(
+        val status: Int,
+        val text: String,
+    ) : EngineResult
+
+    /** No connection could be opened. */
+    class Unreachable(
+        val detail: String,
+    ) : EngineResult
+
+    /** No whole response arrived in time, or the engine accepts no requests now. */
+    class NoResponse(
+        val detail: String,
+    ) : EngineResult
+}
+
+/** Calls to model engines about the runs of generations, other than the generations themselves. */
+internal class EngineCalls(
+    private val context: RelayContext,
+) {
+    /**
+     * Asks [source] to copy the run of [requestId] to [destination].
+     *
+     * @param stop whether the source is to stop the run first
+     */
+    suspend fun copyRun(
+        requestId: String,
+        source: Replica,
+        destination: Replica,
+        stop: Boolean,
+        purpose: SendPurpose,
+        timeoutMillis: Long,
+    ): EngineResult {
+        val body = EngineProtocol.copyRunBody(requestId, endpoint(destination), stop)
+        return call(source, HttpMethod.POST, EngineProtocol.COPY_RUN_PATH, body, purpose, timeoutMillis)
+    }
+
+    /** Asks [source] to free the copy with [handle], which the source made, at both ends. */
+    suspend fun releaseCopy(
+        source: Replica,
+        handle: String,
+        purpose: SendPurpose,
+        timeoutMillis: Long,
+    ): EngineResult =
+        call(source, HttpMethod.DELETE, EngineProtocol.releaseCopyPath(handle), null, purpose, timeoutMillis)
+
+    private suspend fun call(
+        replica: Replica,
+        method: HttpMethod,
+        path: String,
+        body: String?,
+        purpose: SendPurpose,
+        timeoutMillis: Long,
+    ): EngineResult =
+        try {
+            withTimeoutOrNull(timeoutMillis) { exchange(replica, request(replica, method, path, body), purpose) }
+                ?: EngineResult.NoResponse("no response within $timeoutMillis ms")
+        } catch (failure: ConnectFailedException) {
+            EngineResult.Unreachable(failure.message.orEmpty())
+        } catch (failure: IOException) {
+            EngineResult.NoResponse(failure.message.orEmpty())
+        }
+
+    private suspend fun exchange(
+        replica: Replica,
+        request: DefaultFullHttpRequest,
+        purpose: SendPurpose,
+    ): EngineResult =
+        context.pool.use(replica, requestId = null, mustBeRecent = true) { lease ->
+            if (!context.tryAdmitControl(replica, purpose)) {
+                lease.complete()
+                return@use EngineResult.NoResponse("$replica accepts no requests now")
+            }
+            lease.connection.send(request)
+            val head = lease.connection.receiveHead(requestId = null)
+            val text = String(lease.connection.receiveBody(BODY_LIMIT_BYTES))
+            lease.complete()
+            EngineResult.Response(head.status().code(), text)
+        }
+
+    private fun request(
+        replica: Replica,
+        method: HttpMethod,
+        path: String,
+        body: String?,
+    ): DefaultFullHttpRequest {
+        val content = Unpooled.wrappedBuffer(body.orEmpty().toByteArray())
+        val request = DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, path, content)
+        request.headers().set(HttpHeaderNames.HOST, replica.entry.address)
+        request.headers().set(HttpHeaderNames.CONTENT_LENGTH, content.readableBytes())
+        if (body != null) request.headers().set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON)
+        return request
+    }
+
+    companion object {
+        /** Responses name a handle and a count. */
+        private const val BODY_LIMIT_BYTES = 65_536
+
+        /** Returns where other replicas reach [replica]. */
+        fun endpoint(replica: Replica) = Endpoint(replica.entry.host, replica.entry.port)
+    }
+}
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationAttempt.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationAttempt.kt
@@ -117,7 +117,10 @@
     private val requests = BackendRequests(context.clock)
     private var job: Job? = null
     private var connection: BackendConnection? = null
-    private var isSent = false
+
+    /** Whether any byte of the request may have been sent. */
+    var isSent = false
+        private set
     private var isExchangeComplete = false
 
     /** When the response stream started, or null. */
@@ -178,7 +181,7 @@
         signals.trySend(GenerationSignal.ConnectionFailed(this, "$replica: ${failure.message}"))
     }
 
-    /** Cancels the attempt; closing its connection makes the replica stop the run. */
+    /** Cancels the attempt; closing its connection makes most replicas stop the run. */
     fun cancel() {
         job?.cancel()
         connection?.takeIf { !isExchangeComplete }?.abort()
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationRelay.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationRelay.kt
@@ -4,14 +4,22 @@
 import io.sequoiawheel.core.relay.NotRunProof
 import io.sequoiawheel.core.relay.RelayService
 import io.sequoiawheel.relay.filter.Exchange
+import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.withTimeoutOrNull
 
-/** Relays generations. Each request is handled by its own [GenerationRun]. */
+/**
+ * Relays generations. Each request is handled by its own [GenerationRun].
+ *
+ * @param scope for what outlives a request
+ */
 internal class GenerationRelay(
     private val context: RelayContext,
+    scope: CoroutineScope,
 ) {
-    private val copier = RunCopier(context)
+    private val calls = EngineCalls(context)
+    private val copier = RunCopier(context, calls)
+    private val stopper = RunStopper(context, calls, scope)
 
     /** Answers the request; at the deadline it sends an error, or aborts the response if it has already started. */
     suspend fun relay(
@@ -22,7 +30,7 @@
         val completed =
             withTimeoutOrNull(remaining) {
                 coroutineScope {
-                    val run = GenerationRun(context, copier, exchange, service, this)
+                    val run = GenerationRun(context, copier, stopper, exchange, service, this)
                     try {
                         run.run()
                     } finally {
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationRun.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationRun.kt
@@ -3,8 +3,8 @@
  * caller receives a single response, with the headers of the first replica's response. When the replica leaves, stalls
  * or loses its connection, the run continues on another replica: from a copy of its KV cache if there is one, or by
  * sending the request again if the route allows it. Events of the old replica are delivered until the new replica's
- * stream starts, so that a planned move does not interrupt the stream. Then the old connection is closed, which stops
- * the run there.
+ * stream starts, so that a planned move does not interrupt the stream. Then the old connection is closed and the run
+ * there is stopped.
  */
 package io.sequoiawheel.relay.serving
 
@@ -30,6 +30,7 @@
 internal class GenerationRun(
     private val context: RelayContext,
     private val copier: RunCopier,
+    stopper: RunStopper,
     private val exchange: Exchange,
     private val service: RelayService,
     private val scope: CoroutineScope,
@@ -54,7 +55,13 @@
     /** The attempt that replaces [current] once its response stream starts. */
     private var successor: GenerationAttempt? = null
     private var copyJob: Job? = null
-    private var leavingJob: Job? = null
+    private val leavingWatch = LeavingWatch(scope, signals.sender)
+
+    /** Runs that nothing reads any more; without migration there is no request that stops a run. */
+    private val runsLeft =
+        RunsLeft(stopper, exchange.requestId.takeIf { engine.supportsMigration }) { replica ->
+            current?.replica === replica || successor?.replica === replica
+        }
 
     /**
      * Replicas that did not run the request, lost its connection or were replaced by a successor; the request returns
@@ -94,7 +101,7 @@
         current?.cancel()
         successor?.cancel()
         copyJob?.cancel()
-        leavingJob?.cancel()
+        leavingWatch.stop()
     }
 
     private suspend fun handle(signal: GenerationSignal) {
@@ -132,8 +139,10 @@
         if (signal.attempt !== successor) return false
         successor = null
         if (signal is GenerationSignal.NotRun) continuations--
+        if (signal is GenerationSignal.ConnectionFailed) runsLeft.add(signal.attempt)
         exchange.logFields["takeOverFailed"] = detail
         val source = current
+        source?.let { runsLeft.stopAll(it.replica) }
         when {
             source == null -> retryWithoutCopy(detail)
             source.replica.isLeaving -> migrate(source)
@@ -147,22 +156,27 @@
     ) {
         when {
             attempt === successor -> {
-                current?.let {
-                    it.cancel()
-                    abandoned += it.replica
-                }
+                current?.let(::leave)
                 current = attempt
                 successor = null
                 log.recordMove(attempt.replica)
-                watchForLeaving(attempt)
+                leavingWatch.start(attempt)
             }
 
             attempt === current -> runs++
             else -> return
         }
+        runsLeft.stopAll(attempt.replica)
         if (!exchange.response.isStarted) exchange.response.start(head.status(), requests.callerHeaders(head))
     }
 
+    /** Stops reading the stream of [attempt], whose generation goes on elsewhere. */
+    private fun leave(attempt: GenerationAttempt) {
+        attempt.cancel()
+        abandoned += attempt.replica
+        runsLeft.add(attempt)
+    }
+
     private suspend fun deliver(signal: GenerationSignal.Event) {
         val event = signal.event
         when (val decision = signal.attempt.stream.decide(event)) {
@@ -187,26 +201,21 @@
 
     /** Forwards a replica's error response unchanged, unless the request is retried or the stream has started. */
     private suspend fun handleFailed(signal: GenerationSignal.Failed) {
-        if (discardSuccessor(signal, "${signal.attempt.replica} responded with ${signal.head.status()}")) return
+        val status = signal.head.status()
+        val detail = "${signal.attempt.replica} responded with $status"
+        if (discardSuccessor(signal, detail)) return
         if (signal.attempt !== current) return
         runs++
         signal.attempt.replica.load
             .recordOutcome(failed = true)
         if (route.isRepeatable && mayRetry() && startAttempt(setOf(signal.attempt.replica))) return
-        if (exchange.response.isStarted) {
-            fail(ResultCode.STREAM_INTERRUPTED, "${signal.attempt.replica} responded with ${signal.head.status()}")
-            return
-        }
+        if (exchange.response.isStarted) return fail(ResultCode.STREAM_INTERRUPTED, detail)
         if (signal.head.hasNotRunStatus) {
-            fail(
-                ResultCode.BACKEND_ERROR,
-                "${signal.attempt.replica} sent ${signal.head.status()} without the required header",
-            )
-            return
+            return fail(ResultCode.BACKEND_ERROR, "${signal.attempt.replica} sent $status without the required header")
         }
         isFinished = true
         exchange.result = ResultCode.BACKEND_ERROR
-        exchange.response.sendComplete(signal.head.status(), requests.callerHeaders(signal.head), signal.body)
+        exchange.response.sendComplete(status, requests.callerHeaders(signal.head), signal.body)
     }
 
     private suspend fun handleNotRun(signal: GenerationSignal.NotRun) {
@@ -243,7 +252,7 @@
         if (signal.attempt !== current) return
         val attempt = signal.attempt
         if (!context.outcomes.isSuspected(exchange)) attempt.replica.load.recordOutcome(failed = true)
-        abandoned += attempt.replica
+        leave(attempt)
         if (!attempt.hasStarted) runs++
         current = null
         exchange.logFields["lostReplica"] = signal.detail
@@ -332,7 +341,7 @@
         current =
             createAttempt(replica, headers, purpose).also {
                 it.start(scope)
-                watchForLeaving(it)
+                leavingWatch.start(it)
             }
         return true
     }
@@ -359,15 +368,6 @@
         )
     }
 
-    private fun watchForLeaving(attempt: GenerationAttempt) {
-        leavingJob?.cancel()
-        leavingJob =
-            scope.launch {
-                val reason = attempt.replica.awaitLeaving()
-                signals.sender.trySend(GenerationSignal.ReplicaLeaving(attempt, reason))
-            }
-    }
-
     private suspend fun fail(
         code: ResultCode,
         detail: String,
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/RunCopier.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/RunCopier.kt
@@ -1,12 +1,5 @@
 package io.sequoiawheel.relay.serving
 
-import io.netty.buffer.Unpooled
-import io.netty.handler.codec.http.DefaultFullHttpRequest
-import io.netty.handler.codec.http.HttpHeaderNames
-import io.netty.handler.codec.http.HttpHeaderValues
-import io.netty.handler.codec.http.HttpMethod
-import io.netty.handler.codec.http.HttpVersion
-import io.sequoiawheel.core.relay.Endpoint
 import io.sequoiawheel.core.relay.GenerationDemand
 import io.sequoiawheel.core.relay.RelayService
 import io.sequoiawheel.core.relay.Replica
@@ -15,7 +8,6 @@
 import io.sequoiawheel.platform.UnreadableDocumentException
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.withTimeoutOrNull
-import java.io.IOException
 
 /** A copy of a running generation's KV cache, held by [destination]. */
 internal class PlacedRunCopy(
@@ -42,6 +34,7 @@
 /** Asks replicas to copy running generations to other replicas. Confined to the event loop. */
 internal class RunCopier(
     private val context: RelayContext,
+    private val calls: EngineCalls,
 ) {
     /** Returns a replica to hold a continuously updated copy of a run on [source], or null if none has room. */
     fun chooseBackup(
@@ -59,7 +52,7 @@
     fun backupCopy(
         backup: Replica,
         requestId: String,
-    ) = PlacedRunCopy(backup, EngineProtocol.backupCopy(endpoint(backup), requestId))
+    ) = PlacedRunCopy(backup, EngineProtocol.backupCopy(EngineCalls.endpoint(backup), requestId))
 
     /**
      * Copies the run of [requestId] from the leaving replica of [attempt] to another one. A destination without room
@@ -130,14 +123,26 @@
         source: Replica,
         destination: Replica,
     ): CopyResult {
-        val body = EngineProtocol.copyRunBody(requestId, endpoint(destination), stop = false)
-        val (status, text) =
-            withTimeoutOrNull(COPY_TIMEOUT_MILLIS) { call(source, HttpMethod.POST, EngineProtocol.COPY_RUN_PATH, body) }
-                ?: return CopyResult.Refused("no response within $COPY_TIMEOUT_MILLIS ms")
-        return when (status) {
-            OK -> decode(source, destination, text)
-            NOT_FOUND -> CopyResult.NoSuchRun("$source is not running the request")
-            else -> CopyResult.Refused("$source responded with status $status")
+        val purpose = SendPurpose.COPY
+        return when (
+            val result =
+                calls.copyRun(
+                    requestId,
+                    source,
+                    destination,
+                    stop = false,
+                    purpose,
+                    COPY_TIMEOUT_MILLIS,
+                )
+        ) {
+            is EngineResult.Unreachable -> CopyResult.Refused(result.detail)
+            is EngineResult.NoResponse -> CopyResult.Refused(result.detail)
+            is EngineResult.Response ->
+                when (result.status) {
+                    OK -> decode(source, destination, result.text)
+                    NOT_FOUND -> CopyResult.NoSuchRun("$source is not running the request")
+                    else -> CopyResult.Refused("$source responded with status ${result.status}")
+                }
         }
     }
 
@@ -148,49 +153,17 @@
     ): CopyResult =
         try {
             EngineProtocol
-                .decodeCopy(endpoint(source), text)
+                .decodeCopy(EngineCalls.endpoint(source), text)
                 ?.let { CopyResult.Copied(PlacedRunCopy(destination, it)) }
                 ?: CopyResult.Refused("the response does not identify a copy")
         } catch (unreadable: UnreadableDocumentException) {
             CopyResult.Refused("unreadable response: ${unreadable.message}")
         }
 
-    private suspend fun call(
-        replica: Replica,
-        method: HttpMethod,
-        path: String,
-        body: String?,
-    ): Pair<Int, String> =
-        try {
-            val content = Unpooled.wrappedBuffer(body.orEmpty().toByteArray())
-            val request = DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, path, content)
-            request.headers().set(HttpHeaderNames.HOST, replica.entry.address)
-            request.headers().set(HttpHeaderNames.CONTENT_LENGTH, content.readableBytes())
-            if (body != null) request.headers().set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON)
-            context.pool.use(replica, requestId = null, mustBeRecent = true) { lease ->
-                if (!context.tryAdmitControl(replica, SendPurpose.COPY)) {
-                    lease.complete()
-                    return@use NO_RESPONSE to "$replica accepts no requests now"
-                }
-                lease.connection.send(request)
-                val head = lease.connection.receiveHead(requestId = null)
-                val text = String(lease.connection.receiveBody())
-                lease.complete()
-                head.status().code() to text
-            }
-        } catch (failure: IOException) {
-            NO_RESPONSE to failure.message.orEmpty()
-        }
-
-    private fun endpoint(replica: Replica) = Endpoint(replica.entry.host, replica.entry.port)
-
     private companion object {
         const val OK = 200
         const val NOT_FOUND = 404
 
-        /** Status used for a call that received no response. */
-        const val NO_RESPONSE = 0
-
         /** A leaving replica exits about two seconds after its notice. */
         const val COPY_TIMEOUT_MILLIS = 2_500L
 
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/SendPurpose.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/SendPurpose.kt
@@ -12,4 +12,7 @@
 
     /** Asks a replica to copy a generation's KV cache to another one. */
     COPY("copy"),
+
+    /** Asks a replica to stop a generation that went on at another one. */
+    STOP("stop"),
 }
