Bound the decoding of answers without end

Callers of a sound service got late answers or none while replicas of another service sent chunks of one byte, empty events, comments, interim answers or heads of other requests without end.

Cause: memory and work were bounded by bytes of content and not by what they are decoded into. The inbound queue counted neither heads nor the overhead of chunks; the event splitter took quadratic time; each event was a signal in an unbounded queue and a write of its own; up to a megabyte of one connection was decoded before another was served. The bodies of callers that do not read were not counted once they had been handed to the connection.

The queue counts memory and merges small parts; a read is 8 KiB; heads and the mean size of chunks are limited as they are decoded; a stream is read on when its last events were written; bodies stay counted until the caller has read them, are written in slices, and are aborted after 10 s without progress. The first 64 KiB of each body do not count, so that large bodies of some replicas do not fail the calls of others.

The state of the fleet that tests ask for is read on the event loop: RequestLimitTest failed once with a ConcurrentModificationException when the test's thread read it.

--- a/core/src/main/kotlin/io/sequoiawheel/core/relay/EventSplitter.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/EventSplitter.kt
@@ -44,42 +44,52 @@
         source.copyInto(buffer, size, 0, length)
         size += length
         val events = ArrayList<StreamEvent>()
+        var start = 0
         while (true) {
-            val end = findEnd() ?: break
-            events += eventOf(end)
+            val end = findEnd(start) ?: break
+            events += eventOf(start, end)
             isFirst = false
-            buffer.copyInto(buffer, 0, end, size)
-            size -= end
-            scanned = 0
+            start = end
+            scanned = end
+        }
+        // Once for all events: moving the rest for each would take quadratic time for many short events.
+        if (start > 0) {
+            buffer.copyInto(buffer, 0, start, size)
+            size -= start
+            scanned -= start
         }
         return events
     }
 
-    /** Returns the index after the blank line that ends the first event, or null. */
-    private fun findEnd(): Int? {
+    /** Returns the index after the blank line that ends the event at [start], or null. */
+    private fun findEnd(start: Int): Int? {
         var index = scanned
         while (index < size) {
             if (buffer[index] == NEWLINE) {
                 val previous = index - 1
                 val ends =
-                    previous >= 0 &&
+                    previous >= start &&
                         buffer[previous] == NEWLINE ||
-                        previous >= 1 &&
+                        previous >= start + 1 &&
                         buffer[previous] == CARRIAGE_RETURN &&
                         buffer[previous - 1] == NEWLINE
                 if (ends) return index + 1
             }
             index++
         }
-        scanned = maxOf(0, size - 1)
+        scanned = maxOf(start, size - 1)
         return null
     }
 
-    private fun eventOf(end: Int): StreamEvent {
-        val markLength = if (isFirst && startsWith(BYTE_ORDER_MARK, 0, end)) BYTE_ORDER_MARK.size else 0
+    private fun eventOf(
+        eventStart: Int,
+        end: Int,
+    ): StreamEvent {
+        val hasMark = isFirst && startsWith(BYTE_ORDER_MARK, eventStart, end)
+        val markEnd = if (hasMark) eventStart + BYTE_ORDER_MARK.size else eventStart
         val ids = ArrayList<String>(1)
         var isWellFormed = true
-        var start = markLength
+        var start = markEnd
         while (start < end) {
             var lineEnd = start
             while (buffer[lineEnd] != NEWLINE) lineEnd++
@@ -89,7 +99,7 @@
             start = lineEnd + 1
         }
         return StreamEvent(
-            buffer.copyOfRange(if (keepsByteOrderMark) 0 else markLength, end),
+            buffer.copyOfRange(if (keepsByteOrderMark) eventStart else markEnd, end),
             ids
                 .firstOrNull()
                 ?.substringAfter(':')
@@ -110,11 +120,13 @@
     ): Boolean {
         var index = start
         while (index < end && buffer[index] != COLON) {
-            if (buffer[index++].toInt().toChar() !in NAME_CHARACTERS) return false
+            if (!isNameCharacter(buffer[index++])) return false
         }
         return (index until end).none { buffer[it] == CARRIAGE_RETURN }
     }
 
+    private fun isNameCharacter(byte: Byte) = byte >= 0 && IS_NAME_CHARACTER[byte.toInt()]
+
     private fun startsWith(
         prefix: ByteArray,
         start: Int,
@@ -128,6 +140,8 @@
 
     private companion object {
         val NAME_CHARACTERS = (('a'..'z') + ('A'..'Z') + ('0'..'9') + '-' + '_').toSet()
+        val IS_NAME_CHARACTER = BooleanArray(ASCII_CHARACTERS) { it.toChar() in NAME_CHARACTERS }
+        const val ASCII_CHARACTERS = 128
         const val INITIAL_BYTES = 1_024
         const val NEWLINE = '\n'.code.toByte()
         const val CARRIAGE_RETURN = '\r'.code.toByte()
--- a/core/src/test/kotlin/io/sequoiawheel/core/relay/EventSplitterTest.kt
+++ b/core/src/test/kotlin/io/sequoiawheel/core/relay/EventSplitterTest.kt
@@ -2,7 +2,9 @@
 
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertNull
+import org.junit.jupiter.api.Assertions.assertTimeout
 import org.junit.jupiter.api.Test
+import java.time.Duration
 
 class EventSplitterTest {
     private val stream = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\ndata: c\n\n"
@@ -40,4 +42,17 @@
         assertEquals(text, String(kept.bytes))
         assertEquals("id: 1\n\n", String(dropped.bytes))
     }
+
+    // The rest of the buffer was moved for each event, so that a large chunk of empty events took seconds.
+    @Test
+    fun `the time to split many short events grows with their number only`() {
+        val events = "\n\n".repeat(MANY_EVENTS).toByteArray()
+        assertTimeout(Duration.ofSeconds(2)) {
+            assertEquals(MANY_EVENTS, EventSplitter().append(events).size)
+        }
+    }
+
+    private companion object {
+        const val MANY_EVENTS = 400_000
+    }
 }
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/RelayDaemon.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/RelayDaemon.kt
@@ -68,6 +68,7 @@
 import kotlinx.coroutines.withContext
 import org.apache.commons.rng.UniformRandomProvider
 import org.apache.commons.rng.simple.RandomSource
+import java.util.concurrent.Callable
 
 class RelayDaemon(
     private var settings: InstanceSettings,
@@ -159,11 +160,14 @@
     val isReady: Boolean
         get() = !shutdown.isLeaving && isInitialized && isConfigurationRecent()
 
-    /** Number of instances that reported their load recently, including this one. */
-    internal val liveInstances: Int get() = loads.liveCount()
+    /** Number of live instances, including this one. Must not be read on the event loop. */
+    internal val liveInstances: Int get() = onEventLoop { loads.liveCount() }
 
-    /** Whether the other instances are known; until then this instance uses a single retry per window. */
-    internal val knowsInstances: Boolean get() = loads.isKnown
+    /**
+     * Whether the other instances are known; until then this instance uses a single retry per window. Must not be read
+     * on the event loop.
+     */
+    internal val knowsInstances: Boolean get() = onEventLoop { loads.isKnown }
 
     /** Whether the configuration, the replicas and the evacuated zones were read from the store at least once. */
     private val isInitialized: Boolean
@@ -218,6 +222,8 @@
         group.shutdownGracefully()
     }
 
+    private fun <T> onEventLoop(read: () -> T): T = eventLoop.submit(Callable { read() }).get()
+
     /**
      * Registers the instance in the store. Called again after the store was restored from an older copy, which may lack
      * the entry.
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/backend/BackendConnection.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/backend/BackendConnection.kt
@@ -49,7 +49,9 @@
     private var isPersistent = true
     private var hasDecodedMessage = false
     private var isInResponse = false
+    private var isFailed = false
     private var headTimeout: ScheduledFuture<*>? = null
+    private val limits = ExchangeLimits()
 
     /** Called with each response head, including those that belong to no request of this connection. */
     var onHead: (ResponseHead) -> Unit = {}
@@ -89,6 +91,10 @@
         context: ChannelHandlerContext,
         message: Any,
     ) {
+        if (isFailed) {
+            ReferenceCountUtil.release(message)
+            return
+        }
         if (message is HttpResponse && message.decoderResult().isSuccess) {
             val unmatched = unmatchedReason(message)
             onHead(ResponseHead(message, sentAtMillis.takeIf { unmatched == null }, unmatched))
@@ -100,10 +106,16 @@
             abort()
             return
         }
+        val excess = limits.exceededBy(message as HttpObject)
+        if (excess != null) {
+            ReferenceCountUtil.release(message)
+            exceptionCaught(context, InvalidResponseException(excess))
+            return
+        }
         hasDecodedMessage = true
         if (message is HttpResponse) isInResponse = true
         if (message is LastHttpContent) isInResponse = false
-        inbound.offer(message as HttpObject)
+        inbound.offer(message)
     }
 
     /** Returns the id of the request that [head] names, or null if it names none or several. */
@@ -162,6 +174,7 @@
         context: ChannelHandlerContext,
         cause: Throwable,
     ) {
+        isFailed = true
         inbound.close(cause)
         context.close()
     }
@@ -180,6 +193,7 @@
         }
         isExchanging = true
         decoder.requestMethod = request.method()
+        limits.restart()
         answered = null
         isContradicted = false
         sentRequestId = request.headers().get(Headers.REQUEST_ID)?.also(sentIds::add)
@@ -194,14 +208,14 @@
      * expected one as without it.
      */
     suspend fun receiveHead(requestId: String?): HttpResponse {
-        repeat(MAXIMUM_HEADS) {
+        while (true) {
             val message = receiveMessage()
             val head = message as? HttpResponse
             if (head == null) {
                 ReferenceCountUtil.release(message)
-                return@repeat
+                continue
             }
-            if (head.status().codeClass() == HttpStatusClass.INFORMATIONAL) return@repeat
+            if (head.status().codeClass() == HttpStatusClass.INFORMATIONAL) continue
             updateKeepAlive(head)
             val echoedId = namedRequest(head)
             if (requestId == null || echoedId == requestId) return head
@@ -209,7 +223,6 @@
             isPersistent = false
             skipBody()
         }
-        throw InvalidResponseException("no response to the request within $MAXIMUM_HEADS messages")
     }
 
     /** Returns the next part of the body; the last one is a [LastHttpContent]. The caller must release it. */
@@ -227,24 +240,34 @@
         return content
     }
 
-    /** Reads the rest of the body. Throws if it exceeds [limitBytes] or the memory budget of all responses. */
-    suspend fun receiveBody(limitBytes: Int = BODY_LIMIT_BYTES): ByteArray {
+    /**
+     * Reads the rest of the body. Throws if it exceeds [limitBytes] or the memory budget of all responses. The caller
+     * releases [reservation] when the body is no longer needed.
+     */
+    suspend fun receiveBody(
+        reservation: ResponseReservation,
+        limitBytes: Int = BODY_LIMIT_BYTES,
+    ): ByteArray {
         val body = ByteArrayOutputStream()
-        try {
-            while (true) {
-                val content = receiveContent()
-                val isLast = content is LastHttpContent
-                val bytes = content.content().readableBytes()
-                val part = ByteArray(bytes)
-                content.content().readBytes(part)
-                content.release()
-                memoryBudget.reserve(bytes)
-                body.write(part)
-                if (body.size() > limitBytes) throw ResponseTooLargeException(limitBytes)
-                if (isLast) return body.toByteArray()
-            }
+        while (true) {
+            val content = receiveContent()
+            val isLast = content is LastHttpContent
+            val previousBytes = body.size()
+            content.content().readBytes(body, content.content().readableBytes())
+            content.release()
+            reservation.grow(memoryBudget, previousBytes, body.size())
+            if (body.size() > limitBytes) throw ResponseTooLargeException(limitBytes)
+            if (isLast) return body.toByteArray()
+        }
+    }
+
+    /** Reads the rest of a body that is processed at once. */
+    suspend fun receiveBody(limitBytes: Int = BODY_LIMIT_BYTES): ByteArray {
+        val reservation = ResponseReservation()
+        return try {
+            receiveBody(reservation, limitBytes)
         } finally {
-            memoryBudget.release(body.size())
+            reservation.release()
         }
     }
 
@@ -358,8 +381,5 @@
 
         /** A head arrives in one or two packets; a lost packet is retransmitted within a second. */
         private const val HEAD_TIMEOUT_MILLIS = 2_000L
-
-        /** Limits the informational responses and late responses to other requests that precede the expected one. */
-        private const val MAXIMUM_HEADS = 32
     }
 }
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/backend/Connector.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/backend/Connector.kt
@@ -1,6 +1,7 @@
 package io.sequoiawheel.relay.backend
 
 import io.netty.bootstrap.Bootstrap
+import io.netty.channel.AdaptiveRecvByteBufAllocator
 import io.netty.channel.Channel
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
@@ -26,6 +27,14 @@
     private val clock: Clock,
 ) {
     private val memoryBudget = ResponseMemoryBudget()
+
+    /**
+     * What is read at once is decoded at once, into messages that may occupy many times as much memory, and before any
+     * other connection is served.
+     */
+    private val receiveBuffers =
+        AdaptiveRecvByteBufAllocator(MINIMUM_READ_BYTES, INITIAL_READ_BYTES, MAXIMUM_READ_BYTES)
+            .maxMessagesPerRead(READS_IN_SUCCESSION)
     private val bootstrap =
         Bootstrap()
             .group(eventLoop)
@@ -33,6 +42,7 @@
             .option(ChannelOption.TCP_NODELAY, true)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
             .option(ChannelOption.SO_KEEPALIVE, true)
+            .option(ChannelOption.RECVBUF_ALLOCATOR, receiveBuffers)
             .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), KEEP_ALIVE_IDLE_SECONDS)
             .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), KEEP_ALIVE_INTERVAL_SECONDS)
             .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), KEEP_ALIVE_PROBES)
@@ -64,6 +74,11 @@
     }
 
     private companion object {
+        const val MINIMUM_READ_BYTES = 512
+        const val INITIAL_READ_BYTES = 2_048
+        const val MAXIMUM_READ_BYTES = 8_192
+        const val READS_IN_SUCCESSION = 1
+
         /** A round trip takes a few milliseconds; a lost SYN would be retransmitted only after a second. */
         const val CONNECT_TIMEOUT_MILLIS = 700
 
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/backend/ResponseDecoder.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/backend/ResponseDecoder.kt
@@ -33,13 +33,10 @@
         val first = out.size
         val available = buffer.readableBytes()
         super.decode(context, buffer, out)
-        val decoded = out.subList(first, out.size)
-        decoded.filterIsInstance<HttpResponse>().forEach(::rejectMerged)
+        for (index in first until out.size) (out[index] as? HttpResponse)?.let(::rejectMerged)
+        val last = if (out.size > first) out[out.size - 1] else null
         isBetweenResponses =
-            when {
-                decoded.lastOrNull() is LastHttpContent -> !buffer.isReadable
-                else -> isBetweenResponses && available == 0
-            }
+            if (last is LastHttpContent) !buffer.isReadable else isBetweenResponses && available == 0
     }
 
     /**
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/http/CallerConnection.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/http/CallerConnection.kt
@@ -129,6 +129,15 @@
         }
     }
 
+    /**
+     * Waits like [awaitWritable], for [READ_TIMEOUT_MILLIS] at most. Returns false if the caller read too little in
+     * this time, or closed the connection.
+     */
+    suspend fun awaitProgress(): Boolean {
+        withTimeoutOrNull(READ_TIMEOUT_MILLIS) { awaitWritable() }
+        return channel.isWritable
+    }
+
     fun write(message: Any) {
         channel.writeAndFlush(message)
     }
@@ -140,7 +149,7 @@
                 val head = receiveHead() ?: break
                 isKeptOpen = serve(head)
             }
-            channel.writeAndFlush(Unpooled.EMPTY_BUFFER).awaitDone()
+            withTimeoutOrNull(READ_TIMEOUT_MILLIS) { channel.writeAndFlush(Unpooled.EMPTY_BUFFER).awaitDone() }
             if (!isKeptOpen) closeGracefully()
         } catch (failure: IOException) {
             channel.close()
@@ -292,6 +301,9 @@
     }
 
     private companion object {
+        /** Time in which a caller that still wants its response reads the contents of the write buffer. */
+        const val READ_TIMEOUT_MILLIS = 10_000L
+
         /** Time that the caller has to close its side after the last response. */
         const val CLOSE_TIMEOUT_MILLIS = 500L
     }
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/CallRelay.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/CallRelay.kt
@@ -16,6 +16,7 @@
 import io.sequoiawheel.relay.backend.ConnectFailedException
 import io.sequoiawheel.relay.backend.ConnectionEndedException
 import io.sequoiawheel.relay.backend.ConnectionLease
+import io.sequoiawheel.relay.backend.ResponseReservation
 import io.sequoiawheel.relay.filter.Exchange
 import kotlinx.coroutines.withTimeoutOrNull
 import java.io.IOException
@@ -57,8 +58,19 @@
         exchange: Exchange,
         service: RelayService,
     ) {
-        val remaining = exchange.deadlineMillis - context.clock.nowMillis()
         val call = Call(exchange, service)
+        try {
+            relay(exchange, call)
+        } finally {
+            call.reservation.release()
+        }
+    }
+
+    private suspend fun relay(
+        exchange: Exchange,
+        call: Call,
+    ) {
+        val remaining = exchange.deadlineMillis - context.clock.nowMillis()
         val completed = withTimeoutOrNull(remaining) { call.run() }
         if (completed != null || exchange.response.isStarted || call.deliverEarlierResponse()) return
         if (exchange.mayHaveRun) {
@@ -79,6 +91,9 @@
         private val service: RelayService,
     ) {
         private val route = checkNotNull(exchange.route)
+
+        /** The memory of the responses, until the caller has read the one that is delivered. */
+        val reservation = ResponseReservation()
         private val triedReplicas = LinkedHashSet<Replica>()
         private var runs = 0
         private var refusals = 0
@@ -236,7 +251,7 @@
                     val head = connection.receiveHead(exchange.requestId)
                     if (head.isMisdirected) replica.leave(LeaveReason.REPLACED)
                     if (head.isNotRun) return@use handleRefusal(replica, head, lease)
-                    val body = connection.receiveBody()
+                    val body = connection.receiveBody(reservation)
                     lease.complete()
                     if (head.status().code() in SUCCESS) {
                         context.outcomes.recordCompletion(exchange, replica, startedMillis, connection.isFramed)
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationAttempt.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationAttempt.kt
@@ -14,6 +14,7 @@
 import io.sequoiawheel.relay.backend.ConnectFailedException
 import io.sequoiawheel.relay.backend.ConnectionEndedException
 import io.sequoiawheel.relay.filter.Exchange
+import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.channels.SendChannel
@@ -34,9 +35,15 @@
         val head: HttpResponse,
     ) : GenerationSignal
 
-    class Event(
+    /**
+     * Events that were received together.
+     *
+     * @property handled completed by the receiver when the attempt may read on
+     */
+    class Events(
         override val attempt: GenerationAttempt,
-        val event: StreamEvent,
+        val events: List<StreamEvent>,
+        val handled: CompletableDeferred<Unit>,
     ) : GenerationSignal
 
     /** The stream was terminated properly. */
@@ -277,11 +284,13 @@
             content.release()
             staleBytes += bytes.size
             if (staleBytes > MAXIMUM_STALE_BYTES) throw IOException("$staleBytes bytes received without the next event")
-            for (event in splitter.append(bytes)) {
+            val events = splitter.append(bytes)
+            if (events.isNotEmpty()) {
                 hasEvents = true
-                signals.trySend(GenerationSignal.Event(this, event))
+                val handled = CompletableDeferred<Unit>()
+                signals.trySend(GenerationSignal.Events(this, events, handled))
+                handled.await()
             }
-            exchange.response.awaitWritable()
             if (!isLast) continue
             requireWhole(opened, splitter, hasEvents)
             isExchangeComplete = true
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationLog.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationLog.kt
@@ -22,7 +22,7 @@
     private val timing = DeliveryTiming(context.clock, exchange.request.receivedAtMillis)
     private var moveCount = 0
 
-    /** Records the delivery of the event with [id]. */
+    /** Records the delivery of events, the last numbered one with [id]. */
     fun recordDelivery(id: Long?) = timing.recordDelivery(id)
 
     /** Logs that the stream continues on [replica]. */
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationRun.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationRun.kt
@@ -12,7 +12,6 @@
 import io.sequoiawheel.core.model.ResultCode
 import io.sequoiawheel.core.quarantine.PromptPart
 import io.sequoiawheel.core.relay.Delivery
-import io.sequoiawheel.core.relay.DeliveryDecision
 import io.sequoiawheel.core.relay.EngineProfile
 import io.sequoiawheel.core.relay.NotRunProof
 import io.sequoiawheel.core.relay.Placement
@@ -112,7 +111,7 @@
             is GenerationSignal.NotRun -> if (!discardSuccessor(signal, signal.detail)) handleNotRun(signal)
             is GenerationSignal.ConnectionFailed ->
                 if (!discardSuccessor(signal, signal.detail)) handleConnectionFailed(signal)
-            is GenerationSignal.Event -> if (signal.attempt === current) deliver(signal)
+            is GenerationSignal.Events -> deliver(signal)
             is GenerationSignal.Completed -> if (signal.attempt === current) complete(signal.attempt)
             else -> if (signal.attempt === current || signal.attempt === attemptAwaitingCopy) handleCurrent(signal)
         }
@@ -177,19 +176,17 @@
         runsLeft.add(attempt)
     }
 
-    private suspend fun deliver(signal: GenerationSignal.Event) {
-        val event = signal.event
-        when (val decision = signal.attempt.stream.decide(event)) {
-            DeliveryDecision.DELIVER -> {
-                if (event.id != null) signal.attempt.recordProgress()
-                log.recordDelivery(event.id)
-                exchange.response.write(event.bytes)
-            }
-
-            DeliveryDecision.SKIP -> Unit
-            DeliveryDecision.GAP, DeliveryDecision.INVALID ->
-                handle(signal.attempt.rejectStream("$decision: event ${event.id} after ${delivery.lastId}"))
+    /** Delivers the events that are due, as one chunk of the response, and lets the attempt read on. */
+    private suspend fun deliver(signal: GenerationSignal.Events) {
+        val attempt = signal.attempt
+        if (attempt === current) {
+            val batch = EventBatch(attempt.stream, signal.events)
+            if (batch.hasProgress) attempt.recordProgress()
+            if (batch.delivered > 0) log.recordDelivery(delivery.lastId.takeIf { batch.hasProgress })
+            if (batch.bytes.isNotEmpty()) exchange.response.write(batch.bytes)
+            batch.rejected?.let { handle(attempt.rejectStream("$it after ${delivery.lastId}")) }
         }
+        signal.handled.complete(Unit)
     }
 
     private suspend fun complete(attempt: GenerationAttempt) {
--- a/relay/src/test/kotlin/io/sequoiawheel/relay/RelayFixture.kt
+++ b/relay/src/test/kotlin/io/sequoiawheel/relay/RelayFixture.kt
@@ -76,6 +76,23 @@
         store.put("config", "main", JsonObject(spec + enlarged))
     }
 
+    /** Writes a configuration as [configure] does, with a route `/sound/` to a service of its own, [service]. */
+    fun configureSound(service: String) {
+        val spec = Json.parseToJsonElement(configuration(1, """["key-1"]""", timeoutMillis = 1_200)).jsonObject
+        val definition = """{"name":"$service","max_conns":100,"warmup_s":0,"warmup_per_s":0}"""
+        val enlarged =
+            mapOf(
+                "routes" to spec.plus("routes", route("safe", "/sound/", service, timeoutMillis = 1_200, attempts = 2)),
+                "svcs" to spec.plus("svcs", definition),
+            )
+        store.put("config", "main", JsonObject(spec + enlarged))
+    }
+
+    private fun JsonObject.plus(
+        field: String,
+        element: String,
+    ) = JsonArray(getValue(field).jsonArray + Json.parseToJsonElement(element))
+
     /** Starts the instance and waits until it is ready. */
     fun start() = startOnPort(0)
 
--- a/relay/src/test/kotlin/io/sequoiawheel/relay/StubbornEngines.kt
+++ b/relay/src/test/kotlin/io/sequoiawheel/relay/StubbornEngines.kt
@@ -146,8 +146,7 @@
     private fun drain(id: String) = relay.register(id, RelayFixture.ENGINE, engines.getValue(id), state = "draining")
 
     /**
-     * Returns for how many milliseconds an engine worked on the generation after it had started at another one, at most;
-     * of two engines that work at the same time, the one that stops first is the one before.
+     * Returns for how many milliseconds at most two engines worked on the generation at the same time.
      */
     fun longestOverlapMillis(): Long {
         val pairs = runs.flatMap { one -> runs.filter { it !== one && it.engine != one.engine }.map { one to it } }
--- a/relay/src/test/kotlin/io/sequoiawheel/relay/backend/StrayBytesTest.kt
+++ b/relay/src/test/kotlin/io/sequoiawheel/relay/backend/StrayBytesTest.kt
@@ -45,16 +45,16 @@
     private class Connection {
         private val channel = EmbeddedChannel()
         private val decoder = ResponseDecoder()
-        val connection = BackendConnection(channel, decoder, Clock { 0L }, ResponseMemoryBudget())
+        val backend = BackendConnection(channel, decoder, Clock { 0L }, ResponseMemoryBudget())
 
         init {
-            channel.pipeline().addLast(decoder, connection)
+            channel.pipeline().addLast(decoder, backend)
         }
 
         fun send(requestId: String?) {
             val request = DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/a", Unpooled.EMPTY_BUFFER)
             requestId?.let { request.headers().set("X-Request-Id", it) }
-            runBlocking { connection.send(request) }
+            runBlocking { backend.send(request) }
         }
 
         fun receive(text: String) {
@@ -66,8 +66,8 @@
             try {
                 runBlocking {
                     withTimeout(RESPONSE_MILLIS) {
-                        val head = connection.receiveHead(requestId)
-                        head.status().code() to String(connection.receiveBody())
+                        val head = backend.receiveHead(requestId)
+                        head.status().code() to String(backend.receiveBody())
                     }
                 }
             } catch (expected: IOException) {
@@ -97,7 +97,7 @@
         connection.send(requestId)
         connection.receive(response("200 OK", "id-1", "first") + following)
         assertEquals(200 to "first", connection.response(requestId))
-        return connection to connection.connection.complete()
+        return connection to connection.backend.complete()
     }
 
     // A beginning of a head that arrived with a response stayed in the decoder and became that of the next response.
@@ -123,7 +123,7 @@
             val (connection, isReusable) = firstExchange("")
             assertTrue(isReusable)
             connection.receive(following)
-            assertEquals(following.isEmpty(), connection.connection.isOpen, "after '$following'")
+            assertEquals(following.isEmpty(), connection.backend.isOpen, "after '$following'")
         }
 
     // Stray bytes may also be received after the next request was sent, at once or together with its response.
@@ -159,7 +159,7 @@
                 try {
                     runBlocking {
                         withTimeout(RESPONSE_MILLIS) {
-                            connection.connection
+                            connection.backend
                                 .receiveHead("id-2")
                                 .headers()
                                 .contains("X-Response-Signature")
