--- a/soak/src/main/kotlin/io/sequoiawheel/soak/SoakRun.kt
+++ b/soak/src/main/kotlin/io/sequoiawheel/soak/SoakRun.kt
@@ -58,7 +58,12 @@
             val name = "entry-${number + 1}"
             EntryProcess(name, program, options.directory, { store.port }, recorder, layout.zone(number))
         }
-    private val habits = CallerHabits(layout.pace.events * layout.pace.eventMillis.last.toInt())
+    private val habits =
+        CallerHabits(
+            layout.pace.events *
+                layout.pace.eventMillis.last
+                    .toInt(),
+        )
     private val conducts = ReplicaConducts(callReplicas + streamReplicas, layout.conduct)
     private val targets = FaultTargets(instances, callReplicas, streamReplicas, store, habits, conducts)
     private val injector = FaultInjector(options.seed, targets, recorder, options.lastCallers)
--- a/soak/src/main/kotlin/io/sequoiawheel/soak/history/AnswerCheck.kt
+++ b/soak/src/main/kotlin/io/sequoiawheel/soak/history/AnswerCheck.kt
@@ -9,7 +9,7 @@
 ) {
     private val runsByBody = history.runs.filter { it.hasRun && it.body.isNotEmpty() }.groupBy { it.body }
 
-    /** Returns how the response to [call], whose arrivals at replicas are [runs], is not the caller's own or not whole. */
+    /** Returns how the response to [call] is not its own or not whole. [runs] are its arrivals at replicas. */
     fun check(
         call: Call,
         runs: List<Run>,
--- a/soak/src/main/kotlin/io/sequoiawheel/soak/rig/FaultInjector.kt
+++ b/soak/src/main/kotlin/io/sequoiawheel/soak/rig/FaultInjector.kt
@@ -48,21 +48,18 @@
         val instance = instances[fault.target % instances.size]
         val replicas = targets.callReplicas + streamReplicas
         val replica = replicas[fault.target % replicas.size]
-        val engine = streamReplicas[fault.target % streamReplicas.size]
         when (fault.kind) {
             FaultKind.SHUTDOWN -> shutDown(instance, fault)
             FaultKind.PAUSE_BEFORE_SHUTDOWN -> pauseAndShutDown(instance, fault)
             FaultKind.PAUSE -> pause(instance, fault.durationMillis)
             FaultKind.KILL -> kill(instance, fault)
             FaultKind.RELOAD -> during(DisturbanceKind.RELOAD, instance.name) { instance.signal("HUP") }
-            FaultKind.REPLICA_CRASH -> synchronized(replica) { replica.crash(fault.durationMillis) }
-            FaultKind.REPLICA_DEPARTURE -> synchronized(replica) { replica.depart(fault.durationMillis) }
+            FaultKind.REPLICA_CRASH, FaultKind.REPLICA_DEPARTURE -> end(replica, fault)
             FaultKind.ODD_ENTRY -> addOddEntry(fault)
             FaultKind.STORE_OUTAGE -> loseStore(fault)
             FaultKind.CRASHING_PART -> crashOnPart(fault)
             FaultKind.CALLERS_LEAVE -> leave(fault.durationMillis)
-            FaultKind.STUBBORN_SOURCE -> leaveStubbornly(engine, fault)
-            FaultKind.KILL_DURING_MOVE -> stopDuringMove(instance, engine, fault)
+            FaultKind.STUBBORN_SOURCE, FaultKind.KILL_DURING_MOVE -> moveStreams(instance, fault)
             in ReplicaConducts.KINDS -> targets.conducts.during(fault) { Thread.sleep(fault.durationMillis) }
             else -> disturbPath(fault, instance, replica)
         }
@@ -137,22 +134,32 @@
         if (impatience.decrementAndGet() == 0) targets.habits.isImpatient = false
     }
 
-    private fun leaveStubbornly(
-        engine: ReplicaSite,
-        fault: PlannedFault,
-    ) = targets.conducts.during(fault) { synchronized(engine) { engine.depart(fault.durationMillis) } }
-
-    private fun stopDuringMove(
+    /** Lets an engine leave, so that its streams move. */
+    private fun moveStreams(
         instance: EntryProcess,
-        engine: ReplicaSite,
         fault: PlannedFault,
     ) {
+        val engine = streamReplicas[fault.target % streamReplicas.size]
+        if (fault.kind == FaultKind.STUBBORN_SOURCE) {
+            return targets.conducts.during(fault) { synchronized(engine) { engine.depart(fault.durationMillis) } }
+        }
         val departure = startThread { synchronized(engine) { engine.depart(0) } }
         Thread.sleep(fault.variant * MILLIS_PER_VARIANT)
         if (fault.variant % 2 == 0) kill(instance, fault) else shutDown(instance, fault)
         departure.join()
     }
 
+    private fun end(
+        replica: ReplicaSite,
+        fault: PlannedFault,
+    ) = synchronized(replica) {
+        if (fault.kind == FaultKind.REPLICA_CRASH) {
+            replica.crash(fault.durationMillis)
+        } else {
+            replica.depart(fault.durationMillis)
+        }
+    }
+
     private fun addOddEntry(fault: PlannedFault) {
         val entries = PlatformEntries.oddReplicas().toList()
         val (name, entry) = entries[fault.variant % entries.size]
--- a/standin/src/main/kotlin/io/sequoiawheel/standin/platform/EngineRuns.kt
+++ b/standin/src/main/kotlin/io/sequoiawheel/standin/platform/EngineRuns.kt
@@ -13,8 +13,36 @@
 import java.util.concurrent.atomic.AtomicBoolean
 import java.util.concurrent.atomic.AtomicInteger
 
-/** How a stubborn engine answers the requests to stop a run. */
-enum class StopConduct { PROMPT, LATE, BUSY, REFUSED, LIMITED, RESET, NO_ROOM, SILENT }
+/**
+ * How a stubborn engine answers the requests to stop a run.
+ *
+ * @property refusal the status of the answers to the first requests, or null for none
+ * @property proof headers which say that such a request was not executed
+ */
+enum class StopConduct(
+    val isRefusing: Boolean = false,
+    val refusal: String? = null,
+    val proof: String = "",
+) {
+    /** Stops at once and answers when the run is copied. */
+    PROMPT,
+
+    /** Stops at once and answers long after. */
+    LATE,
+    BUSY(isRefusing = true, refusal = "409 Conflict"),
+    REFUSED(isRefusing = true, refusal = UNAVAILABLE, proof = NOT_EXECUTED),
+    LIMITED(isRefusing = true, refusal = "429 Too Many Requests", proof = NOT_EXECUTED),
+    RESET(isRefusing = true),
+
+    /** Stops at once, but cannot copy the run. */
+    NO_ROOM,
+
+    /** Neither stops nor answers. */
+    SILENT,
+}
+
+private const val UNAVAILABLE = "503 Service Unavailable"
+private const val NOT_EXECUTED = "X-Not-Executed: 1\r\n"
 
 /**
  * One run.
@@ -71,7 +99,14 @@
             synchronized(random) {
                 val conducts = StopConduct.entries
                 val stopConduct = conducts[random.nextInt(conducts.size)]
-                val refusals = if (random.nextInt(LONG_REFUSALS) == 0) MOST_REFUSALS else random.nextInt(1, FEW_REFUSALS)
+                val refusals =
+                    if (random.nextInt(LONG_REFUSALS) ==
+                        0
+                    ) {
+                        MOST_REFUSALS
+                    } else {
+                        random.nextInt(1, FEW_REFUSALS)
+                    }
                 EngineRun(requestId, stopConduct, refusals, record)
             }
         runs[requestId] = run
@@ -110,7 +145,7 @@
         answer: ReplicaAnswer,
     ) {
         val lacksRoom = conduct().isStubborn && synchronized(random) { random.nextInt(COPIES_PER_LACK) } == 0
-        if (lacksRoom) return answer.writeStatus("503 Service Unavailable", "{}")
+        if (lacksRoom) return answer.writeStatus(UNAVAILABLE, "{}")
         Thread.sleep(COPY_MILLIS)
         answer.writeStatus("200 OK", handle(run, destination))
     }
@@ -122,21 +157,17 @@
     ) {
         val now = conduct()
         val stopConduct = if (now.isStubborn) now.stopConduct ?: run.stopConduct else StopConduct.PROMPT
-        val isRefused = stopConduct in REFUSING && !run.allowsStop()
-        run.note(if (isRefused || stopConduct == StopConduct.SILENT) "stop met $stopConduct" else "stopped $stopConduct")
-        when {
-            stopConduct == StopConduct.SILENT -> Thread.sleep(SILENCE_MILLIS)
-            isRefused && stopConduct == StopConduct.BUSY -> return answer.writeStatus("409 Conflict", "{}")
-            isRefused && stopConduct == StopConduct.RESET -> return answer.reset()
-            isRefused -> {
-                val status = if (stopConduct == StopConduct.LIMITED) "429 Too Many Requests" else "503 Service Unavailable"
-                return answer.writeStatus(status, "", "X-Not-Executed: 1\r\n")
-            }
+        val isSilent = stopConduct == StopConduct.SILENT
+        if (isSilent || (stopConduct.isRefusing && !run.allowsStop())) {
+            run.note("stop met $stopConduct")
+            if (isSilent) Thread.sleep(SILENCE_MILLIS)
+            val refusal = stopConduct.refusal
+            return if (refusal == null) answer.reset() else answer.writeStatus(refusal, "", stopConduct.proof)
         }
-        if (stopConduct == StopConduct.SILENT) return answer.reset()
+        run.note("stopped $stopConduct")
         run.stop()
         Thread.sleep(if (stopConduct == StopConduct.LATE) LATE_MILLIS else COPY_MILLIS)
-        val status = if (stopConduct == StopConduct.NO_ROOM) "503 Service Unavailable" else "200 OK"
+        val status = if (stopConduct == StopConduct.NO_ROOM) UNAVAILABLE else "200 OK"
         answer.writeStatus(status, handle(run, destination))
     }
 
@@ -149,7 +180,6 @@
     }
 
     private companion object {
-        val REFUSING = setOf(StopConduct.BUSY, StopConduct.REFUSED, StopConduct.LIMITED, StopConduct.RESET)
         const val COPY_MILLIS = 25L
 
         /** Longer than instances wait for the response. */
--- a/standin/src/main/kotlin/io/sequoiawheel/standin/platform/WorkingReplicaStandIn.kt
+++ b/standin/src/main/kotlin/io/sequoiawheel/standin/platform/WorkingReplicaStandIn.kt
@@ -190,6 +190,11 @@
         return shared.map { it.substringBefore(':') }.firstOrNull { it in crashingParts() }
     }
 
+    private fun crash(part: String) {
+        onCrash(part)
+        Thread.sleep(CRASH_WAIT_MILLIS)
+    }
+
     private fun writeEvents(
         request: ReceivedRequest,
         run: EngineRun,
@@ -204,24 +209,19 @@
         val backup = request.header("X-Kv-Backup")
         events.write { write("${head}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n") }
         val breaksOff = conduct.breaksStreams && broken.add(requestId)
+        val breakingEvent = if (breaksOff) maxOf(first, pace.events / 2) else 0
         for (event in first..pace.events) {
             if (run.isStopped) throw IOException("the run was stopped")
             val text = event(requestId, event, id)
-            if (breaksOff && event == maxOf(first, pace.events / 2)) {
-                events.write { sendChunk(text.take(text.length / 2)) }
-                events.reset()
-                if (!conduct.isStubborn) return RunResult.BROKEN_OFF
-            }
+            if (event == breakingEvent) events.breakOff(text.take(text.length / 2))
+            if (event == breakingEvent && !conduct.isStubborn) return RunResult.BROKEN_OFF
             events.write { sendChunk(text) }
             run.lastEvent = event
             if (backup != null && event % EVENTS_PER_BACKUP == 0) setup.copies.backUp(requestId, backup)
             Thread.sleep(eventMillis)
-            if (crashingPart != null) {
-                onCrash(crashingPart)
-                Thread.sleep(CRASH_WAIT_MILLIS)
-            }
+            crashingPart?.let(::crash)
         }
-        if (run.isStopped || !events.isRead) return events.end(if (breaksOff) RunResult.BROKEN_OFF else lostResult())
+        if (!events.isRead) return events.end(if (breaksOff) RunResult.BROKEN_OFF else lostResult())
         events.write { endStream() }
         if (backup != null) setup.copies.releaseBackup(requestId, backup)
         return RunResult.ANSWERED
@@ -269,7 +269,9 @@
         }
     }
 
-    fun reset() {
+    /** Writes [text] and resets the connection. */
+    fun breakOff(text: String) {
+        write { sendChunk(text) }
         answer.reset()
         isRead = false
     }
