Install the signal handlers before the settings are read

The handler of SIGHUP was installed after the settings were read and the daemon was created, until when the signal ends a process.

The handlers are installed first; a reload that is requested before the instance serves takes effect once it does. The file's modification time is taken before the file is read, so a change in between is not missed.

A signal that arrives before the virtual machine runs the program still ends the process.

--- a/relay/src/main/kotlin/io/sequoiawheel/relay/RelayProcess.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/RelayProcess.kt
@@ -11,6 +11,7 @@
 import java.nio.file.Files
 import java.nio.file.Path
 import java.nio.file.attribute.FileTime
+import java.util.concurrent.CompletableFuture
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
 
@@ -27,20 +28,25 @@
 ) {
     private val stop = CountDownLatch(1)
 
+    /** Completed once the instance serves. Signals that arrive earlier take effect then. */
+    private val started = CompletableFuture<RelayDaemon>()
+
     /** Serves until a signal stops the process, and returns the exit code. Throws if the settings are unreadable. */
     fun run(): Int {
-        LogConfiguration.isEnabled = true
-        val daemon = RelayDaemon(readSettings(settingsPath), metricsPort)
+        // Until there is a handler, each of these signals ends the process.
+        Signal.handle(Signal("HUP")) { started.thenAccept(::reload) }
         Signal.handle(Signal("TERM")) { stop.countDown() }
         Signal.handle(Signal("INT")) { stop.countDown() }
-        Signal.handle(Signal("HUP")) { reload(daemon) }
+        LogConfiguration.isEnabled = true
+        var lastModified = modificationTime()
+        val daemon = RelayDaemon(readSettings(settingsPath), metricsPort)
         try {
             runBlocking { daemon.start() }
         } catch (failure: IOException) {
             System.err.println("cannot listen: ${failure.message}")
             return ResultCode.BIND_FAILED.exitCode
         }
-        var lastModified = modificationTime()
+        started.complete(daemon)
         while (!stop.await(SETTINGS_POLL_MILLIS, TimeUnit.MILLISECONDS)) {
             val modified = modificationTime()
             if (modified != lastModified) reload(daemon)
--- a/relay/src/test/kotlin/io/sequoiawheel/relay/RelayChildProcess.kt
+++ b/relay/src/test/kotlin/io/sequoiawheel/relay/RelayChildProcess.kt
@@ -39,6 +39,15 @@
     ): Process {
         val file = directory.resolve("node.json")
         Files.writeString(file, settings)
+        return startWith(directory, file, options)
+    }
+
+    /** Starts a process that reads its settings from [file]; [directory] receives its output and errors. */
+    fun startWith(
+        directory: Path,
+        file: Path,
+        options: List<String> = emptyList(),
+    ): Process {
         val java = Path.of(System.getProperty("java.home"), "bin", "java").toString()
         val program = listOf("-cp", System.getProperty("java.class.path"), "io.sequoiawheel.relay.MainKt")
         val builder =
--- a/relay/src/test/kotlin/io/sequoiawheel/relay/RelayProcessTest.kt
+++ b/relay/src/test/kotlin/io/sequoiawheel/relay/RelayProcessTest.kt
@@ -12,6 +12,7 @@
 import java.net.Socket
 import java.nio.file.Files
 import java.nio.file.Path
+import java.nio.file.StandardCopyOption
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.TimeUnit
 import kotlin.concurrent.thread
@@ -67,6 +68,27 @@
         }
     }
 
+    // The signal ended the process with code 129, since its handler was installed after the settings were read.
+    @Test
+    fun `a reload that is requested before the settings are read does not end the process`() {
+        fixture.configure()
+        val readiness = FreePorts.allocate()
+        val settings = settings(FreePorts.allocate(), readiness)
+        val file = directory.resolve("node.json")
+        assertEquals(0, ProcessBuilder("mkfifo", file.toString()).start().waitFor())
+        val started = RelayChildProcess.startWith(directory, file).also { process = it }
+        // Opening the pipe returns once the process has opened it to read its settings.
+        Files.newOutputStream(file).use { pipe ->
+            signal("HUP")
+            Thread.sleep(SIGNAL_MILLIS)
+            val replacement = Files.writeString(directory.resolve("node.json.new"), settings)
+            Files.move(replacement, file, StandardCopyOption.ATOMIC_MOVE)
+            if (started.isAlive) pipe.write(settings.toByteArray())
+        }
+        RelayFixture.awaitTrue("the process is ready") { statusOf(readiness) == 200 }
+        RelayFixture.awaitTrue("the reload is logged") { hasLogLine("reloaded") }
+    }
+
     // Requests that cross the end of a process were passed on to a replica, and their connection ended unanswered.
     @Test
     fun `each request that reaches a replica around the end of the process is answered`() {
@@ -125,6 +147,9 @@
 
     private companion object {
         const val CALLERS = 90
+
+        /** A signal is handled by a thread of its own within a few milliseconds. */
+        const val SIGNAL_MILLIS = 300L
         const val CALL_MILLIS = 20L
 
         /** From before the connections are closed until after the end of the process. */
