Log each send of a request and the proof of each stop

What callers saw: responses whose status their replica had not given, and streams that ran twice, without a line in the logs that named the requests.

Cause: above 100 lines a second, lines were left out without regard to what they say. The line of a request's end gave the number of its sends, but neither their connections nor the responses that were taken or skipped. Bytes between two requests ended their connection without a line, as did a stop of a run that had ended.

Evidence: reading of DecisionLog, OutcomeFilter, BackendConnection and RunStopper. The new tests use fields and parameters that did not exist, so they do not compile on the code before and were not run on it.

Change: connections have a number and count their exchanges and idle bytes (ConnectionTrace). The line "request ended" has a "trace" with an entry for each send: replica, purpose, cause, connection, the response taken, those skipped, and whether the run was left. "bytes without a request" and every outcome of "run that went on elsewhere" have a line, the latter with destination, tries, time and proof. Ends of ordinary requests have a limit of their own, 250 lines a second; all other lines share another 250. When the output is slow, ordinary lines are dropped first. Text is built only for lines that are written. No decision about a request changes. ReplicaNotices names the connection of a response that belongs to no request.

--- a/relay/src/main/kotlin/io/sequoiawheel/relay/RelayDaemon.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/RelayDaemon.kt
@@ -94,7 +94,7 @@
     private val loads = LoadExchange(self, start = wall.nowMillis(), monotonic, quarantine)
     private val outcomes = RunOutcomes(monotonic, quarantine, log, metrics)
     private val notices = ReplicaNotices(log, metrics, outcomes)
-    private val pool = BackendPool(connector, notices::onResponseHead)
+    private val pool = BackendPool(connector, notices::onResponseHead, notices::onUnexpectedBytes)
     private val configuration = ConfigurationController(store, freshness, ConfigurationOrder(monotonic), scope, log)
     private val replicas = ReplicaController(directory, log, metrics)
     private val evacuations = EvacuationController(directory, log)
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/backend/BackendConnection.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/backend/BackendConnection.kt
@@ -25,21 +25,12 @@
 import java.util.concurrent.ScheduledFuture
 import java.util.concurrent.TimeUnit
 
-/** Thrown when the received bytes are not a valid response, or are a response to another request. */
-internal open class InvalidResponseException(
-    message: String,
-) : IOException(message)
-
-/** Thrown when the body of a response exceeds the limit of its reader. */
-internal class ResponseTooLargeException(
-    limitBytes: Int,
-) : InvalidResponseException("response body exceeds $limitBytes bytes")
-
 internal class BackendConnection(
     private val channel: Channel,
     private val decoder: ResponseDecoder,
     private val clock: Clock,
     private val memoryBudget: ResponseMemoryBudget,
+    number: Int = 0,
 ) : ChannelInboundHandlerAdapter() {
     private val inbound = InboundQueue()
     private var isExchanging = false
@@ -53,6 +44,9 @@
     private var headTimeout: ScheduledFuture<*>? = null
     private val limits = ExchangeLimits()
 
+    /** What the connection has carried, for the log. */
+    val trace = ConnectionTrace(number)
+
     /** Called with each response head, including those that belong to no request of this connection. */
     var onHead: (ResponseHead) -> Unit = {}
 
@@ -85,6 +79,7 @@
 
     override fun handlerAdded(context: ChannelHandlerContext) {
         inbound.attach(context.channel())
+        decoder.onBytes = trace::received
     }
 
     override fun channelRead(
@@ -97,12 +92,14 @@
         }
         if (message is HttpResponse && message.decoderResult().isSuccess) {
             val unmatched = unmatchedReason(message)
-            onHead(ResponseHead(message, sentAtMillis.takeIf { unmatched == null }, unmatched))
+            if (isExchanging && unmatched != null) trace.send?.skip(message, unmatched)
+            onHead(ResponseHead(message, sentAtMillis.takeIf { unmatched == null }, unmatched, trace))
             recordAnswer(message, unmatched)
         }
         if (!isExchanging) {
             // Data received outside an exchange belongs to no request.
             ReferenceCountUtil.release(message)
+            trace.reportUnexpected(UnexpectedBytes.Moment.IDLE)
             abort()
             return
         }
@@ -151,6 +148,7 @@
     override fun channelReadComplete(context: ChannelHandlerContext) {
         if (!isExchanging && !decoder.isBetweenResponses) {
             // The beginning of a message belongs to no request either.
+            trace.reportUnexpected(UnexpectedBytes.Moment.IDLE)
             abort()
             return
         }
@@ -197,7 +195,8 @@
         answered = null
         isContradicted = false
         sentRequestId = request.headers().get(Headers.REQUEST_ID)?.also(sentIds::add)
-        sentAtMillis = clock.nowMillis()
+        val nowMillis = clock.nowMillis().also { sentAtMillis = it }
+        trace.begin(sentRequestId, nowMillis)
         // A reset may be noticed by this write first. What was received by then is not ended by the connection's close.
         requestWrite = channel.writeAndFlush(request).addListener { if (!it.isSuccess) inbound.close(it.cause()) }
     }
@@ -218,7 +217,10 @@
             if (head.status().codeClass() == HttpStatusClass.INFORMATIONAL) continue
             updateKeepAlive(head)
             val echoedId = namedRequest(head)
-            if (requestId == null || echoedId == requestId) return head
+            if (requestId == null || echoedId == requestId) {
+                trace.send?.take(head, isOwn = requestId != null, clock.nowMillis())
+                return head
+            }
             if (echoedId == null && !isReused) throw InvalidResponseException("response without a request id")
             isPersistent = false
             skipBody()
@@ -288,11 +290,13 @@
     /** Ends a complete exchange. Returns whether the connection can carry another one; if not, it is closed. */
     fun complete(): Boolean {
         isExchanging = false
+        trace.end()
         isReused = true
         idleSinceMillis = clock.nowMillis()
         // Data after the response belongs to no request and would be mistaken for the next response.
         val hasReceivedAll = !inbound.hasUnread && decoder.isBetweenResponses
         val reusable = isPersistent && isOpen && requestWrite?.isSuccess == true && hasReceivedAll
+        if (!hasReceivedAll && isOpen) trace.reportUnexpected(UnexpectedBytes.Moment.BEHIND_RESPONSE)
         if (!reusable) close()
         return reusable
     }
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/backend/BackendPool.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/backend/BackendPool.kt
@@ -7,10 +7,12 @@
  * Pools idle connections to replicas and reuses the most recent one first. Confined to the event loop.
  *
  * @param onHead called with the head of each response of a replica
+ * @param onUnexpectedBytes called with bytes of a replica that belong to no request
  */
 internal class BackendPool(
     private val connector: Connector,
     private val onHead: (Replica, ResponseHead) -> Unit,
+    private val onUnexpectedBytes: (Replica, UnexpectedBytes) -> Unit = { _, _ -> },
 ) {
     private val idle = HashMap<Replica, ArrayDeque<BackendConnection>>()
 
@@ -38,6 +40,7 @@
         opened++
         val connection = connector.connect(Endpoint(replica.entry.host, replica.entry.port))
         connection.onHead = { onHead(replica, it) }
+        connection.trace.onUnexpectedBytes = { onUnexpectedBytes(replica, it) }
         return connection
     }
 
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/backend/Connector.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/backend/Connector.kt
@@ -27,6 +27,7 @@
     private val clock: Clock,
 ) {
     private val memoryBudget = ResponseMemoryBudget()
+    private var connections = 0
 
     /**
      * What is read at once is decoded at once, into messages that may occupy many times as much memory, and before any
@@ -50,7 +51,7 @@
                 object : ChannelInitializer<Channel>() {
                     override fun initChannel(channel: Channel) {
                         val decoder = ResponseDecoder()
-                        val connection = BackendConnection(channel, decoder, clock, memoryBudget)
+                        val connection = BackendConnection(channel, decoder, clock, memoryBudget, ++connections)
                         channel.pipeline().addLast(decoder, HttpRequestEncoder(), connection)
                     }
                 },
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/backend/ResponseDecoder.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/backend/ResponseDecoder.kt
@@ -22,6 +22,17 @@
     var isBetweenResponses = true
         private set
 
+    /** Called with the bytes of each read before they are decoded. */
+    var onBytes: (ByteBuf) -> Unit = {}
+
+    override fun channelRead(
+        context: ChannelHandlerContext,
+        message: Any,
+    ) {
+        if (message is ByteBuf) onBytes(message)
+        super.channelRead(context, message)
+    }
+
     override fun isContentAlwaysEmpty(message: HttpMessage): Boolean =
         requestMethod == HttpMethod.HEAD || super.isContentAlwaysEmpty(message)
 
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/backend/ResponseHead.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/backend/ResponseHead.kt
@@ -24,9 +24,11 @@
  *
  * @property sentAtMillis when the request was sent that the response answers, or null if it answers none
  * @property unmatched why it answers no request, or null if it answers one
+ * @property connection what the connection has carried
  */
 internal class ResponseHead(
     val response: HttpResponse,
     val sentAtMillis: Long?,
-    val unmatched: UnmatchedReason? = null,
+    val unmatched: UnmatchedReason?,
+    val connection: ConnectionTrace,
 )
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/filter/Exchange.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/filter/Exchange.kt
@@ -68,6 +68,9 @@
     /** Number of times that the request was sent to a replica. */
     var sends = 0
 
+    /** The sends, for the log. */
+    val sendLog = SendLog()
+
     /** The result code for the log and the metrics, or null if none has been set yet. */
     var result: ResultCode? = null
 
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/filter/OutcomeFilter.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/filter/OutcomeFilter.kt
@@ -38,7 +38,7 @@
             val interruption = exchange.interruption?.takeIf { result == ResultCode.STREAM_INTERRUPTED }
             metrics.count("responses.broken", (interruption ?: result.name).lowercase())
         }
-        val fields =
+        log.requestEnd(isUnusual(exchange, result)) {
             mapOf(
                 "request" to exchange.requestId,
                 "route" to exchange.route?.name,
@@ -50,7 +50,17 @@
                 "response" to exchange.response.progress.name,
                 "milliseconds" to durationMillis,
                 "sends" to exchange.sends,
-            )
-        log.request("request ended", fields + exchange.logFields)
+                "trace" to exchange.sendLog.fields(),
+            ) + exchange.logFields
+        }
     }
+
+    /** Refusals of requests that were not sent are ordinary: an overloaded instance makes many of them. */
+    private fun isUnusual(
+        exchange: Exchange,
+        result: ResultCode,
+    ): Boolean =
+        exchange.sendLog.isUnusual ||
+            exchange.sends > 0 &&
+            (result != ResultCode.OK || exchange.sends > 1 || !exchange.response.isComplete)
 }
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/internal/DecisionLog.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/internal/DecisionLog.kt
@@ -1,9 +1,11 @@
 /*
  * Structured log lines: one for each decision that affects a request or changes the state of the process. The number of
- * lines a second is limited; omitted lines are counted and reported in a line of their own.
+ * lines a second is limited; omitted lines are counted and reported in a line of their own. The ends of ordinary
+ * requests have a limit of their own, so that load does not displace the lines that explain anything else.
  */
 package io.sequoiawheel.relay.internal
 
+import io.github.oshai.kotlinlogging.KLogger
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.github.oshai.kotlinlogging.Level
 import io.sequoiawheel.core.model.Clock
@@ -11,11 +13,15 @@
 internal class DecisionLog(
     private val clock: Clock,
     private val linesPerSecond: Int = LINES_PER_SECOND,
+    private val ordinaryLinesPerSecond: Int = ORDINARY_LINES_PER_SECOND,
 ) {
     private val logger = KotlinLogging.logger("sequoiawheel")
+    private val ordinaryLogger = KotlinLogging.logger(ORDINARY_LOGGER)
     private var secondStartMillis = clock.nowMillis()
     private var written = 0
     private var omitted = 0L
+    private var writtenOrdinary = 0
+    private var omittedOrdinary = 0L
 
     /** Logs a decision on one request. */
     fun request(
@@ -23,6 +29,26 @@
         fields: Map<String, Any?>,
     ) = write(Level.INFO, decision, fields + ("event" to "request"))
 
+    /**
+     * Logs the end of a request. Calls [fields] only if the line is written.
+     *
+     * @param isUnusual whether the line says more than that a single send succeeded
+     */
+    fun requestEnd(
+        isUnusual: Boolean,
+        fields: () -> Map<String, Any?>,
+    ) {
+        startSecond()
+        if (isUnusual) {
+            if (mayWrite()) emit(Level.INFO, REQUEST_ENDED, fields() + ("event" to "request"))
+        } else if (writtenOrdinary >= ordinaryLinesPerSecond) {
+            omittedOrdinary++
+        } else {
+            writtenOrdinary++
+            emit(Level.INFO, REQUEST_ENDED, fields() + ("event" to "request"), ordinaryLogger)
+        }
+    }
+
     /** Logs a change in the state that the process knows of, such as its configuration or the list of replicas. */
     fun stateChange(
         change: String,
@@ -46,26 +72,36 @@
         text: String,
         fields: Map<String, Any?>,
     ) {
+        startSecond()
+        if (mayWrite()) emit(level, text, fields)
+    }
+
+    private fun startSecond() {
         val now = clock.nowMillis()
-        if (now - secondStartMillis >= MILLIS_PER_SECOND) {
-            if (omitted > 0) emit(Level.WARN, "log lines omitted", mapOf("event" to "log", "omitted" to omitted))
-            secondStartMillis = now
-            written = 0
-            omitted = 0
-        }
-        if (written >= linesPerSecond) {
-            omitted++
-            return
+        if (now - secondStartMillis < MILLIS_PER_SECOND) return
+        if (omitted + omittedOrdinary > 0) {
+            val counts = mapOf("omitted" to omitted + omittedOrdinary, "omittedOrdinary" to omittedOrdinary)
+            emit(Level.WARN, "log lines omitted", counts + ("event" to "log"))
         }
-        written++
-        emit(level, text, fields)
+        secondStartMillis = now
+        written = 0
+        omitted = 0
+        writtenOrdinary = 0
+        omittedOrdinary = 0
+    }
+
+    private fun mayWrite(): Boolean {
+        val isWithinLimit = written < linesPerSecond
+        if (isWithinLimit) written++ else omitted++
+        return isWithinLimit
     }
 
     private fun emit(
         level: Level,
         text: String,
         fields: Map<String, Any?>,
-    ) = logger.at(level) {
+        target: KLogger = logger,
+    ) = target.at(level) {
         message = text
         payload = fields.filterValues { it != null }.mapValues { (_, value) -> shorten(value) }
     }
@@ -74,13 +110,19 @@
     private fun shorten(value: Any?): Any? =
         if (value is String && value.length > MAXIMUM_TEXT) value.take(MAXIMUM_TEXT) + "..." else value
 
-    private companion object {
-        const val MILLIS_PER_SECOND = 1_000L
+    companion object {
+        /** Name of the logger of the lines that are dropped first when the output is slow. */
+        const val ORDINARY_LOGGER = "sequoiawheel.ordinary"
+        private const val REQUEST_ENDED = "request ended"
+        private const val MILLIS_PER_SECOND = 1_000L
 
         /** Characters of one field of a line. */
-        const val MAXIMUM_TEXT = 512
+        private const val MAXIMUM_TEXT = 512
+
+        /** More than one for each request of an instance at twice its usual load of 40 to 100 a second. */
+        private const val LINES_PER_SECOND = 250
 
-        /** About two lines for each request of an instance at twice its usual load. */
-        const val LINES_PER_SECOND = 100
+        /** One for each request of an instance at twice its usual load, and more for bursts. */
+        private const val ORDINARY_LINES_PER_SECOND = 250
     }
 }
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/internal/LogConfiguration.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/internal/LogConfiguration.kt
@@ -13,8 +13,8 @@
 
 /**
  * Configures logging as JSON lines on standard output. A separate thread writes them; when its queue is full, lines are
- * dropped, so that a slow reader of the output never blocks a request. Logback loads this class in every program that
- * has it on its class path; it takes effect only if [isEnabled] is set.
+ * dropped, those of ordinary requests first, so that a slow reader of the output never blocks a request. Logback loads
+ * this class in every program that has it on its class path; it takes effect only if [isEnabled] is set.
  */
 class LogConfiguration :
     ContextAwareBase(),
@@ -32,10 +32,10 @@
         console.context = context
         console.encoder = encoder
         console.start()
-        val asyncAppender = AsyncAppender()
+        val asyncAppender = OrdinaryFirstAppender()
         asyncAppender.context = context
         asyncAppender.queueSize = QUEUE_CAPACITY
-        asyncAppender.discardingThreshold = 0
+        asyncAppender.discardingThreshold = RESERVED_CAPACITY
         asyncAppender.isNeverBlock = true
         asyncAppender.addAppender(console)
         asyncAppender.start()
@@ -46,6 +46,11 @@
         return Configurator.ExecutionStatus.DO_NOT_INVOKE_NEXT_IF_ANY
     }
 
+    /** Drops lines of ordinary requests once less than the threshold of its queue is free. */
+    private class OrdinaryFirstAppender : AsyncAppender() {
+        override fun isDiscardable(event: ILoggingEvent) = event.loggerName == DecisionLog.ORDINARY_LOGGER
+    }
+
     companion object {
         /** Whether this process logs as an entry instance. Must be set before the first logger is used. */
         @Volatile
@@ -58,7 +63,10 @@
 
         private const val IGNORED_FIELD = "[ignore]"
 
-        /** Capacity of the queue in lines: several seconds at the largest volume. */
-        private const val QUEUE_CAPACITY = 512
+        /** Capacity of the queue in lines: two seconds at the largest volume. */
+        private const val QUEUE_CAPACITY = 1_024
+
+        /** Capacity that is kept for lines other than those of ordinary requests. */
+        private const val RESERVED_CAPACITY = 512
     }
 }
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/CallRelay.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/CallRelay.kt
@@ -121,6 +121,7 @@
                 triedReplicas += replica
                 val result = attempt(replica)
                 if (handleResult(replica, result)) return
+                exchange.sendLog.resendBecause(describe(result))
             }
         }
 
@@ -248,6 +249,7 @@
                     exchange.sends++
                     connection.send(requests.build(exchange, replica))
                     isSent = true
+                    exchange.sendLog.add(replica, purpose.label, exchange.sendLog.takeCause(), connection.trace)
                     val head = connection.receiveHead(exchange.requestId)
                     if (head.isMisdirected) replica.leave(LeaveReason.REPLACED)
                     if (head.isNotRun) return@use handleRefusal(replica, head, lease)
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationAttempt.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationAttempt.kt
@@ -14,6 +14,7 @@
 import io.sequoiawheel.relay.backend.ConnectFailedException
 import io.sequoiawheel.relay.backend.ConnectionEndedException
 import io.sequoiawheel.relay.filter.Exchange
+import io.sequoiawheel.relay.filter.SendRecord
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
@@ -129,6 +130,8 @@
     var isSent = false
         private set
     private var isExchangeComplete = false
+    private val cause = exchange.sendLog.takeCause()
+    private var sendRecord: SendRecord? = null
 
     /** When the response stream started, or null. */
     private var begunMillis: Long? = null
@@ -156,6 +159,11 @@
         begunMillis?.let { context.outcomes.recordProgress(exchange, replica, it) }
     }
 
+    /** Marks the run for the log as left by its stream. */
+    fun recordLeft() {
+        sendRecord?.isLeft = true
+    }
+
     fun start(scope: CoroutineScope) {
         replica.load.begin(demand.tokens)
         if (needsPrefill) replica.load.beginPrompt(demand.promptTokens.toLong())
@@ -239,6 +247,7 @@
         exchange.sends++
         opened.send(requests.build(exchange, replica, headers))
         isSent = true
+        sendRecord = exchange.sendLog.add(replica, purpose.label, cause, opened.trace)
         val head = opened.receiveHead(exchange.requestId)
         val status = head.status().code()
         if (head.isMisdirected) replica.leave(LeaveReason.REPLACED)
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationLog.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationLog.kt
@@ -38,6 +38,7 @@
         signal: GenerationSignal,
         isSuccessor: Boolean,
     ) {
+        causeOf(signal)?.let(exchange.sendLog::resendBecause)
         val failure = signal.failure ?: return
         if (!exchange.response.isStarted) return
         exchange.interruption = failure.cause.name
@@ -49,6 +50,14 @@
         )
     }
 
+    private fun causeOf(signal: GenerationSignal): String? =
+        when (signal) {
+            is GenerationSignal.ReplicaLeaving -> "${signal.attempt.replica} is leaving: ${signal.reason}"
+            is GenerationSignal.CopyReady -> "copied from ${signal.attempt.replica}"
+            is GenerationSignal.CopyFailed -> "copy failed: ${signal.detail}"
+            else -> signal.failure?.let { "${signal.attempt.replica}: ${it.cause}, ${it.detail}" }
+        }
+
     /** Sets the fields that describe the delivery for the log line of the request's end, however it ended. */
     fun recordEnd(replica: Replica?) {
         exchange.logFields["moves"] = moveCount.takeIf { it > 0 }
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationRun.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationRun.kt
@@ -316,6 +316,7 @@
         val attempt = current ?: return
         val stalledMillis = context.clock.nowMillis() - attempt.lastProgressMillis
         if (!attempt.hasStarted || successor != null || stalledMillis < STALL_MILLIS) return
+        exchange.sendLog.resendBecause("no event of ${attempt.replica} for $stalledMillis ms")
         if (continueFromBackup(attempt)) exchange.logFields["silentMilliseconds"] = stalledMillis
     }
 
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/ReplicaNotices.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/ReplicaNotices.kt
@@ -8,6 +8,7 @@
 import io.sequoiawheel.platform.ReplicaNotice
 import io.sequoiawheel.platform.RequestLimitNotice
 import io.sequoiawheel.relay.backend.ResponseHead
+import io.sequoiawheel.relay.backend.UnexpectedBytes
 import io.sequoiawheel.relay.backend.UnmatchedReason
 import io.sequoiawheel.relay.internal.DecisionLog
 import io.sequoiawheel.relay.internal.RelayMetrics
@@ -25,7 +26,7 @@
     ) {
         val head = received.response
         val isInformational = head.status().codeClass() == HttpStatusClass.INFORMATIONAL
-        if (!isInformational) received.unmatched?.let { recordUnmatched(replica, head, it) }
+        if (!isInformational) received.unmatched?.let { recordUnmatched(replica, received, it) }
         val respondingId = head.headers().get(Headers.REPLICA)
         if (head.isMisdirected || respondingId != null && respondingId != replica.entry.id.value) return
         replica.markReachable()
@@ -48,9 +49,10 @@
 
     private fun recordUnmatched(
         replica: Replica,
-        head: HttpResponse,
+        received: ResponseHead,
         reason: UnmatchedReason,
     ) {
+        val head = received.response
         metrics.count("replica.responses.unmatched", reason.label)
         log.request(
             "response belongs to no request",
@@ -59,6 +61,29 @@
                 "replica" to replica.toString(),
                 "status" to head.status().code(),
                 "reason" to reason.label,
+                "connection" to received.connection.number,
+                "carried" to received.connection.carried,
+                "lastRequest" to received.connection.requestId,
+            ),
+        )
+    }
+
+    /** Logs and counts bytes that [replica] sent while no request waited for them. */
+    fun onUnexpectedBytes(
+        replica: Replica,
+        received: UnexpectedBytes,
+    ) {
+        metrics.count("replica.bytes.unexpected", received.moment.label)
+        log.dependency(
+            "bytes without a request",
+            mapOf(
+                "replica" to replica.toString(),
+                "connection" to received.connection,
+                "carried" to received.carried,
+                "lastRequest" to received.lastRequestId,
+                "moment" to received.moment.label,
+                "bytes" to received.bytes,
+                "text" to received.text,
             ),
         )
     }
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/RunStopper.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/RunStopper.kt
@@ -18,25 +18,38 @@
     private val calls: EngineCalls,
     private val scope: CoroutineScope,
 ) {
+    /** The time of the clock that measures how long a run has been left. */
+    fun nowMillis(): Long = context.clock.nowMillis()
+
     /**
      * Asks [source] to stop its run of [requestId], which goes on at [destination].
      *
+     * @param leftAtMillis when the stream of the run was left, for the log
      * @param isInUse whether the generation has returned to [source], whose run must not be stopped then
      */
     fun stop(
         requestId: String,
         source: Replica,
         destination: Replica,
+        leftAtMillis: Long,
         isInUse: () -> Boolean,
     ) {
         scope.launch {
             delay(CLOSE_MILLIS)
-            val outcome = stopRepeatedly(requestId, source, destination, isInUse)
+            val trace = StopTrace()
+            val outcome = stopRepeatedly(requestId, source, destination, trace, isInUse)
             context.metrics.count("runs.left", outcome.label)
-            if (outcome == StopOutcome.RUN_HAD_ENDED) return@launch
             context.log.request(
                 "run that went on elsewhere",
-                mapOf("request" to requestId, "replica" to source.toString(), "outcome" to outcome.label),
+                mapOf(
+                    "request" to requestId,
+                    "replica" to source.toString(),
+                    "outcome" to outcome.label,
+                    "destination" to destination.toString(),
+                    "tries" to trace.tries,
+                    (if (outcome.isProven) "proof" else "detail") to trace.lastAnswer,
+                    "milliseconds" to nowMillis() - leftAtMillis,
+                ),
             )
         }
     }
@@ -45,17 +58,21 @@
         requestId: String,
         source: Replica,
         destination: Replica,
+        trace: StopTrace,
         isInUse: () -> Boolean,
     ): StopOutcome {
         repeat(ATTEMPTS) {
             if (isInUse()) return StopOutcome.IN_USE
             val purpose = SendPurpose.STOP
-            when (val result = calls.copyRun(requestId, source, destination, stop = true, purpose, TIMEOUT_MILLIS)) {
+            val result = calls.copyRun(requestId, source, destination, stop = true, purpose, TIMEOUT_MILLIS)
+            trace.record(result)
+            when (result) {
                 is EngineResult.Unreachable -> return StopOutcome.UNREACHABLE
                 is EngineResult.Response -> {
                     if (result.status == NOT_FOUND) return StopOutcome.RUN_HAD_ENDED
                     // A source that could not copy the run has stopped it nevertheless if it names a handle.
                     val handle = handleOf(result.text)
+                    if (handle != null) trace.lastAnswer = "handle, status ${result.status}"
                     if (handle != null) calls.releaseCopy(source, handle, purpose, TIMEOUT_MILLIS)
                     if (handle != null || result.status == OK) return StopOutcome.STOPPED
                 }
@@ -75,12 +92,29 @@
             null
         }
 
+    /** What a stop has tried, for the log. */
+    private class StopTrace {
+        var tries = 0
+        var lastAnswer: String? = null
+
+        fun record(result: EngineResult) {
+            tries++
+            lastAnswer =
+                when (result) {
+                    is EngineResult.Response -> "status ${result.status}"
+                    is EngineResult.Unreachable -> result.detail
+                    is EngineResult.NoResponse -> result.detail
+                }
+        }
+    }
+
     /** The result of a stop; [label] is the value in metrics and logs. */
     private enum class StopOutcome(
         val label: String,
+        val isProven: Boolean = false,
     ) {
-        STOPPED("stopped"),
-        RUN_HAD_ENDED("had_ended"),
+        STOPPED("stopped", isProven = true),
+        RUN_HAD_ENDED("had_ended", isProven = true),
         UNREACHABLE("unreachable"),
         NOT_STOPPED("not_stopped"),
         IN_USE("in_use"),
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/RunsLeft.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/RunsLeft.kt
@@ -14,18 +14,21 @@
     private val requestId: String?,
     private val isInUse: (Replica) -> Boolean,
 ) {
-    private val sources = LinkedHashSet<Replica>()
+    /** The replicas, with the time at which the stream was left. */
+    private val sources = LinkedHashMap<Replica, Long>()
 
     /** Records that the stream of [attempt] is not read any more and that no response proved the end of its run. */
     fun add(attempt: GenerationAttempt) {
-        if (attempt.isSent) sources += attempt.replica
+        if (!attempt.isSent) return
+        attempt.recordLeft()
+        sources.putIfAbsent(attempt.replica, stopper.nowMillis())
     }
 
     /** Stops the recorded runs, since the generation goes on at [destination]. */
     fun stopAll(destination: Replica) {
         if (requestId == null) return
-        for (source in sources) {
-            if (source !== destination) stopper.stop(requestId, source, destination) { isInUse(source) }
+        for ((source, leftAtMillis) in sources) {
+            if (source !== destination) stopper.stop(requestId, source, destination, leftAtMillis) { isInUse(source) }
         }
         sources.clear()
     }
