Attribute a response to HEAD by the request that it names

What callers saw: a HEAD request failed with the instance's own 502 when a replica wrote the response to an earlier request once more before its own, and so did any request after a repeated response to HEAD.

Cause: whether a response has a body depends on the method of its request. The decoder took that of the request in progress, also for a response to an earlier one: its body was read as the next head, or the next head as its body. No foreign status or body came of it, since neither begins as a response.

Evidence: ForeignResponseTest, on the codec, with 16 forms of responses that belong to no request (repeated, of another status or request, refusals, without, with a late or a repeated id, folded, with blank lines, chunked, event stream, without length, a long body, of HEAD). Each is cut at every byte, alone and in four series with whole ones, at five moments, before nine forms of the next response: 207,176 cases.

Change: the decoder asks ResponseMatcher, which knows the ids of the last HEAD requests. The attribution of heads moved there out of BackendConnection without another change.

Result: no case loses its response.

--- a/relay/src/main/kotlin/io/sequoiawheel/relay/backend/BackendConnection.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/backend/BackendConnection.kt
@@ -18,7 +18,6 @@
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
 import io.sequoiawheel.core.model.Clock
-import io.sequoiawheel.platform.Headers
 import kotlinx.coroutines.withTimeoutOrNull
 import java.io.ByteArrayOutputStream
 import java.io.IOException
@@ -50,16 +49,11 @@
     /** Called with each response head, including those that belong to no request of this connection. */
     var onHead: (ResponseHead) -> Unit = {}
 
-    private val sentIds = SentRequestIds()
-    private var sentRequestId: String? = null
+    private val matcher = ResponseMatcher()
     private var sentAtMillis: Long? = null
 
-    /** What the first final response to the request in progress states, or null if none was received. */
-    private var answered: Evidence? = null
-
     /** Whether the request in progress, or the last one, received several responses that state different results. */
-    var isContradicted = false
-        private set
+    val isContradicted: Boolean get() = matcher.isContradicted
 
     /** Whether the response has a length or chunks; without, it ends with the connection. */
     var isFramed = false
@@ -79,6 +73,7 @@
 
     override fun handlerAdded(context: ChannelHandlerContext) {
         inbound.attach(context.channel())
+        decoder.answersHead = matcher::answersHead
         decoder.onBytes = trace::received
     }
 
@@ -91,10 +86,10 @@
             return
         }
         if (message is HttpResponse && message.decoderResult().isSuccess) {
-            val unmatched = unmatchedReason(message)
+            val unmatched = if (isExchanging) matcher.unmatchedReason(message) else UnmatchedReason.NO_REQUEST
             if (isExchanging && unmatched != null) trace.send?.skip(message, unmatched)
             onHead(ResponseHead(message, sentAtMillis.takeIf { unmatched == null }, unmatched, trace))
-            recordAnswer(message, unmatched)
+            matcher.record(message, unmatched)
         }
         if (!isExchanging) {
             // Data received outside an exchange belongs to no request.
@@ -115,35 +110,6 @@
         inbound.offer(message)
     }
 
-    /** Returns the id of the request that [head] names, or null if it names none or several. */
-    private fun namedRequest(head: HttpResponse): String? = head.headers().getAll(Headers.REQUEST_ID).singleOrNull()
-
-    private fun unmatchedReason(head: HttpResponse): UnmatchedReason? {
-        val echoedId = namedRequest(head)
-        return when {
-            !isExchanging -> UnmatchedReason.NO_REQUEST
-            sentRequestId != null && echoedId == null -> UnmatchedReason.NO_ID
-            sentRequestId != null && echoedId != sentRequestId -> UnmatchedReason.OTHER_ID
-            answered != null -> UnmatchedReason.REPEATED
-            else -> null
-        }
-    }
-
-    private fun recordAnswer(
-        head: HttpResponse,
-        unmatched: UnmatchedReason?,
-    ) {
-        if (head.status().codeClass() == HttpStatusClass.INFORMATIONAL) return
-        val evidence =
-            Evidence(
-                head.status().code(),
-                isSigned = head.headers().contains(Headers.SIGNATURE),
-                isNotRun = head.headers().contains(Headers.NOT_RUN),
-            )
-        if (unmatched == null) answered = evidence
-        if (unmatched == UnmatchedReason.REPEATED && evidence != answered) isContradicted = true
-    }
-
     /** Starts a timeout for an incomplete response head, so that an endless stream of bytes fails the exchange. */
     override fun channelReadComplete(context: ChannelHandlerContext) {
         if (!isExchanging && !decoder.isBetweenResponses) {
@@ -181,7 +147,7 @@
      * Whether a response to [requestId] on this connection can only belong to the next send: the id was not sent over
      * it before. A response to a request without an id names nothing, so that request needs an unused connection.
      */
-    fun mayCarry(requestId: String?): Boolean = if (requestId == null) !isReused else requestId !in sentIds
+    fun mayCarry(requestId: String?): Boolean = if (requestId == null) !isReused else !matcher.wasSent(requestId)
 
     /** Sends [request]. Returns once it is queued for writing, or throws if the connection is closed. */
     suspend fun send(request: FullHttpRequest) {
@@ -190,13 +156,10 @@
             throw ConnectionEndedException("connection closed before the request was sent", isReset = false)
         }
         isExchanging = true
-        decoder.requestMethod = request.method()
         limits.restart()
-        answered = null
-        isContradicted = false
-        sentRequestId = request.headers().get(Headers.REQUEST_ID)?.also(sentIds::add)
+        matcher.begin(request)
         val nowMillis = clock.nowMillis().also { sentAtMillis = it }
-        trace.begin(sentRequestId, nowMillis)
+        trace.begin(matcher.requestId, nowMillis)
         // A reset may be noticed by this write first. What was received by then is not ended by the connection's close.
         requestWrite = channel.writeAndFlush(request).addListener { if (!it.isSuccess) inbound.close(it.cause()) }
     }
@@ -216,7 +179,7 @@
             }
             if (head.status().codeClass() == HttpStatusClass.INFORMATIONAL) continue
             updateKeepAlive(head)
-            val echoedId = namedRequest(head)
+            val echoedId = matcher.namedRequest(head)
             if (requestId == null || echoedId == requestId) {
                 trace.send?.take(head, isOwn = requestId != null, clock.nowMillis())
                 return head
@@ -356,13 +319,6 @@
         headers.remove(HttpHeaderNames.KEEP_ALIVE)
     }
 
-    /** What a response states of the execution of its request. */
-    private data class Evidence(
-        val status: Int,
-        val isSigned: Boolean,
-        val isNotRun: Boolean,
-    )
-
     companion object {
         /** Limits the memory of one buffered response; a page of a store listing takes about a megabyte. */
         const val BODY_LIMIT_BYTES = 8_388_608
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/backend/ResponseDecoder.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/backend/ResponseDecoder.kt
@@ -5,7 +5,6 @@
 import io.netty.handler.codec.DecoderResult
 import io.netty.handler.codec.http.HttpDecoderConfig
 import io.netty.handler.codec.http.HttpMessage
-import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpResponseDecoder
 import io.netty.handler.codec.http.LastHttpContent
@@ -15,8 +14,8 @@
  * complete a message yet produce no message, but would be taken for the beginning of the next response.
  */
 internal class ResponseDecoder : HttpResponseDecoder(HttpDecoderConfig()) {
-    /** Method of the request in progress; a response to `HEAD` has no body, whatever its headers say. */
-    var requestMethod: HttpMethod = HttpMethod.GET
+    /** Whether a response belongs to a `HEAD` request: it has no body then, whatever its headers say. */
+    var answersHead: (HttpMessage) -> Boolean = { false }
 
     /** Whether no byte was received since the end of the last response, or ever. */
     var isBetweenResponses = true
@@ -34,7 +33,7 @@
     }
 
     override fun isContentAlwaysEmpty(message: HttpMessage): Boolean =
-        requestMethod == HttpMethod.HEAD || super.isContentAlwaysEmpty(message)
+        answersHead(message) || super.isContentAlwaysEmpty(message)
 
     override fun decode(
         context: ChannelHandlerContext,
