Fail an exchange at once if a skipped body holds its response

What callers saw: no response until the deadline, or the timeout of an incomplete head, although the replica had responded.

Cause: a response to another request is skipped by its length or chunks. If it broke off inside its body or trailers, the response to the request in progress was skipped as their rest. The exchange waited for what had been received.

Change: SkippedBody fails the exchange when the skipped body contains the beginning of a status line, or trailers that name a request. A repeatable call goes on to its next attempt, other callers get the failure at once. The cost: a whole response to another request whose text contains a status line fails the exchange as well.

StatusLine holds the recognition that the decoder uses for merged heads. A status line must also have version 1.0 or 1.1 and three digits, so that the remainder of a line whose beginning ended a body is no head. With both, the whole status line of a real response is either parsed as one or fails the exchange, wherever the bytes before it end.

--- a/relay/src/main/kotlin/io/sequoiawheel/relay/backend/BackendConnection.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/backend/BackendConnection.kt
@@ -287,15 +287,15 @@
     }
 
     private suspend fun skipBody() {
-        var skipped = 0
-        while (true) {
+        val skipped = SkippedBody()
+        do {
             val content = receiveContent()
-            val isLast = content is LastHttpContent
-            skipped += content.content().readableBytes()
-            content.release()
-            if (isLast) return
-            if (skipped > BODY_LIMIT_BYTES) throw InvalidResponseException("response to another request is too large")
-        }
+            try {
+                skipped.skip(content)
+            } finally {
+                content.release()
+            }
+        } while (content !is LastHttpContent)
     }
 
     private fun cancelHeadTimeout() {
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/backend/ResponseDecoder.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/backend/ResponseDecoder.kt
@@ -50,20 +50,20 @@
     }
 
     /**
-     * Fails a head that contains the status line of another response: it consists of the beginning of one head, which
-     * may end at any byte, and of another that followed on the same connection.
+     * Fails a head that was not received as one: it contains the status line of another response, if the beginning of
+     * a head, which may end at any byte, precedes another one on the connection, or its own status line is incomplete.
      */
     private fun rejectMerged(head: HttpResponse) {
+        if (head.decoderResult().isFailure) return
         val isMerged =
-            STATUS_LINE.containsMatchIn(head.status().reasonPhrase()) ||
-                head.headers().any { (_, value) -> HTTP_VERSION in value && STATUS_LINE.containsMatchIn(value) }
-        if (isMerged && head.decoderResult().isSuccess) {
-            head.decoderResult = DecoderResult.failure(InvalidResponseException("a status line within a head"))
-        }
-    }
-
-    private companion object {
-        const val HTTP_VERSION = "HTTP/1."
-        val STATUS_LINE = Regex("""HTTP/1\.\d \d{3}""")
+            StatusLine.isWithin(head.status().reasonPhrase()) ||
+                head.headers().any { (_, value) -> StatusLine.isWithin(value) }
+        val fault =
+            when {
+                !StatusLine.isValid(head) -> "an invalid status line"
+                isMerged -> "a status line within a head"
+                else -> return
+            }
+        head.decoderResult = DecoderResult.failure(InvalidResponseException(fault))
     }
 }
--- a/relay/src/test/kotlin/io/sequoiawheel/relay/backend/ForeignResponseTest.kt
+++ b/relay/src/test/kotlin/io/sequoiawheel/relay/backend/ForeignResponseTest.kt
@@ -25,6 +25,7 @@
     ) {
         private val count = cases.size
         val mixed = cases.filter { it.outcome is ForeignOutcome.Received && it.outcome != it.own.expected }
+        val waiting = cases.filter { it.outcome == ForeignOutcome.Pending }
         val lost =
             cases.filter { case ->
                 val isWhole = foreign.isSkippable && case.pieces.all { it == foreign.text }
@@ -79,6 +80,12 @@
     internal fun `the own response is delivered after whole responses to other requests`(foreign: ForeignResponse) =
         faultsOf(foreign).run { assertNone(lost) }
 
+    // The body of a late response that broke off swallowed the own response: the exchange waited until its deadline.
+    @ParameterizedTest
+    @EnumSource
+    internal fun `no exchange waits on when its response was received`(foreign: ForeignResponse) =
+        faultsOf(foreign).run { assertNone(waiting) }
+
     private companion object {
         const val SHOWN_CASES = 4
 
