Tell a response that is broken off here from one that its replica ended

What was seen: a call or generation whose response exceeded a limit of this process, or whose head stayed incomplete, was recorded as lost with its replica: 'run lost with its connection', sequoiawheel.runs.lost, and evidence against the shared parts of its prompt. Whether such evidence alone quarantines a part was not tested.

Cause: the queue of decoded messages threw ConnectionEndedException for every end of the connection, also where the exchange was failed here with InvalidResponseException.

Evidence: BackendConnectionTest, 'a response that exceeds a limit is invalid, not a connection that the replica ended', fails on (1 of 4 red, ConnectionEndedException).

Change: the queue throws the InvalidResponseException with which it was closed. Callers of the queue handle both as an unknown outcome; only the record of lost runs differs.

Result: 4 of 4 pass.

--- a/relay/src/main/kotlin/io/sequoiawheel/relay/backend/InboundQueue.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/backend/InboundQueue.kt
@@ -100,18 +100,25 @@
         waiter = null
     }
 
-    /** Returns the next message, or throws [ConnectionEndedException] after the last one. */
+    /**
+     * Returns the next message. After the last one, throws the [InvalidResponseException] for which the connection was
+     * closed here, or [ConnectionEndedException] if the peer ended it.
+     */
     suspend fun receive(): HttpObject {
         while (isIdle) awaitMessage()
         val message =
             messages.removeFirstOrNull()
-                ?: throw ConnectionEndedException(failure?.message ?: "connection closed", failure != null)
+                ?: throw endOfMessages()
         if (messages.isEmpty()) merged = null
         queuedBytes -= sizeOf(message)
         if (queuedBytes <= PAUSE_BYTES / 2) channel?.config()?.let { if (!it.isAutoRead) it.isAutoRead = true }
         return message
     }
 
+    private fun endOfMessages(): IOException =
+        failure as? InvalidResponseException
+            ?: ConnectionEndedException(failure?.message ?: "connection closed", failure != null)
+
     /** Closes the queue. Messages received before can still be read; after them, [receive] throws. */
     fun close(cause: Throwable? = null) {
         if (cause != null && failure == null) failure = cause
--- a/relay/src/test/kotlin/io/sequoiawheel/relay/backend/BackendConnectionTest.kt
+++ b/relay/src/test/kotlin/io/sequoiawheel/relay/backend/BackendConnectionTest.kt
@@ -76,4 +76,19 @@
         channel.close()
         assertEquals("abc", receive())
     }
+
+    // What the instance itself breaks off was recorded as a run that was lost with its replica.
+    @Test
+    fun `a response that exceeds a limit is invalid, not a connection that the replica ended`() {
+        send("Content-Length: 3\r\n")
+        assertEquals("abc", receive())
+        val heads = "HTTP/1.1 103 Early Hints\r\n\r\n".repeat(INTERIM_RESPONSES)
+        channel.writeInbound(Unpooled.copiedBuffer(heads, Charsets.UTF_8))
+        assertThrows(InvalidResponseException::class.java) { receive() }
+    }
+
+    private companion object {
+        /** More than an exchange may receive. */
+        const val INTERIM_RESPONSES = 40
+    }
 }
