--- a/relay/src/main/kotlin/io/sequoiawheel/relay/backend/ResponseDecoder.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/backend/ResponseDecoder.kt
@@ -5,7 +5,6 @@
 import io.netty.handler.codec.DecoderResult
 import io.netty.handler.codec.http.HttpDecoderConfig
 import io.netty.handler.codec.http.HttpMessage
-import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpResponseDecoder
 import io.netty.handler.codec.http.LastHttpContent
@@ -15,8 +14,8 @@
  * complete a message yet produce no message, but would be taken for the beginning of the next response.
  */
 internal class ResponseDecoder : HttpResponseDecoder(HttpDecoderConfig()) {
-    /** Method of the request in progress; a response to `HEAD` has no body, whatever its headers say. */
-    var requestMethod: HttpMethod = HttpMethod.GET
+    /** Whether a response belongs to a `HEAD` request: it has no body then, whatever its headers say. */
+    var answersHead: (HttpMessage) -> Boolean = { false }
 
     /** Whether no byte was received since the end of the last response, or ever. */
     var isBetweenResponses = true
@@ -34,7 +33,7 @@
     }
 
     override fun isContentAlwaysEmpty(message: HttpMessage): Boolean =
-        requestMethod == HttpMethod.HEAD || super.isContentAlwaysEmpty(message)
+        answersHead(message) || super.isContentAlwaysEmpty(message)
 
     override fun decode(
         context: ChannelHandlerContext,
@@ -51,20 +50,20 @@
     }
 
     /**
-     * Fails a head that contains the status line of another response: it consists of the beginning of one head, which
-     * may end at any byte, and of another that followed on the same connection.
+     * Fails a head that was not received as one: it contains the status line of another response, if the beginning of
+     * a head, which may end at any byte, precedes another one on the connection, or its own status line is incomplete.
      */
     private fun rejectMerged(head: HttpResponse) {
+        if (head.decoderResult().isFailure) return
         val isMerged =
-            STATUS_LINE.containsMatchIn(head.status().reasonPhrase()) ||
-                head.headers().any { (_, value) -> HTTP_VERSION in value && STATUS_LINE.containsMatchIn(value) }
-        if (isMerged && head.decoderResult().isSuccess) {
-            head.decoderResult = DecoderResult.failure(InvalidResponseException("a status line within a head"))
-        }
-    }
-
-    private companion object {
-        const val HTTP_VERSION = "HTTP/1."
-        val STATUS_LINE = Regex("""HTTP/1\.\d \d{3}""")
+            StatusLine.isWithin(head.status().reasonPhrase()) ||
+                head.headers().any { (_, value) -> StatusLine.isWithin(value) }
+        val fault =
+            when {
+                !StatusLine.isValid(head) -> "an invalid status line"
+                isMerged -> "a status line within a head"
+                else -> return
+            }
+        head.decoderResult = DecoderResult.failure(InvalidResponseException(fault))
     }
 }
