Stop the runs of a generation until their end is proven

What callers saw: nothing. A replica worked on a generation for as long as the run lasted, although the generation went on at another replica.

Cause: "not stopped" had no consequence. The stop of a run was given up after ten refusals or one failed connection, a lost one was repeated after 1 s, and a 404 counted as the end of a request that only waited. The source was read, and not stopped, until the head of its successor came, however late. If the generation ended while two replicas may have worked on it (the caller left, the deadline expired, it failed, or the source completed it first), no run was stopped.

Decision: a stop goes on until an answer proves the end (200, a handle, or 404 for a run whose response had begun), or until the deadline of the generation. RunStopPlan decides without I/O. A stop without an answer is requested again after 150 ms while the first one stays open, so that a late answer still names the copy to free. The source is left 220 ms after its continuation was sent, with or without a head: a late successor may interrupt the stream, and one that refuses after that fails a stream that may not be repeated. Runs that are open at the end are stopped if the generation was sent to several replicas.

The source is not asked to stop before its successor answers: copies of a leaving replica queue behind each other, and the stream would pause for all of them. A source that refuses the stop for long, or that is paused or limited, works on for as long; a leaving one would end anyway, and waiting for its proof would lose the stream.

--- /dev/null
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/RunStopPlan.kt
@@ -0,0 +1,72 @@
+package io.sequoiawheel.core.relay
+
+/** What the answer of a replica to a request to stop a run says of that run. */
+enum class StopAnswer {
+    /** The replica stopped the run. */
+    STOPPED,
+
+    /** The replica runs no such run now. */
+    NO_SUCH_RUN,
+
+    /** The replica refused the request, or was busy with another one for the same run. */
+    REFUSED,
+
+    /** No answer arrived, so the request may have been carried out. */
+    NO_RESPONSE,
+
+    /** No connection could be opened. */
+    UNREACHABLE,
+}
+
+/**
+ * Decides how long a replica is asked to stop a run whose generation goes on elsewhere: until an answer proves that the
+ * run ended, or until the run has ended by its deadline.
+ *
+ * @param startMillis monotonic time of the first request
+ * @param deadlineMillis when the replica ends the run by itself
+ * @param hasStarted whether the replica began the response of the run. A request that still waits there is not known as
+ *   a run, and may start later.
+ */
+class RunStopPlan(
+    private val startMillis: Long,
+    private val deadlineMillis: Long,
+    private val hasStarted: Boolean,
+) {
+    /**
+     * Returns whether the replica does not work on the run any more, and never will again.
+     *
+     * @param isListed whether the platform lists the replica's incarnation
+     */
+    fun isEnd(
+        answer: StopAnswer,
+        isListed: Boolean,
+        nowMillis: Long,
+    ): Boolean =
+        when (answer) {
+            StopAnswer.STOPPED -> true
+            StopAnswer.NO_SUCH_RUN -> hasStarted || nowMillis - startMillis >= WAITING_MILLIS
+            StopAnswer.UNREACHABLE -> !isListed
+            StopAnswer.REFUSED, StopAnswer.NO_RESPONSE -> false
+        }
+
+    /** Returns the delay before the next request, or null if the run is over by then. */
+    fun delayMillis(nowMillis: Long): Long? {
+        val elapsedMillis = nowMillis - startMillis
+        val delayMillis = (elapsedMillis / ELAPSED_PARTS).coerceIn(MINIMUM_DELAY_MILLIS, MAXIMUM_DELAY_MILLIS)
+        return delayMillis.takeIf { nowMillis + it < deadlineMillis }
+    }
+
+    private companion object {
+        /** Time after which a request that was not started is taken to be dropped. */
+        const val WAITING_MILLIS = 3_000L
+
+        /** A refusal often ends within milliseconds, when another copy of the run is complete. */
+        const val MINIMUM_DELAY_MILLIS = 60L
+
+        /** Bounds the connections that are opened for a replica that cannot be reached for long. */
+        const val MAXIMUM_DELAY_MILLIS = 1_000L
+
+        /** The delays are a share of the time that has elapsed, so the rate falls with the time. */
+        const val ELAPSED_PARTS = 4
+    }
+}
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationAttempt.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationAttempt.kt
@@ -126,10 +126,16 @@
     private var job: Job? = null
     private var connection: BackendConnection? = null
 
+    /** When the request was sent, or null if no byte of it was. */
+    var sentMillis: Long? = null
+        private set
+
     /** Whether any byte of the request may have been sent. */
-    var isSent = false
+    val isSent: Boolean get() = sentMillis != null
+
+    /** Whether the whole response was received, which proves that the replica does not work on the request any more. */
+    var isExchangeComplete = false
         private set
-    private var isExchangeComplete = false
     private val cause = exchange.sendLog.takeCause()
     private var sendRecord: SendRecord? = null
 
@@ -246,7 +252,7 @@
         exchange.mayHaveRun = true
         exchange.sends++
         opened.send(requests.build(exchange, replica, headers))
-        isSent = true
+        sentMillis = context.clock.nowMillis()
         sendRecord = exchange.sendLog.add(replica, purpose.label, cause, opened.trace)
         val head = opened.receiveHead(exchange.requestId)
         val status = head.status().code()
--- /dev/null
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationAttempts.kt
@@ -0,0 +1,71 @@
+package io.sequoiawheel.relay.serving
+
+import io.sequoiawheel.core.relay.Delivery
+import io.sequoiawheel.core.relay.RelayService
+import io.sequoiawheel.core.relay.Replica
+import io.sequoiawheel.core.relay.ReplicaStream
+import io.sequoiawheel.platform.Headers
+import io.sequoiawheel.relay.filter.Exchange
+import kotlinx.coroutines.channels.SendChannel
+
+/**
+ * Creates the attempts of one generation.
+ *
+ * @param wantsBackup whether the runs keep a copy of themselves at another replica while they grow
+ */
+internal class GenerationAttempts(
+    private val context: RelayContext,
+    private val copier: RunCopier,
+    private val exchange: Exchange,
+    private val service: RelayService,
+    private val delivery: Delivery,
+    private val wantsBackup: Boolean,
+    private val signals: SendChannel<GenerationSignal>,
+) {
+    /** Creates an attempt that runs the generation from its beginning, or goes on after the events delivered so far. */
+    fun create(
+        replica: Replica,
+        abandoned: Set<Replica>,
+        purpose: SendPurpose,
+    ): GenerationAttempt {
+        val resumeAfter = delivery.lastId?.takeIf { delivery.delivered > 0 }
+        val headers = resumeAfter?.let { mapOf(Headers.LAST_EVENT_ID to it.toString()) }.orEmpty()
+        return create(replica, headers, abandoned, purpose)
+    }
+
+    /** Creates an attempt that continues from [copy]. */
+    fun continuation(
+        copy: PlacedRunCopy,
+        abandoned: Set<Replica>,
+    ): GenerationAttempt {
+        val headers =
+            mapOf(
+                Headers.CONTINUE_FROM to copy.copy.headerValue,
+                Headers.LAST_EVENT_ID to (delivery.lastId ?: 0).toString(),
+            )
+        return create(copy.destination, headers, abandoned, SendPurpose.CONTINUATION)
+    }
+
+    private fun create(
+        replica: Replica,
+        headers: Map<String, String>,
+        abandoned: Set<Replica>,
+        purpose: SendPurpose,
+    ): GenerationAttempt {
+        val demand = exchange.demand
+        val backup = if (wantsBackup) copier.chooseBackup(replica, abandoned, service, demand) else null
+        val backupHeader = backup?.let { mapOf(Headers.BACKUP_REPLICA to it.entry.address) }.orEmpty()
+        val stream = ReplicaStream(delivery, headers[Headers.LAST_EVENT_ID]?.toLongOrNull())
+        return GenerationAttempt(
+            context,
+            exchange,
+            replica,
+            demand,
+            backup,
+            stream,
+            headers + backupHeader,
+            purpose,
+            signals,
+        )
+    }
+}
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationRun.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationRun.kt
@@ -18,9 +18,7 @@
 import io.sequoiawheel.core.relay.RelayService
 import io.sequoiawheel.core.relay.Replica
 import io.sequoiawheel.core.relay.ReplicaPlacement
-import io.sequoiawheel.core.relay.ReplicaStream
 import io.sequoiawheel.core.relay.SignalQueue
-import io.sequoiawheel.platform.Headers
 import io.sequoiawheel.relay.filter.Exchange
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
@@ -45,6 +43,9 @@
     /** Only generations whose streams cannot be resumed are backed up to another replica. */
     private val wantsBackup = !route.isResumable && exchange.requestId != null
 
+    private val attempts =
+        GenerationAttempts(context, copier, exchange, service, delivery, wantsBackup, signals.sender)
+
     /** The attempt whose events are delivered. */
     private var current: GenerationAttempt? = null
 
@@ -58,7 +59,7 @@
 
     /** Runs that nothing reads any more; without migration there is no request that stops a run. */
     private val runsLeft =
-        RunsLeft(stopper, exchange.requestId.takeIf { engine.supportsMigration }) { replica ->
+        RunsLeft(stopper, exchange.requestId.takeIf { engine.supportsMigration }, exchange.deadlineMillis) { replica ->
             current?.replica === replica || successor?.replica === replica
         }
 
@@ -89,8 +90,9 @@
         }
         context.retryBudget(service.name).recordRequest()
         while (!isFinished) {
-            val signal = signals.receiveWithin(STALL_CHECK_MILLIS)
+            val signal = signals.receiveWithin(if (successor == null) STALL_CHECK_MILLIS else OVERLAP_CHECK_MILLIS)
             if (signal == null) checkForStall() else handle(signal)
+            checkForOverlap()
         }
     }
 
@@ -101,6 +103,7 @@
         successor?.cancel()
         copyJob?.cancel()
         leavingWatch.stop()
+        runsLeft.stopAtEnd(listOfNotNull(current, successor))
     }
 
     private suspend fun handle(signal: GenerationSignal) {
@@ -288,11 +291,8 @@
 
     /** Continues on the replica that holds [copy]; events of the current replica are still delivered meanwhile. */
     private fun continueFrom(copy: PlacedRunCopy) {
-        val headers = HashMap<String, String>()
-        headers[Headers.CONTINUE_FROM] = copy.copy.headerValue
-        headers[Headers.LAST_EVENT_ID] = (delivery.lastId ?: 0).toString()
         continuations++
-        successor = createAttempt(copy.destination, headers, SendPurpose.CONTINUATION).also { it.start(scope) }
+        successor = attempts.continuation(copy, abandoned).also { it.start(scope) }
     }
 
     /** Copies the run's KV cache from a leaving replica to another one, so that the run can continue there. */
@@ -320,6 +320,20 @@
         if (continueFromBackup(attempt)) exchange.logFields["silentMilliseconds"] = stalledMillis
     }
 
+    /**
+     * Stops reading the source once its successor may have worked on the generation for long, with or without a head.
+     * Without this, both would work on it for as long as the successor needs for its head.
+     */
+    private fun checkForOverlap() {
+        val source = current ?: return
+        val next = successor ?: return
+        val sentMillis = next.sentMillis ?: return
+        if (isFinished || context.clock.nowMillis() - sentMillis < OVERLAP_MILLIS) return
+        leave(source)
+        current = null
+        runsLeft.stopAll(next.replica)
+    }
+
     /**
      * Selects a replica and sends the request to it. Returns false if no replica is available, or if the delivered
      * events have no ids to continue from.
@@ -333,39 +347,15 @@
         retryAfterMillis =
             (placement as? Placement.Deferred)?.retryAfterMillis ?: ReplicaPlacement.FULL_GENERATIONS_MILLIS
         val replica = (placement as? Placement.Assigned)?.replica ?: return false
-        val resumeAfter = delivery.lastId?.takeIf { delivery.delivered > 0 }
-        val headers = resumeAfter?.let { mapOf(Headers.LAST_EVENT_ID to it.toString()) }.orEmpty()
         val purpose = if (runs == 0 && refusals == 0) SendPurpose.FIRST_ATTEMPT else SendPurpose.RETRY
         current =
-            createAttempt(replica, headers, purpose).also {
+            attempts.create(replica, abandoned, purpose).also {
                 it.start(scope)
                 leavingWatch.start(it)
             }
         return true
     }
 
-    private fun createAttempt(
-        replica: Replica,
-        headers: Map<String, String>,
-        purpose: SendPurpose,
-    ): GenerationAttempt {
-        val backup = if (wantsBackup) copier.chooseBackup(replica, abandoned, service, demand) else null
-        val backupHeader = backup?.let { mapOf(Headers.BACKUP_REPLICA to it.entry.address) }.orEmpty()
-        val allHeaders = headers + backupHeader
-        val stream = ReplicaStream(delivery, headers[Headers.LAST_EVENT_ID]?.toLongOrNull())
-        return GenerationAttempt(
-            context,
-            exchange,
-            replica,
-            demand,
-            backup,
-            stream,
-            allHeaders,
-            purpose,
-            signals.sender,
-        )
-    }
-
     private suspend fun fail(
         code: ResultCode,
         detail: String,
@@ -393,5 +383,9 @@
 
         /** Several times the longest interval between events that still meets the latency objective. */
         const val STALL_MILLIS = 700L
+
+        /** With the time until the source is stopped, less than 400 ms, the longest overlap of two runs. */
+        const val OVERLAP_MILLIS = 220L
+        const val OVERLAP_CHECK_MILLIS = 40L
     }
 }
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/RunStopper.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/RunStopper.kt
@@ -1,15 +1,35 @@
 package io.sequoiawheel.relay.serving
 
 import io.sequoiawheel.core.relay.Replica
+import io.sequoiawheel.core.relay.RunStopPlan
+import io.sequoiawheel.core.relay.StopAnswer
 import io.sequoiawheel.platform.EngineProtocol
 import io.sequoiawheel.platform.UnreadableDocumentException
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
 
 /**
- * Stops runs whose generation goes on at another replica. Most replicas stop a run when its connection closes; the
- * others are asked to move it for the last time, which stops it. Confined to the event loop.
+ * A run whose stream is not read any more.
+ *
+ * @property hasStarted whether the response of the run had begun
+ * @property deadlineMillis when the replica ends the run by itself
+ * @property leftAtMillis when the stream of the run was left
+ */
+internal class LeftRun(
+    val requestId: String,
+    val replica: Replica,
+    val hasStarted: Boolean,
+    val deadlineMillis: Long,
+    val leftAtMillis: Long,
+)
+
+/**
+ * Stops runs whose generation goes on at another replica, or ended while several replicas may have worked on it. Most
+ * replicas stop a run when its connection closes; the others are asked to move it for the last time, which stops it.
+ * They are asked until an answer proves the end of the run. Confined to the event loop.
  *
  * @param scope outlives the requests, since a stream may end before the run that it left
  */
@@ -18,72 +38,119 @@
     private val calls: EngineCalls,
     private val scope: CoroutineScope,
 ) {
+    /** Number of runs whose end is not proven yet. */
+    private var pending = 0
+
     /** The time of the clock that measures how long a run has been left. */
     fun nowMillis(): Long = context.clock.nowMillis()
 
     /**
-     * Asks [source] to stop its run of [requestId], which goes on at [destination].
+     * Stops [run] by moving it to [destination].
      *
-     * @param leftAtMillis when the stream of the run was left, for the log
-     * @param isInUse whether the generation has returned to [source], whose run must not be stopped then
+     * @param isInUse whether the generation has returned to the replica of [run], which must not be stopped then
      */
     fun stop(
-        requestId: String,
-        source: Replica,
+        run: LeftRun,
         destination: Replica,
-        leftAtMillis: Long,
         isInUse: () -> Boolean,
     ) {
+        pending++
         scope.launch {
-            delay(CLOSE_MILLIS)
-            val trace = StopTrace()
-            val outcome = stopRepeatedly(requestId, source, destination, trace, isInUse)
-            context.metrics.count("runs.left", outcome.label)
-            context.log.request(
-                "run that went on elsewhere",
-                mapOf(
-                    "request" to requestId,
-                    "replica" to source.toString(),
-                    "outcome" to outcome.label,
-                    "destination" to destination.toString(),
-                    "tries" to trace.tries,
-                    (if (outcome.isProven) "proof" else "detail") to trace.lastAnswer,
-                    "milliseconds" to nowMillis() - leftAtMillis,
-                ),
-            )
+            try {
+                delay(CLOSE_MILLIS)
+                val trace = StopTrace()
+                val outcome = stopRepeatedly(run, destination, trace, isInUse)
+                context.metrics.count("runs.left", outcome.label)
+                context.log.request(
+                    "run that went on elsewhere",
+                    mapOf(
+                        "request" to run.requestId,
+                        "replica" to run.replica.toString(),
+                        "outcome" to outcome.label,
+                        "destination" to destination.toString(),
+                        "tries" to trace.tries,
+                        (if (outcome.isProven) "proof" else "detail") to trace.lastAnswer,
+                        "milliseconds" to nowMillis() - run.leftAtMillis,
+                    ),
+                )
+            } finally {
+                pending--
+            }
         }
     }
 
+    /** Waits until the end of each run is proven, for at most [timeoutMillis]. */
+    suspend fun awaitStops(timeoutMillis: Long) {
+        withTimeoutOrNull(timeoutMillis) { while (pending > 0) delay(POLL_MILLIS) }
+    }
+
     private suspend fun stopRepeatedly(
-        requestId: String,
-        source: Replica,
+        run: LeftRun,
         destination: Replica,
         trace: StopTrace,
         isInUse: () -> Boolean,
     ): StopOutcome {
-        repeat(ATTEMPTS) {
+        val plan = RunStopPlan(nowMillis(), run.deadlineMillis, run.hasStarted)
+        val results = Channel<StopResult>(Channel.UNLIMITED)
+        var unanswered = 0
+        while (true) {
             if (isInUse()) return StopOutcome.IN_USE
-            val purpose = SendPurpose.STOP
-            val result = calls.copyRun(requestId, source, destination, stop = true, purpose, TIMEOUT_MILLIS)
-            trace.record(result)
-            when (result) {
-                is EngineResult.Unreachable -> return StopOutcome.UNREACHABLE
-                is EngineResult.Response -> {
-                    if (result.status == NOT_FOUND) return StopOutcome.RUN_HAD_ENDED
-                    // A source that could not copy the run has stopped it nevertheless if it names a handle.
-                    val handle = handleOf(result.text)
-                    if (handle != null) trace.lastAnswer = "handle, status ${result.status}"
-                    if (handle != null) calls.releaseCopy(source, handle, purpose, TIMEOUT_MILLIS)
-                    if (handle != null || result.status == OK) return StopOutcome.STOPPED
-                }
-
-                is EngineResult.NoResponse -> Unit
+            if (unanswered < MAXIMUM_UNANSWERED) {
+                unanswered++
+                trace.tries++
+                // A late answer still names the copy to be freed, so the request outlives the wait for it.
+                scope.launch { ask(run, destination, results) }
+            }
+            val result = withTimeoutOrNull(ANSWER_MILLIS) { results.receive() }
+            if (result != null) {
+                unanswered--
+                trace.lastAnswer = result.detail
+                val isListed = context.directory.all().any { it === run.replica }
+                if (plan.isEnd(result.answer, isListed, nowMillis())) return outcome(result.answer)
             }
-            delay(RETRY_DELAY_MILLIS)
+            delay(plan.delayMillis(nowMillis()) ?: return StopOutcome.NOT_STOPPED)
         }
-        return StopOutcome.NOT_STOPPED
     }
 
+    private fun outcome(proof: StopAnswer) =
+        when (proof) {
+            StopAnswer.STOPPED -> StopOutcome.STOPPED
+            StopAnswer.UNREACHABLE -> StopOutcome.UNREACHABLE
+            else -> StopOutcome.RUN_HAD_ENDED
+        }
+
+    /** Asks for the stop of [run] once, reports the result to [results] and frees the copy that the stop has made. */
+    private suspend fun ask(
+        run: LeftRun,
+        destination: Replica,
+        results: Channel<StopResult>,
+    ) {
+        val source = run.replica
+        val result = calls.copyRun(run.requestId, source, destination, stop = true, SendPurpose.STOP, TIMEOUT_MILLIS)
+        // A source that could not copy the run has stopped it nevertheless if it names a handle.
+        val handle = (result as? EngineResult.Response)?.takeIf { it.status != NOT_FOUND }?.let { handleOf(it.text) }
+        results.trySend(interpret(result, handle))
+        if (handle != null) calls.releaseCopy(source, handle, SendPurpose.STOP, TIMEOUT_MILLIS)
+    }
+
+    private fun interpret(
+        result: EngineResult,
+        handle: String?,
+    ): StopResult =
+        when (result) {
+            is EngineResult.Unreachable -> StopResult(StopAnswer.UNREACHABLE, result.detail)
+            is EngineResult.NoResponse -> StopResult(StopAnswer.NO_RESPONSE, result.detail)
+            is EngineResult.Response -> {
+                val answer =
+                    when {
+                        result.status == NOT_FOUND -> StopAnswer.NO_SUCH_RUN
+                        handle != null || result.status == OK -> StopAnswer.STOPPED
+                        else -> StopAnswer.REFUSED
+                    }
+                StopResult(answer, if (handle == null) "status ${result.status}" else "handle, status ${result.status}")
+            }
+        }
+
     private fun handleOf(text: String): String? =
         try {
             EngineProtocol.decodeHandle(text)
@@ -92,20 +159,16 @@
             null
         }
 
+    /** What one request to stop a run led to, with the [detail] for the log. */
+    private class StopResult(
+        val answer: StopAnswer,
+        val detail: String,
+    )
+
     /** What a stop has tried, for the log. */
     private class StopTrace {
         var tries = 0
         var lastAnswer: String? = null
-
-        fun record(result: EngineResult) {
-            tries++
-            lastAnswer =
-                when (result) {
-                    is EngineResult.Response -> "status ${result.status}"
-                    is EngineResult.Unreachable -> result.detail
-                    is EngineResult.NoResponse -> result.detail
-                }
-        }
     }
 
     /** The result of a stop; [label] is the value in metrics and logs. */
@@ -130,11 +193,16 @@
          */
         const val CLOSE_MILLIS = 80L
 
-        /** The run stops before it is copied; the response follows the copy. */
-        const val TIMEOUT_MILLIS = 1_000L
+        /** The run stops before it is copied; the response follows the copy, which queues behind others. */
+        const val TIMEOUT_MILLIS = 2_500L
+
+        /** Time after which the stop is requested once more, since the request or its response may be lost. */
+        const val ANSWER_MILLIS = 150L
+
+        /** Requests for the stop of one run that wait for their responses at a time. */
+        const val MAXIMUM_UNANSWERED = 3
 
-        /** A replica refuses while another copy of the run is in progress or its queue is full. */
-        const val ATTEMPTS = 10
-        const val RETRY_DELAY_MILLIS = 60L
+        /** Interval at which the end of all stops is checked. */
+        const val POLL_MILLIS = 20L
     }
 }
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/RunsLeft.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/RunsLeft.kt
@@ -4,31 +4,56 @@
 
 /**
  * The replicas that may still run a generation although nothing reads their stream any more. They are stopped once the
- * generation goes on elsewhere; until then a copy of their run may be needed.
+ * generation goes on elsewhere, or ends; until then a copy of their run may be needed.
  *
  * @param requestId id of the generation, or null if it has none and cannot be named to a replica
+ * @param deadlineMillis when the replicas end the generation by themselves
  * @param isInUse whether the generation currently runs at a replica
  */
 internal class RunsLeft(
     private val stopper: RunStopper,
     private val requestId: String?,
+    private val deadlineMillis: Long,
     private val isInUse: (Replica) -> Boolean,
 ) {
-    /** The replicas, with the time at which the stream was left. */
-    private val sources = LinkedHashMap<Replica, Long>()
+    /** The runs that may go on, by their replicas. */
+    private val sources = LinkedHashMap<Replica, LeftRun>()
+
+    /** All replicas that may have run the generation, in the order in which they were left. */
+    private val involved = LinkedHashSet<Replica>()
+    private var hasEnded = false
 
     /** Records that the stream of [attempt] is not read any more and that no response proved the end of its run. */
     fun add(attempt: GenerationAttempt) {
         if (!attempt.isSent) return
+        involved += attempt.replica
+        if (attempt.isExchangeComplete) return
         attempt.recordLeft()
-        sources.putIfAbsent(attempt.replica, stopper.nowMillis())
+        if (requestId == null) return
+        sources[attempt.replica] =
+            LeftRun(requestId, attempt.replica, attempt.hasStarted, deadlineMillis, stopper.nowMillis())
     }
 
     /** Stops the recorded runs, since the generation goes on at [destination]. */
     fun stopAll(destination: Replica) {
-        if (requestId == null) return
-        for ((source, leftAtMillis) in sources) {
-            if (source !== destination) stopper.stop(requestId, source, destination, leftAtMillis) { isInUse(source) }
+        involved += destination
+        stopAll { destination }
+    }
+
+    /**
+     * Stops the recorded runs and those of [attempts], since the generation has ended. A run can only be stopped by
+     * moving it, so that of a generation that a single replica ran is left to the close of its connection.
+     */
+    fun stopAtEnd(attempts: List<GenerationAttempt>) {
+        attempts.forEach(::add)
+        hasEnded = true
+        stopAll { source -> involved.lastOrNull { it !== source } }
+    }
+
+    private fun stopAll(destination: (Replica) -> Replica?) {
+        for ((source, run) in sources) {
+            val target = destination(source)?.takeIf { it !== source } ?: continue
+            stopper.stop(run, target) { !hasEnded && isInUse(source) }
         }
         sources.clear()
     }
