Stop runs that were left before the instance exits

What callers saw: nothing. The process ended with the last response, and a run that this response had left 80 ms before or less went on.

Cause: stops run beside the requests, and the shutdown waited for the connections of callers only.

Evidence: RunEndTest, `a run is stopped before the instance exits`.

Change: leave() waits for open stops, 1 s at most, and 0.25 s if the grace period is over. A killed instance stops nothing.

--- a/relay/src/main/kotlin/io/sequoiawheel/relay/RelayDaemon.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/RelayDaemon.kt
@@ -214,6 +214,7 @@
             shutdown.start(server.connectionCount, requests.inProgress)
             scope.launch { peers.deregister() }
             shutdown.complete(server, requests)
+            generations.awaitStops((shutdown.remainingMillis() ?: 0).coerceIn(MINIMUM_STOP_MILLIS, MAXIMUM_STOP_MILLIS))
         }
 
     /** Cancels all coroutines and shuts down the event loop. */
@@ -356,6 +357,12 @@
         /** Decoders are created before the first configuration states its limits. */
         const val MAXIMUM_HEADER_BYTES = 16_384
 
+        /** Part of [GRACE_MARGIN_MILLIS] in which runs that were left at the deadline are stopped. */
+        const val MINIMUM_STOP_MILLIS = 250L
+
+        /** A replica that refuses to stop a run for longer is left to the deadline of the run. */
+        const val MAXIMUM_STOP_MILLIS = 1_000L
+
         /** Time that the process needs to exit after the last response. */
         const val GRACE_MARGIN_MILLIS = 500L
 
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationRelay.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationRelay.kt
@@ -54,6 +54,9 @@
         }
     }
 
+    /** Waits until no run is left that goes on elsewhere, for at most [timeoutMillis]. */
+    suspend fun awaitStops(timeoutMillis: Long) = stopper.awaitStops(timeoutMillis)
+
     private companion object {
         /** About one queued generation starts per second, so capacity may be available by then. */
         const val RETRY_AFTER_MILLIS = 1_000L
--- a/relay/src/test/kotlin/io/sequoiawheel/relay/RunEndTest.kt
+++ b/relay/src/test/kotlin/io/sequoiawheel/relay/RunEndTest.kt
@@ -2,6 +2,7 @@
 
 import io.sequoiawheel.relay.StreamFixture.Companion.NOT_RESUMABLE
 import io.sequoiawheel.relay.StreamFixture.Companion.RESUMABLE
+import kotlinx.coroutines.runBlocking
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
@@ -10,6 +11,7 @@
 import org.junit.jupiter.params.provider.MethodSource
 import java.io.IOException
 import java.net.Socket
+import kotlin.concurrent.thread
 
 /** Engines that work on after their connection closed, and do not stop a run as soon as they are asked to. */
 class RunEndTest {
@@ -118,6 +120,31 @@
         }
     }
 
+    // The process ended with the last response, before a run that this response had left was stopped.
+    @Test
+    fun `a run is stopped before the instance exits`() {
+        val ends = listOf(StreamEnd.RESET)
+        val engines =
+            StubbornEngines(
+                StopConduct.PROMPT,
+                ends,
+                emptySet(),
+                LAST_BEFORE_EXIT,
+                eventsBeforeEnd =
+                    LAST_BEFORE_EXIT - 1,
+            )
+        engines.use {
+            engines.start()
+            val caller = thread { engines.relay.send(request(engines, NOT_RESUMABLE)) }
+            RelayFixture.awaitTrue("the generation was sent") { engines.runs.size == 1 }
+            runBlocking { engines.relay.daemon.leave() }
+            engines.relay.daemon.close()
+            caller.join()
+            assertEquals(2, engines.runs.size)
+            assertTrue(engines.runs.first().isStopped, "the run was not stopped")
+        }
+    }
+
     private fun lateSuccessor(lastEvent: Int) =
         StubbornEngines(
             StopConduct.PROMPT,
@@ -151,6 +178,8 @@
         const val LONG_RUN = 150
         const val SHORT_RUN = 12
 
+        /** Number of events of a run that takes longer than the load balancer needs to remove the instance. */
+        const val LAST_BEFORE_EXIT = 142
         const val LATE_HEAD_MILLIS = 1_000L
         const val SHORT_DEADLINE_MILLIS = 250L
         const val SETTLE_MILLIS = 1_500L
