Log the end of each request at 300 requests a second

What callers saw: at 300 requests a second on one instance, some ids had no "request ended" line.

Cause: ends of ordinary requests were limited to 250 lines a second. Lines that the queue dropped were not counted.

Change: both limits are 900 lines a second: three lines for each of 300 requests, or bursts of three times as many ordinary ends. The queue holds 2,048 lines, 1,024 of them for ordinary ends, which are still dropped first. "log lines omitted" has a new field "dropped", the lines dropped at the queue since the start.

--- a/relay/src/main/kotlin/io/sequoiawheel/relay/internal/DecisionLog.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/internal/DecisionLog.kt
@@ -14,6 +14,7 @@
     private val clock: Clock,
     private val linesPerSecond: Int = LINES_PER_SECOND,
     private val ordinaryLinesPerSecond: Int = ORDINARY_LINES_PER_SECOND,
+    private val droppedLines: () -> Long = { LogConfiguration.droppedLines },
 ) {
     private val logger = KotlinLogging.logger("sequoiawheel")
     private val ordinaryLogger = KotlinLogging.logger(ORDINARY_LOGGER)
@@ -22,6 +23,7 @@
     private var omitted = 0L
     private var writtenOrdinary = 0
     private var omittedOrdinary = 0L
+    private var reportedDropped = 0L
 
     /** Logs a decision on one request. */
     fun request(
@@ -79,10 +81,7 @@
     private fun startSecond() {
         val now = clock.nowMillis()
         if (now - secondStartMillis < MILLIS_PER_SECOND) return
-        if (omitted + omittedOrdinary > 0) {
-            val counts = mapOf("omitted" to omitted + omittedOrdinary, "omittedOrdinary" to omittedOrdinary)
-            emit(Level.WARN, "log lines omitted", counts + ("event" to "log"))
-        }
+        reportOmitted()
         secondStartMillis = now
         written = 0
         omitted = 0
@@ -90,6 +89,21 @@
         omittedOrdinary = 0
     }
 
+    /** The number of dropped lines is that since the start, so that it survives if this line is dropped as well. */
+    private fun reportOmitted() {
+        val dropped = droppedLines()
+        if (omitted + omittedOrdinary == 0L && dropped == reportedDropped) return
+        reportedDropped = dropped
+        val fields =
+            mapOf(
+                "omitted" to omitted + omittedOrdinary,
+                "omittedOrdinary" to omittedOrdinary,
+                "dropped" to dropped,
+                "event" to "log",
+            )
+        emit(Level.WARN, "log lines omitted", fields)
+    }
+
     private fun mayWrite(): Boolean {
         val isWithinLimit = written < linesPerSecond
         if (isWithinLimit) written++ else omitted++
@@ -119,10 +133,10 @@
         /** Characters of one field of a line. */
         private const val MAXIMUM_TEXT = 512
 
-        /** More than one for each request of an instance at twice its usual load of 40 to 100 a second. */
-        private const val LINES_PER_SECOND = 250
+        /** Three for each request at 300 requests a second: for example a resend, the stop of a run and the end. */
+        private const val LINES_PER_SECOND = 900
 
-        /** One for each request of an instance at twice its usual load, and more for bursts. */
-        private const val ORDINARY_LINES_PER_SECOND = 250
+        /** One for each request at 300 requests a second, and for bursts of three times as many. */
+        private const val ORDINARY_LINES_PER_SECOND = 900
     }
 }
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/internal/LogConfiguration.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/internal/LogConfiguration.kt
@@ -1,6 +1,5 @@
 package io.sequoiawheel.relay.internal
 
-import ch.qos.logback.classic.AsyncAppender
 import ch.qos.logback.classic.Level
 import ch.qos.logback.classic.Logger
 import ch.qos.logback.classic.LoggerContext
@@ -10,11 +9,12 @@
 import ch.qos.logback.core.spi.ContextAwareBase
 import net.logstash.logback.encoder.LogstashEncoder
 import org.slf4j.LoggerFactory
+import java.util.concurrent.atomic.AtomicLong
 
 /**
  * Configures logging as JSON lines on standard output. A separate thread writes them; when its queue is full, lines are
- * dropped, those of ordinary requests first, so that a slow reader of the output never blocks a request. Logback loads
- * this class in every program that has it on its class path; it takes effect only if [isEnabled] is set.
+ * dropped and counted, those of ordinary requests first, so that a slow reader of the output never blocks a request.
+ * Logback loads this class in every program that has it on its class path; it takes effect only if [isEnabled] is set.
  */
 class LogConfiguration :
     ContextAwareBase(),
@@ -32,11 +32,10 @@
         console.context = context
         console.encoder = encoder
         console.start()
-        val asyncAppender = OrdinaryFirstAppender()
+        val asyncAppender = OrdinaryFirstAppender { dropped.incrementAndGet() }
         asyncAppender.context = context
         asyncAppender.queueSize = QUEUE_CAPACITY
         asyncAppender.discardingThreshold = RESERVED_CAPACITY
-        asyncAppender.isNeverBlock = true
         asyncAppender.addAppender(console)
         asyncAppender.start()
         val root = context.getLogger(Logger.ROOT_LOGGER_NAME)
@@ -46,16 +45,16 @@
         return Configurator.ExecutionStatus.DO_NOT_INVOKE_NEXT_IF_ANY
     }
 
-    /** Drops lines of ordinary requests once less than the threshold of its queue is free. */
-    private class OrdinaryFirstAppender : AsyncAppender() {
-        override fun isDiscardable(event: ILoggingEvent) = event.loggerName == DecisionLog.ORDINARY_LOGGER
-    }
-
     companion object {
         /** Whether this process logs as an entry instance. Must be set before the first logger is used. */
         @Volatile
         var isEnabled = false
 
+        private val dropped = AtomicLong()
+
+        /** Number of lines that this process has dropped because its output was slow. */
+        internal val droppedLines: Long get() = dropped.get()
+
         /** Writes the queued lines, for one second at most. Must be called before the process exits. */
         fun flush() {
             (LoggerFactory.getILoggerFactory() as? LoggerContext)?.stop()
@@ -63,10 +62,10 @@
 
         private const val IGNORED_FIELD = "[ignore]"
 
-        /** Capacity of the queue in lines: two seconds at the largest volume. */
-        private const val QUEUE_CAPACITY = 1_024
+        /** Capacity of the queue in lines: one second at the largest volume. */
+        private const val QUEUE_CAPACITY = 2_048
 
         /** Capacity that is kept for lines other than those of ordinary requests. */
-        private const val RESERVED_CAPACITY = 512
+        private const val RESERVED_CAPACITY = 1_024
     }
 }
--- a/relay/src/test/kotlin/io/sequoiawheel/relay/internal/DecisionLogTest.kt
+++ b/relay/src/test/kotlin/io/sequoiawheel/relay/internal/DecisionLogTest.kt
@@ -8,7 +8,9 @@
 
 class DecisionLogTest {
     private var nowMillis = 0L
-    private val log = DecisionLog(Clock { nowMillis }, linesPerSecond = 2, ordinaryLinesPerSecond = 3)
+    private var dropped = 0L
+    private val log =
+        DecisionLog(Clock { nowMillis }, linesPerSecond = 2, ordinaryLinesPerSecond = 3, droppedLines = { dropped })
 
     private fun CapturedLog.requests() = lines.mapNotNull { it.text("request") }
 
@@ -46,4 +48,18 @@
             assertEquals(3, built)
         }
     }
+
+    // Lines that a slow output dropped were missing without a count.
+    @Test
+    fun `lines that the queue has dropped are reported once`() {
+        CapturedLog().use { captured ->
+            dropped = 5
+            repeat(3) {
+                nowMillis += 1_000
+                end("dropped-next")
+            }
+            val line = captured.lines.single { it.text("message") == "log lines omitted" }
+            assertEquals("5" to "0", line.text("dropped") to line.text("omitted"))
+        }
+    }
 }
