Fail an exchange whose body is filled up with another response

What callers saw: nothing yet. A response that broke off inside its body, on a connection that stayed open, was delivered with the beginning of the response that followed it, with the status and signature of the first.

Cause: the length alone decided where a body ends.

Change: a body that holds a status line is invalid if further bytes followed it on the connection. What ends exactly with the other response, or follows later, is still not recognized. The cost: a sound body with such a text is lost if its replica sends additional bytes after it.

--- a/relay/src/main/kotlin/io/sequoiawheel/relay/backend/BackendConnection.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/backend/BackendConnection.kt
@@ -206,8 +206,8 @@
     }
 
     /**
-     * Reads the rest of the body. Throws if it exceeds [limitBytes] or the memory budget of all responses. The caller
-     * releases [reservation] when the body is no longer needed.
+     * Reads the rest of the body. Throws if it exceeds [limitBytes] or the memory budget of all responses, or holds a
+     * part of another response. The caller releases [reservation] when the body is no longer needed.
      */
     suspend fun receiveBody(
         reservation: ResponseReservation,
@@ -222,10 +222,21 @@
             content.release()
             reservation.grow(memoryBudget, previousBytes, body.size())
             if (body.size() > limitBytes) throw ResponseTooLargeException(limitBytes)
-            if (isLast) return body.toByteArray()
+            if (isLast) return body.toByteArray().also(::rejectFilledUp)
         }
     }
 
+    /**
+     * Throws if [body] was broken off and filled up with the beginning of another response, of which the remainder has
+     * followed. By itself, a status line may be a part of a body.
+     */
+    private fun rejectFilledUp(body: ByteArray) {
+        if (hasReceivedAll() || !StatusLine.isWithin(body.toString(Charsets.ISO_8859_1))) return
+        throw InvalidResponseException("another response within the body")
+    }
+
+    private fun hasReceivedAll() = !inbound.hasUnread && decoder.isBetweenResponses
+
     /** Reads the rest of a body that is processed at once. */
     suspend fun receiveBody(limitBytes: Int = BODY_LIMIT_BYTES): ByteArray {
         val reservation = ResponseReservation()
@@ -257,7 +268,7 @@
         isReused = true
         idleSinceMillis = clock.nowMillis()
         // Data after the response belongs to no request and would be mistaken for the next response.
-        val hasReceivedAll = !inbound.hasUnread && decoder.isBetweenResponses
+        val hasReceivedAll = hasReceivedAll()
         val reusable = isPersistent && isOpen && requestWrite?.isSuccess == true && hasReceivedAll
         if (!hasReceivedAll && isOpen) trace.reportUnexpected(UnexpectedBytes.Moment.BEHIND_RESPONSE)
         if (!reusable) close()
--- a/relay/src/test/kotlin/io/sequoiawheel/relay/backend/BackendConnectionTest.kt
+++ b/relay/src/test/kotlin/io/sequoiawheel/relay/backend/BackendConnectionTest.kt
@@ -77,6 +77,24 @@
         assertEquals("abc", receive())
     }
 
+    // A body that broke off took in the beginning of the response that followed it on the open connection.
+    @Test
+    fun `a body that is filled up with another response is invalid`() {
+        val body = "abcHTTP/1.1 200 OK\r\n"
+        send("Content-Length: ${body.length}\r\n")
+        channel.writeInbound(Unpooled.copiedBuffer(body.drop(3) + "X-Request-Id: id-0\r\n\r\n", Charsets.UTF_8))
+        assertThrows(InvalidResponseException::class.java) { receive() }
+    }
+
+    // Guards against sound bodies that are taken for broken ones because of their text.
+    @Test
+    fun `a body that holds a status line is valid if nothing follows it`() {
+        val body = "abcHTTP/1.1 200 OK\r\n"
+        send("Content-Length: ${body.length}\r\n")
+        channel.writeInbound(Unpooled.copiedBuffer(body.drop(3), Charsets.UTF_8))
+        assertEquals(body, receive())
+    }
+
     // What the instance itself breaks off was recorded as a run that was lost with its replica.
     @Test
     fun `a response that exceeds a limit is invalid, not a connection that the replica ended`() {
