Stop a run that broke off although the next head is late

What callers saw: nothing. A replica whose stream broke off worked on beside the next one until the head of the next arrived.

Further: the stop of a source could free the copy that its waiting successor needs; one failed connection to a replica that had left the list was taken as its end, though a replica may leave the list first; the result of a stop could be lost as its wait timed out; an exit did not wait for the release of a copy; a source that was left before its head did not count as a run.

Change: the limit counts from the send of the newest attempt and covers all runs that were left. Such a stop keeps its copy. A replica that is not listed is taken to have ended 3 s after the first request to stop. Results are received by SignalQueue, and open requests count until their release.

--- a/core/src/main/kotlin/io/sequoiawheel/core/relay/RunStopPlan.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/RunStopPlan.kt
@@ -45,7 +45,7 @@
         when (answer) {
             StopAnswer.STOPPED -> true
             StopAnswer.NO_SUCH_RUN -> hasStarted || nowMillis - startMillis >= WAITING_MILLIS
-            StopAnswer.UNREACHABLE -> !isListed
+            StopAnswer.UNREACHABLE -> !isListed && nowMillis - startMillis >= UNLISTED_MILLIS
             StopAnswer.REFUSED, StopAnswer.NO_RESPONSE -> false
         }
 
@@ -60,6 +60,12 @@
         /** Time after which a request that was not started is taken to be dropped. */
         const val WAITING_MILLIS = 3_000L
 
+        /**
+         * Time after which a replica that is not listed and accepts no connection is taken to have ended. It may leave
+         * the list before it ends, and a connection fails also if a packet is lost.
+         */
+        const val UNLISTED_MILLIS = 3_000L
+
         /** A refusal often ends within milliseconds, when another copy of the run is complete. */
         const val MINIMUM_DELAY_MILLIS = 60L
 
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationRun.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationRun.kt
@@ -90,7 +90,8 @@
         }
         context.retryBudget(service.name).recordRequest()
         while (!isFinished) {
-            val signal = signals.receiveWithin(if (successor == null) STALL_CHECK_MILLIS else OVERLAP_CHECK_MILLIS)
+            val mayOverlap = successor != null || runsLeft.isPending
+            val signal = signals.receiveWithin(if (mayOverlap) OVERLAP_CHECK_MILLIS else STALL_CHECK_MILLIS)
             if (signal == null) checkForStall() else handle(signal)
             checkForOverlap()
         }
@@ -321,17 +322,20 @@
     }
 
     /**
-     * Stops reading the source once its successor may have worked on the generation for long, with or without a head.
-     * Without this, both would work on it for as long as the successor needs for its head.
+     * Stops the runs that were left, and the source, once the newest attempt may have worked on the generation for
+     * long, with or without a head. Without this, both would work on it for as long as the newest needs for its head.
      */
     private fun checkForOverlap() {
-        val source = current ?: return
-        val next = successor ?: return
-        val sentMillis = next.sentMillis ?: return
-        if (isFinished || context.clock.nowMillis() - sentMillis < OVERLAP_MILLIS) return
-        leave(source)
-        current = null
-        runsLeft.stopAll(next.replica)
+        val newest = successor ?: current ?: return
+        val sentMillis = newest.sentMillis ?: return
+        val elapsedMillis = context.clock.nowMillis() - sentMillis
+        if (isFinished || newest.hasStarted || elapsedMillis < OVERLAP_MILLIS) return
+        current?.takeIf { it !== newest }?.let { source ->
+            if (!source.hasStarted) runs++
+            leave(source)
+            current = null
+        }
+        runsLeft.stopAll(newest.replica, mayWaitForCopy = true)
     }
 
     /**
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/RunStopper.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/RunStopper.kt
@@ -2,11 +2,12 @@
 
 import io.sequoiawheel.core.relay.Replica
 import io.sequoiawheel.core.relay.RunStopPlan
+import io.sequoiawheel.core.relay.SignalQueue
 import io.sequoiawheel.core.relay.StopAnswer
 import io.sequoiawheel.platform.EngineProtocol
 import io.sequoiawheel.platform.UnreadableDocumentException
 import kotlinx.coroutines.CoroutineScope
-import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.channels.SendChannel
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
@@ -38,7 +39,7 @@
     private val calls: EngineCalls,
     private val scope: CoroutineScope,
 ) {
-    /** Number of runs whose end is not proven yet. */
+    /** Number of runs whose end is not proven yet, and of requests to stop one that are not complete. */
     private var pending = 0
 
     /** The time of the clock that measures how long a run has been left. */
@@ -47,11 +48,14 @@
     /**
      * Stops [run] by moving it to [destination].
      *
+     * @param releasesCopy whether to free the copy that the stop makes. A replica may copy into an earlier copy of the
+     *   run, which must stay while a successor waits to go on from it; an unused copy expires by itself.
      * @param isInUse whether the generation has returned to the replica of [run], which must not be stopped then
      */
     fun stop(
         run: LeftRun,
         destination: Replica,
+        releasesCopy: Boolean,
         isInUse: () -> Boolean,
     ) {
         pending++
@@ -59,7 +63,7 @@
             try {
                 delay(CLOSE_MILLIS)
                 val trace = StopTrace()
-                val outcome = stopRepeatedly(run, destination, trace, isInUse)
+                val outcome = stopRepeatedly(run, destination, releasesCopy, trace, isInUse)
                 context.metrics.count("runs.left", outcome.label)
                 context.log.request(
                     "run that went on elsewhere",
@@ -87,11 +91,12 @@
     private suspend fun stopRepeatedly(
         run: LeftRun,
         destination: Replica,
+        releasesCopy: Boolean,
         trace: StopTrace,
         isInUse: () -> Boolean,
     ): StopOutcome {
         val plan = RunStopPlan(nowMillis(), run.deadlineMillis, run.hasStarted)
-        val results = Channel<StopResult>(Channel.UNLIMITED)
+        val results = SignalQueue<StopResult>()
         var unanswered = 0
         while (true) {
             if (isInUse()) return StopOutcome.IN_USE
@@ -99,9 +104,9 @@
                 unanswered++
                 trace.tries++
                 // A late answer still names the copy to be freed, so the request outlives the wait for it.
-                scope.launch { ask(run, destination, results) }
+                scope.launch { ask(run, destination, releasesCopy, results.sender) }
             }
-            val result = withTimeoutOrNull(ANSWER_MILLIS) { results.receive() }
+            val result = results.receiveWithin(ANSWER_MILLIS)
             if (result != null) {
                 unanswered--
                 trace.lastAnswer = result.detail
@@ -123,14 +128,24 @@
     private suspend fun ask(
         run: LeftRun,
         destination: Replica,
-        results: Channel<StopResult>,
+        releasesCopy: Boolean,
+        results: SendChannel<StopResult>,
     ) {
         val source = run.replica
-        val result = calls.copyRun(run.requestId, source, destination, stop = true, SendPurpose.STOP, TIMEOUT_MILLIS)
-        // A source that could not copy the run has stopped it nevertheless if it names a handle.
-        val handle = (result as? EngineResult.Response)?.takeIf { it.status != NOT_FOUND }?.let { handleOf(it.text) }
-        results.trySend(interpret(result, handle))
-        if (handle != null) calls.releaseCopy(source, handle, SendPurpose.STOP, TIMEOUT_MILLIS)
+        pending++
+        try {
+            val result =
+                calls.copyRun(run.requestId, source, destination, stop = true, SendPurpose.STOP, TIMEOUT_MILLIS)
+            // A source that could not copy the run has stopped it nevertheless if it names a handle.
+            val handle =
+                (result as? EngineResult.Response)?.takeIf { it.status != NOT_FOUND }?.let { handleOf(it.text) }
+            results.trySend(interpret(result, handle))
+            if (handle != null && releasesCopy) {
+                calls.releaseCopy(source, handle, SendPurpose.STOP, TIMEOUT_MILLIS)
+            }
+        } finally {
+            pending--
+        }
     }
 
     private fun interpret(
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/RunsLeft.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/RunsLeft.kt
@@ -34,10 +34,20 @@
             LeftRun(requestId, attempt.replica, attempt.hasStarted, deadlineMillis, stopper.nowMillis())
     }
 
-    /** Stops the recorded runs, since the generation goes on at [destination]. */
-    fun stopAll(destination: Replica) {
+    /** Whether a run was left that is not being stopped yet. */
+    val isPending: Boolean get() = sources.isNotEmpty()
+
+    /**
+     * Stops the recorded runs, since the generation goes on at [destination].
+     *
+     * @param mayWaitForCopy whether [destination] may yet need the copy from which the generation is to go on there
+     */
+    fun stopAll(
+        destination: Replica,
+        mayWaitForCopy: Boolean = false,
+    ) {
         involved += destination
-        stopAll { destination }
+        stopAll(releasesCopy = !mayWaitForCopy) { destination }
     }
 
     /**
@@ -47,13 +57,16 @@
     fun stopAtEnd(attempts: List<GenerationAttempt>) {
         attempts.forEach(::add)
         hasEnded = true
-        stopAll { source -> involved.lastOrNull { it !== source } }
+        stopAll(releasesCopy = true) { source -> involved.lastOrNull { it !== source } }
     }
 
-    private fun stopAll(destination: (Replica) -> Replica?) {
+    private fun stopAll(
+        releasesCopy: Boolean,
+        destination: (Replica) -> Replica?,
+    ) {
         for ((source, run) in sources) {
             val target = destination(source)?.takeIf { it !== source } ?: continue
-            stopper.stop(run, target) { !hasEnded && isInUse(source) }
+            stopper.stop(run, target, releasesCopy) { !hasEnded && isInUse(source) }
         }
         sources.clear()
     }
