Repeat a refused stop sooner

The delay is still a share of the time that has elapsed, but starts at 20 ms, which allows about eight tries in 300 ms.

--- a/core/src/main/kotlin/io/sequoiawheel/core/relay/RunStopPlan.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/RunStopPlan.kt
@@ -67,7 +67,7 @@
         const val UNLISTED_MILLIS = 3_000L
 
         /** A refusal often ends within milliseconds, when another copy of the run is complete. */
-        const val MINIMUM_DELAY_MILLIS = 60L
+        const val MINIMUM_DELAY_MILLIS = 20L
 
         /** Bounds the connections that are opened for a replica that cannot be reached for long. */
         const val MAXIMUM_DELAY_MILLIS = 1_000L
