Keep a source in progress when its successor is late

A copy was sent on to a replica that had crashed; 0.22 s later the source was left, and the connection to the successor was reset after that.

Cause: the limit for a late head ended the source's stream, whatever its successor was.

Change: OverlapPlan in core decides. The test of RunEndTest for late heads keeps its bound; its name now says that one of the two is stopped.

--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationRun.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationRun.kt
@@ -14,6 +14,8 @@
 import io.sequoiawheel.core.relay.Delivery
 import io.sequoiawheel.core.relay.EngineProfile
 import io.sequoiawheel.core.relay.NotRunProof
+import io.sequoiawheel.core.relay.OverlapDecision
+import io.sequoiawheel.core.relay.OverlapPlan
 import io.sequoiawheel.core.relay.Placement
 import io.sequoiawheel.core.relay.RelayService
 import io.sequoiawheel.core.relay.Replica
@@ -39,6 +41,7 @@
     private val demand = exchange.demand
     private val delivery = Delivery(exchange.lastEventId)
     private val log = GenerationLog(context, exchange, delivery)
+    private val overlap = OverlapPlan()
 
     /** Only generations whose streams cannot be resumed are backed up to another replica. */
     private val wantsBackup = !route.isResumable && exchange.requestId != null
@@ -321,16 +324,19 @@
         if (continueFromBackup(attempt)) exchange.logFields["silentMilliseconds"] = stalledMillis
     }
 
-    /**
-     * Stops the runs that were left, and the source, once the newest attempt may have worked on the generation for
-     * long, with or without a head. Without this, both would work on it for as long as the newest needs for its head.
-     */
-    private fun checkForOverlap() {
-        val newest = successor ?: current ?: return
+    /** Ends the work of one of two replicas if the head of the newest attempt is late. */
+    private suspend fun checkForOverlap() {
+        val newest = (successor ?: current)?.takeIf { !isFinished && !it.hasStarted } ?: return
         val sentMillis = newest.sentMillis ?: return
-        val elapsedMillis = context.clock.nowMillis() - sentMillis
-        if (isFinished || newest.hasStarted || elapsedMillis < OVERLAP_MILLIS) return
-        current?.takeIf { it !== newest }?.let { source ->
+        val source = current?.takeIf { it !== newest }
+        val nowMillis = context.clock.nowMillis()
+        val isSourceInProgress = source != null && nowMillis - source.lastProgressMillis < STALL_MILLIS
+        when (overlap.decide(nowMillis - sentMillis, isSourceInProgress)) {
+            OverlapDecision.WAIT -> return
+            OverlapDecision.GIVE_UP_NEWEST -> return handle(newest.rejectStream("no response head in time"))
+            OverlapDecision.LEAVE_OTHERS -> Unit
+        }
+        if (source != null) {
             if (!source.hasStarted) runs++
             leave(source)
             current = null
@@ -388,8 +394,7 @@
         /** Several times the longest interval between events that still meets the latency objective. */
         const val STALL_MILLIS = 700L
 
-        /** With the time until the source is stopped, less than 400 ms, the longest overlap of two runs. */
-        const val OVERLAP_MILLIS = 220L
+        /** Interval between checks of two replicas that may work at the same time. */
         const val OVERLAP_CHECK_MILLIS = 40L
     }
 }
--- a/relay/src/test/kotlin/io/sequoiawheel/relay/RunEndTest.kt
+++ b/relay/src/test/kotlin/io/sequoiawheel/relay/RunEndTest.kt
@@ -64,10 +64,10 @@
         }
     }
 
-    // The source was read until the head of its successor, which worked on the generation long before.
+    // The successor worked on the generation long before its head, until which the source was read.
     @ParameterizedTest
     @MethodSource("paths")
-    fun `the source is stopped although the head of its successor is late`(path: String) {
+    fun `one of two engines is stopped although the head of the successor is late`(path: String) {
         lateSuccessor(LONG_RUN).use { engines ->
             engines.start()
             assertWhole(engines.relay.send(request(engines, path)), LONG_RUN)
