Do not hold a move that failed at once against its source

Nothing goes on at such a replica.

The check now leaves out a run that broke off and stopped its work within the allowed 400 ms; one that works longer counts as before.

--- a/soak/src/main/kotlin/io/sequoiawheel/soak/history/MoveCheck.kt
+++ b/soak/src/main/kotlin/io/sequoiawheel/soak/history/MoveCheck.kt
@@ -19,7 +19,11 @@
             overlapping?.let { (before, next) -> describeOverlap(call, before, next, all) }
         }
 
-    private val Run.goesOn get() = isContinuation || resumedAfter != null
+    private val Run.goesOn get() = (isContinuation || resumedAfter != null) && !hasFailedAtOnce
+
+    /** Whether nothing went on there: the replica failed, and stopped its work, within the allowed time. */
+    private val Run.hasFailedAtOnce
+        get() = end == RunEnd.BROKEN_OFF && endMillis?.let { it - startMillis <= bounds.overlapMillis } == true
 
     /** Whether the replica of [before] still works when [next] has gone on for the allowed time. */
     private fun isStillRun(
--- a/soak/src/test/kotlin/io/sequoiawheel/soak/history/MoveCheckTest.kt
+++ b/soak/src/test/kotlin/io/sequoiawheel/soak/history/MoveCheckTest.kt
@@ -65,6 +65,16 @@
         assertEquals(emptyList<Promise>(), broken(history(CallKind.RESUMABLE_STREAM, listOf(first, resumed))))
     }
 
+    /** Guards against a move that failed at once and is held against the source, which goes on with the stream. */
+    @Test
+    fun `a replica that fails within the bound is not where a stream goes on`() {
+        val source = first.copy(endMillis = 11_500, end = RunEnd.ANSWERED)
+        val failed = next.copy(endMillis = MOVED_MILLIS + 400, end = RunEnd.BROKEN_OFF)
+        assertEquals(0, checker.check(history(runs = listOf(source, failed))).count(Promise.TWICE))
+        val later = failed.copy(endMillis = MOVED_MILLIS + 401)
+        assertEquals(1, checker.check(history(runs = listOf(source, later))).count(Promise.TWICE))
+    }
+
     @Test
     fun `a second arrival without a copy is a second run of a stream that may not be repeated`() {
         val again = next.copy(isContinuation = false, resumedAfter = null)
