--- a/core/src/main/kotlin/io/sequoiawheel/core/relay/InstanceSettings.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/InstanceSettings.kt
@@ -5,6 +5,8 @@
 package io.sequoiawheel.core.relay
 
 import io.sequoiawheel.core.model.ZoneName
+import kotlinx.collections.immutable.ImmutableSet
+import kotlinx.collections.immutable.persistentSetOf
 
 /** Host and port of one listener or peer. */
 data class Endpoint(
@@ -37,6 +39,7 @@
  * @property callers where the instance accepts the requests of callers
  * @property readiness where the instance answers readiness probes
  * @property peerPorts ports available for communication between instances, the same on all machines
+ * @property features what the deployment asks of the instances beyond the basic service
  */
 data class InstanceSettings(
     val name: String,
@@ -47,6 +50,28 @@
     val peerPorts: IntRange,
     val store: Endpoint,
     val bounds: ServiceBounds,
+    val features: ImmutableSet<DeploymentFeature> = persistentSetOf(),
+    val limits: ProcessLimits = ProcessLimits(),
+)
+
+/** Parts of the service that take effect only in the deployments that ask for them. */
+enum class DeploymentFeature {
+    /** Operators order roll-outs of new versions of a service. */
+    ROLLOUTS,
+
+    /** Callers compete for less engine capacity than they need. */
+    SCARCE_CAPACITY,
+}
+
+/**
+ * What the machine grants the process.
+ *
+ * @property memoryBytes memory above which the process is ended; null if not stated
+ * @property maximumDescriptors limit on open descriptors; null if not stated
+ */
+data class ProcessLimits(
+    val memoryBytes: Long? = null,
+    val maximumDescriptors: Int? = null,
 )
 
 /**
@@ -60,6 +85,7 @@
  * @property retryExtra retries allowed in addition to the ratio, across all instances
  * @property coldExcess factor by which the rate limit of a cold replica may be exceeded in one second
  * @property coldMargin additional requests by which it may be exceeded, across all instances
+ * @property rollout bounds on roll-outs, or null in a deployment without them
  */
 data class ServiceBounds(
     val contactMillis: Long,
@@ -71,4 +97,18 @@
     val retryWindowMillis: Long,
     val coldExcess: Double,
     val coldMargin: Double,
+    val rollout: RolloutBounds? = null,
+)
+
+/**
+ * Bounds on the requests that a new version of a service receives before it is known to be good.
+ *
+ * @property canaryShare share of the requests of the service, from 0 to 1
+ * @property canaryMargin additional requests, across all instances
+ * @property rollbackMillis time after which a version known to be bad receives no more requests
+ */
+data class RolloutBounds(
+    val canaryShare: Double,
+    val canaryMargin: Int,
+    val rollbackMillis: Long,
 )
