Stop a run whose stream broke off before its generation goes on

Callers whose streams broke off had two engines at work on their generation while the engine before refused the stop (409, 429, 503) or reset it: the generation went on at once, and the stop followed.

Nothing of a stream that broke off is read any more, so the caller gains nothing from the overlap. The engine is now asked to stop first; the generation goes on when the end of the run is proven, when the engine cannot be reached or does not answer within 150 ms, or after 3 s of refusals. Planned moves, whose source is still read, are stopped after the move as before: stopping first would pause them.

--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationAttempt.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationAttempt.kt
@@ -86,6 +86,12 @@
         override val failure get() = AttemptFailure(cause, detail)
     }
 
+    /** The run of an attempt whose connection failed was asked to stop, so the generation may go on elsewhere. */
+    class SourceStopped(
+        override val attempt: GenerationAttempt,
+        val detail: String,
+    ) : GenerationSignal
+
     class ReplicaLeaving(
         override val attempt: GenerationAttempt,
         val reason: LeaveReason,
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationRun.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationRun.kt
@@ -66,6 +66,8 @@
             current?.replica === replica || successor?.replica === replica
         }
 
+    private val sourceStop = SourceStop(context, copier, runsLeft, exchange, service, scope, signals.sender)
+
     /**
      * Replicas that did not run the request, lost its connection or were replaced by a successor; the request returns
      * to them only if there is no other.
@@ -118,6 +120,7 @@
             is GenerationSignal.NotRun -> if (!discardSuccessor(signal, signal.detail)) handleNotRun(signal)
             is GenerationSignal.ConnectionFailed ->
                 if (!discardSuccessor(signal, signal.detail)) handleConnectionFailed(signal)
+            is GenerationSignal.SourceStopped -> if (!isFinished) goOnAfter(signal.attempt, signal.detail)
             is GenerationSignal.Events -> deliver(signal)
             is GenerationSignal.Completed -> if (signal.attempt === current) complete(signal.attempt)
             else -> if (signal.attempt === current || signal.attempt === attemptAwaitingCopy) handleCurrent(signal)
@@ -261,13 +264,23 @@
         current = null
         exchange.logFields["lostReplica"] = signal.detail
         exchange.logFields["backup"] = attempt.backup?.toString() ?: "none"
+        val mayAwaitCopy = copyJob?.isActive == true && !route.isRepeatable
         when {
-            successor != null || continueFromBackup(attempt) -> Unit
-            copyJob?.isActive == true && !route.isRepeatable -> attemptAwaitingCopy = attempt
-            else -> retryWithoutCopy(signal.detail)
+            successor != null -> Unit
+            mayAwaitCopy -> if (!continueFromBackup(attempt)) attemptAwaitingCopy = attempt
+            !sourceStop.start(attempt, signal.detail, abandoned, mayRepeat = runs < route.maximumAttempts) ->
+                goOnAfter(attempt, signal.detail)
         }
     }
 
+    /** Goes on after [attempt], whose connection failed with [detail] and whose run was stopped if it could be. */
+    private suspend fun goOnAfter(
+        attempt: GenerationAttempt,
+        detail: String,
+    ) {
+        if (!continueFromBackup(attempt)) retryWithoutCopy(detail)
+    }
+
     /** Continues on the replica that holds the backup of [attempt]'s run. Returns false if no backup is usable. */
     private fun continueFromBackup(attempt: GenerationAttempt): Boolean {
         val backup = attempt.backup?.takeIf(context.directory::mayReceive) ?: return false
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/RunCopier.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/RunCopier.kt
@@ -48,6 +48,18 @@
         return context.selection.forCopy(candidates, demand, engine, source.entry.zone, isUrgent = false)
     }
 
+    /** Returns a replica to which a run on [source] can be moved at once, or null if none has room. */
+    fun chooseDestination(
+        source: Replica,
+        excluded: Set<Replica>,
+        service: RelayService,
+        demand: GenerationDemand,
+    ): Replica? {
+        val engine = service.engine?.takeIf { it.supportsMigration } ?: return null
+        val candidates = context.copyCandidates(service, excluded + source)
+        return context.selection.forCopy(candidates, demand, engine, source.entry.zone, isUrgent = true)
+    }
+
     /** Returns the copy that [backup] holds of the run of [requestId]. */
     fun backupCopy(
         backup: Replica,
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/RunStopper.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/RunStopper.kt
@@ -83,6 +83,33 @@
         }
     }
 
+    /**
+     * Asks for the stop of [run], whose stream broke off, before its generation goes on elsewhere. Returns whether its
+     * end is proven; false if the replica does not answer, cannot be reached, or refuses for [REFUSED_MILLIS].
+     *
+     * @param destination the replica to which the run is moved
+     */
+    suspend fun stopFirst(
+        run: LeftRun,
+        destination: Replica,
+        releasesCopy: Boolean,
+    ): Boolean {
+        val startMillis = nowMillis()
+        val plan = RunStopPlan(startMillis, run.deadlineMillis, run.hasStarted)
+        val results = SignalQueue<StopResult>()
+        while (nowMillis() - startMillis < REFUSED_MILLIS) {
+            scope.launch { ask(run, destination, releasesCopy, results.sender) }
+            val answer = results.receiveWithin(ANSWER_MILLIS)?.answer ?: return false
+            if (plan.isEnd(answer, isListed = true, nowMillis())) {
+                context.metrics.count("runs.stopped.first", answer.name.lowercase())
+                return true
+            }
+            if (answer == StopAnswer.UNREACHABLE || answer == StopAnswer.NO_SUCH_RUN) return false
+            delay(plan.delayMillis(nowMillis()) ?: return false)
+        }
+        return false
+    }
+
     /** Waits until the end of each run is proven, for at most [timeoutMillis]. */
     suspend fun awaitStops(timeoutMillis: Long) {
         withTimeoutOrNull(timeoutMillis) { while (pending > 0) delay(POLL_MILLIS) }
@@ -217,6 +244,9 @@
         /** Requests for the stop of one run that wait for their responses at a time. */
         const val MAXIMUM_UNANSWERED = 3
 
+        /** A caller waits for the next event for several times its objective; a longer pause would lose it. */
+        const val REFUSED_MILLIS = 3_000L
+
         /** Interval at which the end of all stops is checked. */
         const val POLL_MILLIS = 20L
     }
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/RunsLeft.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/RunsLeft.kt
@@ -34,6 +34,24 @@
             LeftRun(requestId, attempt.replica, attempt.hasStarted, deadlineMillis, stopper.nowMillis())
     }
 
+    /** Whether the run at [source] was left and is not being stopped yet. */
+    operator fun contains(source: Replica): Boolean = source in sources
+
+    /**
+     * Stops the run that was left at [source] by moving it to [destination], before the generation goes on. If its end
+     * cannot be proven soon, it is stopped with the others, once the generation goes on.
+     *
+     * @param isBackup whether [destination] holds the copy from which the generation is to go on
+     */
+    suspend fun stopFirst(
+        source: Replica,
+        destination: Replica,
+        isBackup: Boolean,
+    ) {
+        val run = sources[source] ?: return
+        if (stopper.stopFirst(run, destination, releasesCopy = !isBackup)) sources.remove(source)
+    }
+
     /** Whether a run was left that is not being stopped yet. */
     val isPending: Boolean get() = sources.isNotEmpty()
 
--- /dev/null
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/SourceStop.kt
@@ -0,0 +1,53 @@
+package io.sequoiawheel.relay.serving
+
+import io.sequoiawheel.core.relay.RelayService
+import io.sequoiawheel.core.relay.Replica
+import io.sequoiawheel.relay.filter.Exchange
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.channels.SendChannel
+import kotlinx.coroutines.launch
+
+/**
+ * Stops a run whose stream broke off before its generation goes on elsewhere. Nothing of the stream is read any more,
+ * so the caller gains nothing from a replica that works on beside the next one, and a replica may refuse to stop for
+ * longer than both may work. A run whose stream is still read is stopped after the move instead, which does not
+ * interrupt the stream.
+ */
+internal class SourceStop(
+    private val context: RelayContext,
+    private val copier: RunCopier,
+    private val runsLeft: RunsLeft,
+    private val exchange: Exchange,
+    private val service: RelayService,
+    private val scope: CoroutineScope,
+    private val signals: SendChannel<GenerationSignal>,
+) {
+    /**
+     * Starts to stop the run of [attempt], whose connection failed with [detail], and sends
+     * [GenerationSignal.SourceStopped] when the generation may go on. Returns false if the run cannot be stopped, or the
+     * generation cannot go on.
+     *
+     * @param abandoned replicas that the run is not moved to
+     * @param mayRepeat whether the attempts of a repeatable route are not used up
+     */
+    fun start(
+        attempt: GenerationAttempt,
+        detail: String,
+        abandoned: Set<Replica>,
+        mayRepeat: Boolean,
+    ): Boolean {
+        val isRepeatable = checkNotNull(exchange.route).isRepeatable
+        val backup = attempt.backup?.takeIf { attempt.hasStarted && context.directory.mayReceive(it) }
+        if (if (isRepeatable) !mayRepeat else backup == null) return false
+        if (attempt.replica !in runsLeft || context.outcomes.isSuspected(exchange)) return false
+        val destination =
+            backup
+                ?: copier.chooseDestination(attempt.replica, abandoned, service, exchange.demand)
+                ?: return false
+        scope.launch {
+            runsLeft.stopFirst(attempt.replica, destination, isBackup = backup != null)
+            signals.trySend(GenerationSignal.SourceStopped(attempt, detail))
+        }
+        return true
+    }
+}
--- a/relay/src/test/kotlin/io/sequoiawheel/relay/RunStopTest.kt
+++ b/relay/src/test/kotlin/io/sequoiawheel/relay/RunStopTest.kt
@@ -54,7 +54,40 @@
         }
     }
 
+    // The generation went on at once, and its engine before worked beside the next one while it refused the stop.
+    @ParameterizedTest(name = "{0}, {1}")
+    @MethodSource("refusals")
+    fun `a generation whose stream broke off goes on after the engine before has stopped`(
+        way: Way,
+        conduct: StopConduct,
+    ) {
+        StubbornEngines(conduct, way.ends, way.drainedRuns, lastEvent = LONG_RUN_EVENTS).use { engines ->
+            engines.start()
+            val request = engines.relay.request(way.path, extra = "X-Token-Usage: 3000,900\r\n")
+            val received = ReceivedStream(engines.relay.send(request), isReset = false)
+            assertEquals((1..LONG_RUN_EVENTS).joinToString("") { StreamFixture.event(it) }, received.body)
+            assertTrue(engines.runs.size >= way.runs, "${engines.runs.size} runs")
+            val overlapMillis = engines.longestOverlapMillis()
+            assertTrue(overlapMillis <= OVERLAP_MILLIS, "worked on the generation at two engines for $overlapMillis ms")
+        }
+    }
+
     private companion object {
+        /** Long enough that the engine before would still work when it no longer refuses. */
+        const val LONG_RUN_EVENTS = 80
+
+        @JvmStatic
+        fun refusals(): List<Arguments> =
+            StubbornEngines.LONG_REFUSALS.flatMap { conduct ->
+                listOf(
+                    Way.BACKUP_AFTER_RESET,
+                    Way.BACKUP_AFTER_INVALID_EVENT,
+                    Way.RESUMED_AFTER_RESET,
+                    Way.RESUMED_AFTER_INVALID_EVENT,
+                    Way.TWO_SOURCES_RESUMED,
+                ).map { Arguments.of(it, conduct) }
+            }
+
         /** The time that the users' rules grant to the engine before. */
         const val OVERLAP_MILLIS = 400L
 
