--- a/core/src/main/kotlin/io/sequoiawheel/core/relay/Replica.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/Replica.kt
@@ -1,6 +1,7 @@
 package io.sequoiawheel.core.relay
 
 import io.sequoiawheel.core.model.Clock
+import io.sequoiawheel.core.pace.ReplicaPace
 import kotlinx.coroutines.CompletableDeferred
 
 /**
@@ -49,6 +50,9 @@
     /** The load on the replica and the statistics of its responses. */
     val load = ReplicaLoad()
 
+    /** How long work takes at the replica. */
+    val pace = ReplicaPace(clock)
+
     /** Limits the request rate of this instance while the replica is cold. */
     val coldRate = TokenBucket(clock, coldPhase)
 
