Hold generations at their instance while engines lack the capacity

A generation was placed at once and waited in an engine's queue, where its order cannot be changed and from where it cannot go to another engine that has room first.

Where the settings ask for shared capacity or replicas report their speed, each instance decides before the first placement whether a generation is sent, waits or is refused. Thresholds of memory and of prompts ahead depend on rank and size and rise with the share of its longest wait that a request has waited, so that requests are ordered across instances without messages of their own. Waits are bounded well within the objective. Late requests and those of a workspace that sends many times its usual share go after the others. A wait ends with its caller, its deadline or the shutdown of the instance; nothing has been sent until then.

The thresholds are chosen, not measured under load.

--- a/core/src/main/kotlin/io/sequoiawheel/core/relay/FleetMembership.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/FleetMembership.kt
@@ -17,4 +17,7 @@
 
     /** Names of the instances in [zone], this one included. */
     val zoneInstances: Collection<String>
+
+    /** Time since the newest load message of another instance arrived, or null if none is in force. */
+    val loadAgeMillis: Long? get() = null
 }
--- a/core/src/main/kotlin/io/sequoiawheel/core/relay/LoadExchange.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/LoadExchange.kt
@@ -64,6 +64,7 @@
     private var limits: LimitsByReplica = emptyMap()
 
     override val selfName: String get() = self.name
+    override val loadAgeMillis: Long? get() = received.ageMillis
     override val isKnown: Boolean get() = isListed || !received.isEmpty
     override val zone: ZoneName get() = self.zone
     override val zoneInstances: Collection<String>
--- a/core/src/main/kotlin/io/sequoiawheel/core/relay/ReceivedLoads.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/ReceivedLoads.kt
@@ -22,6 +22,14 @@
     /** Whether no reports or totals of other instances are stored. */
     val isEmpty: Boolean get() = reports.isEmpty() && fleet == null
 
+    /** Time since the newest unexpired message arrived, or null if there is none. */
+    val ageMillis: Long?
+        get() =
+            (reports.values + zones.values + listOfNotNull(fleet))
+                .filter(::isFresh)
+                .maxOfOrNull { it.atMillis }
+                ?.let { clock.nowMillis() - it }
+
     /** The most recent totals of an aggregator, or null if they have expired. */
     val totals: FleetReport? get() = fleet?.takeIf(::isFresh)?.message
 
--- a/core/src/main/kotlin/io/sequoiawheel/core/scheduling/PriorityClasses.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/scheduling/PriorityClasses.kt
@@ -20,6 +20,13 @@
      */
     const val WITHOUT_MEMORY = 7
 
+    /**
+     * New long generations that can no longer meet their objective, or whose workspace exceeds its share. Engines
+     * preempt them first; short ones are sent with [WITHOUT_MEMORY] instead, since they hardly delay others and their
+     * deadlines are short.
+     */
+    const val DEFERRABLE = 8
+
     /**
      * Classes of new generations by rank, first those with a short and then those with a long expected time. Class 5
      * is that of requests without one.
@@ -31,13 +38,16 @@
      *
      * @param rank priority of the workspace or route; 0 is the most urgent
      * @param load load on the selected engine, without this generation
+     * @param isDeferrable whether requests that can still meet their objective go before it
      */
     fun ofNew(
         rank: Int,
         demand: GenerationDemand,
         load: ReplicaLoad,
         engine: EngineProfile,
+        isDeferrable: Boolean = false,
     ): Int {
+        if (isDeferrable) return if (GenerationSize.isShort(demand)) WITHOUT_MEMORY else DEFERRABLE
         if (!fits(demand, load, engine)) return WITHOUT_MEMORY
         val (short, long) = BY_RANK[rank.coerceIn(BY_RANK.indices)]
         return if (GenerationSize.isShort(demand)) short else long
--- a/core/src/test/kotlin/io/sequoiawheel/core/relay/LoadExchangeTest.kt
+++ b/core/src/test/kotlin/io/sequoiawheel/core/relay/LoadExchangeTest.kt
@@ -56,6 +56,19 @@
         assertEquals(3, loads.instanceCount)
     }
 
+    // A request that was held by an old load must be recognizable in the log.
+    @Test
+    fun `the age of the newest load message is known until it expires`() {
+        assertEquals(null, loads.loadAgeMillis)
+        loads.receive(report("b", 1, 300))
+        nowMillis = 700
+        loads.receive(report("c", 1, 40))
+        nowMillis = 1_000
+        assertEquals(300, loads.loadAgeMillis)
+        nowMillis = 5_000
+        assertEquals(null, loads.loadAgeMillis)
+    }
+
     @Test
     fun `a reordered older report is ignored`() {
         loads.receive(report("b", 2, 300))
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/RelayDaemon.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/RelayDaemon.kt
@@ -135,7 +135,7 @@
     private val loops = LoopSupervisor(scope, monotonic, random, log, metrics)
     private val shutdown = InstanceShutdown(monotonic, log, ::graceMillis)
     private val calls = CallRelay(context)
-    private val generations = GenerationRelay(context, scope)
+    private val generations = GenerationRelay(context, scope, shutdown::remainingMillis)
     private val filters =
         FilterChain(
             listOf(
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/filter/Exchange.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/filter/Exchange.kt
@@ -62,6 +62,9 @@
     /** Priority of the request's workspace, or else of its route; 0 is the most urgent. */
     val rank: Int get() = workspace?.priority ?: route?.priority ?: 0
 
+    /** Whether generations that can still meet their objective go before this one. */
+    var isDeferrable = false
+
     /** Monotonic time at which the caller or the route stops waiting. */
     var deadlineMillis = Long.MAX_VALUE
 
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/internal/RelayMetrics.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/internal/RelayMetrics.kt
@@ -1,5 +1,6 @@
 package io.sequoiawheel.relay.internal
 
+import io.micrometer.core.instrument.Tags
 import io.micrometer.core.instrument.Timer
 import io.micrometer.prometheusmetrics.PrometheusConfig
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
@@ -40,12 +41,14 @@
         amount: Double = 1.0,
     ) = registry.counter("sequoiawheel.$name", "reason", reason).increment(amount)
 
-    /** Registers a gauge whose [value] is read whenever the metrics are scraped. */
+    /** Registers a gauge whose [value] is read whenever the metrics are scraped, one of several if it has a [reason]. */
     fun gauge(
         name: String,
+        reason: String? = null,
         value: () -> Number,
     ) {
-        registry.gauge("sequoiawheel.$name", this) { value().toDouble() }
+        val tags = if (reason == null) Tags.empty() else Tags.of("reason", reason)
+        registry.gauge("sequoiawheel.$name", tags, this) { value().toDouble() }
     }
 
     /** Returns all metrics in the Prometheus text format. */
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationAttempts.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationAttempts.kt
@@ -80,7 +80,7 @@
             if (Headers.CONTINUE_FROM in headers || delivery.delivered > 0) {
                 PriorityClasses.CONTINUATION
             } else {
-                PriorityClasses.ofNew(exchange.rank, exchange.demand, replica.load, engine)
+                PriorityClasses.ofNew(exchange.rank, exchange.demand, replica.load, engine, exchange.isDeferrable)
             }
         exchange.logFields["priorityClass"] = priority
         return mapOf(Headers.PRIORITY to priority.toString())
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationRelay.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationRelay.kt
@@ -12,14 +12,17 @@
  * Relays generations. Each request is handled by its own [GenerationRun].
  *
  * @param scope for what outlives a request
+ * @param shutdownMillis returns the time until the process exits, or null if it is not shutting down
  */
 internal class GenerationRelay(
     private val context: RelayContext,
     scope: CoroutineScope,
+    shutdownMillis: () -> Long?,
 ) {
     private val calls = EngineCalls(context)
     private val copier = RunCopier(context, calls)
     private val stopper = RunStopper(context, calls, scope)
+    private val admission = GenerationAdmission(context, shutdownMillis)
 
     /** Answers the request; at the deadline it sends an error, or aborts the response if it has already started. */
     suspend fun relay(
@@ -29,6 +32,7 @@
         val remaining = exchange.deadlineMillis - context.clock.nowMillis()
         val completed =
             withTimeoutOrNull(remaining) {
+                if (!admission.awaitTurn(exchange, service)) return@withTimeoutOrNull
                 coroutineScope {
                     val run = GenerationRun(context, copier, stopper, exchange, service, this)
                     try {
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/RelayContext.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/RelayContext.kt
@@ -32,7 +32,7 @@
     val pool: BackendPool,
     val log: DecisionLog,
     val metrics: RelayMetrics,
-    private val random: UniformRandomProvider,
+    val random: UniformRandomProvider,
     private val settings: InstanceSettings,
     private val fleet: FleetMembership,
     private val quarantine: PartQuarantine,
@@ -51,7 +51,14 @@
 
     /** Whether callers of [service] compete for its capacity, so that generations are ordered before they are sent. */
     fun sharesCapacity(service: RelayService): Boolean =
-        service.engine != null && DeploymentFeature.SCARCE_CAPACITY in settings.features
+        service.engine != null &&
+            (
+                DeploymentFeature.SCARCE_CAPACITY in settings.features ||
+                    directory.usable(service.name).any { it.pace.isKnown }
+            )
+
+    /** Time since the newest load message of another instance arrived, or null if none is in force. */
+    val loadAgeMillis: Long? get() = fleet.loadAgeMillis
 
     /** Returns the limit on the retries that this instance may send to [service]. */
     fun retryBudget(service: ServiceName): SlidingWindowRetryBudget =
--- a/relay/src/test/kotlin/io/sequoiawheel/relay/RelayFixture.kt
+++ b/relay/src/test/kotlin/io/sequoiawheel/relay/RelayFixture.kt
@@ -64,7 +64,12 @@
         version: Int = 1,
         keys: String = """["key-1"]""",
         timeoutMillis: Int = 1_200,
-    ) = store.put("config", "main", Json.parseToJsonElement(configuration(version, keys, timeoutMillis)))
+        objectiveMillis: Int = 150,
+    ) = store.put(
+        "config",
+        "main",
+        Json.parseToJsonElement(configuration(version, keys, timeoutMillis, objectiveMillis)),
+    )
 
     /** Writes a configuration as [configure] does, with additional [routes] and [workspaces]. */
     fun configureLarge(
@@ -169,11 +174,12 @@
         version: Int,
         keys: String,
         timeoutMillis: Int,
+        objectiveMillis: Int = 150,
     ) = """{"version":$version,"routes":[
         ${route("unsafe", "/unsafe/", PLAIN, timeoutMillis, 1)},
         ${route("safe", "/safe/", PLAIN, timeoutMillis, 2)},
-        ${route("stream", "/stream/", ENGINE, 20_000, 1)},
-        ${route("stream", "/resumable/", ENGINE, 20_000, 3, isResumable = true)}],
+        ${route("stream", "/stream/", ENGINE, 20_000, 1, objectiveMillis = objectiveMillis)},
+        ${route("stream", "/resumable/", ENGINE, 20_000, 3, isResumable = true, objectiveMillis = objectiveMillis)}],
         "svcs":[{"name":"$PLAIN","health_path":"/healthz","max_conns":100,"warmup_s":0,"warmup_per_s":0},
         {"name":"$ENGINE","health_path":"/healthz","max_conns":100,"warmup_s":0,"warmup_per_s":0,
         "runtime":{"slots":24,"kv_capacity":34000,"kv_token_bytes":163840,"stride":4,"moves":true,"backups":true}}],
@@ -187,9 +193,10 @@
         timeoutMillis: Int,
         attempts: Int,
         isResumable: Boolean = false,
+        objectiveMillis: Int = 150,
     ) = """{"name":"$type","host":"h.example","path_prefix":"$prefix","type":"$type","timeout_ms":$timeoutMillis,
-        "slo_ms":150,"prio":1,"svc":"$service","attempts":$attempts,"public":false,"resumable":$isResumable,
-        "itl_target_ms":180}"""
+        "slo_ms":$objectiveMillis,"prio":1,"svc":"$service","attempts":$attempts,"public":false,
+        "resumable":$isResumable,"itl_target_ms":180}"""
 
     companion object {
         const val PLAIN = "desk"
