Place generations by expected times where replicas report their speed

Callers of long streams got late first events and long pauses on sites where a quarter of the engines takes 0.55 of the usual time and spells of 2.5 times come and go, since placement balanced memory alone. Decode the fourth figure of X-Instance-Load, learn a slow factor from the streams, exchange both in the field sp of the load messages, and place generations by expected first event and pauses. Without a fourth figure the selection and its use of random numbers are unchanged.

--- /dev/null
+++ b/core/src/main/kotlin/io/sequoiawheel/core/pace/PacedSelection.kt
@@ -0,0 +1,157 @@
+/*
+ * Selection of a replica for a generation where replicas report their speed. The cost of a replica is expressed as a
+ * share of the value of a response: the probability that this one, or a stream that runs there, becomes late, and a
+ * little for the memory and the time that it takes from later requests. Instances see the same figures at the same
+ * time, so each chooses at random among the replicas of nearly the same cost.
+ */
+package io.sequoiawheel.core.pace
+
+import io.sequoiawheel.core.model.ZoneName
+import io.sequoiawheel.core.relay.EngineProfile
+import io.sequoiawheel.core.relay.GenerationDemand
+import io.sequoiawheel.core.relay.Replica
+import org.apache.commons.rng.UniformRandomProvider
+import kotlin.math.exp
+
+/** Selects among replicas by expected time to the first event and expected pauses. Confined to one thread. */
+internal class PacedSelection(
+    private val ownZone: ZoneName,
+    private val random: UniformRandomProvider,
+    private val estimator: BatchServiceTimeEstimator,
+) {
+    /** Returns the replica for a generation of [demand], or null if [candidates] is empty. */
+    fun forGeneration(
+        candidates: List<Replica>,
+        demand: GenerationDemand,
+        engine: EngineProfile,
+    ): Replica? {
+        if (candidates.size < 2) return candidates.firstOrNull()
+        val costs = candidates.map { cost(it, demand, engine) }
+        val lowest = costs.min()
+        val weights =
+            candidates.mapIndexed { index, replica ->
+                val excess = costs[index] - lowest
+                val weight = if (excess < MAXIMUM_EXCESS) exp(-excess / SPREAD) else 0.0
+                if (mayExplore(replica, demand, engine)) maxOf(weight, EXPLORED_WEIGHT) else weight
+            }
+        var remaining = random.nextDouble() * weights.sum()
+        for ((index, weight) in weights.withIndex()) {
+            remaining -= weight
+            if (remaining < 0) return candidates[index]
+        }
+        return candidates[costs.indexOf(lowest)]
+    }
+
+    /** Whether [replica] gets an occasional request at any cost, so that a wrong estimate is corrected. */
+    private fun mayExplore(
+        replica: Replica,
+        demand: GenerationDemand,
+        engine: EngineProfile,
+    ) = replica.entry.zone == ownZone && memoryShare(replica, demand, engine) <= FULL_MEMORY_SHARE
+
+    private fun memoryShare(
+        replica: Replica,
+        demand: GenerationDemand,
+        engine: EngineProfile,
+    ) = (replica.load.totalTokens + demand.tokens).toDouble() / engine.memoryTokens
+
+    private fun cost(
+        replica: Replica,
+        demand: GenerationDemand,
+        engine: EngineProfile,
+    ): Double {
+        val zoneCost = if (replica.entry.zone == ownZone) 0.0 else ZONE_COST
+        val coldCost = if (replica.isCold) COLD_COST else 0.0
+        return firstEventCost(replica, demand, engine) + pauseCost(replica, demand, engine) +
+            memoryCost(memoryShare(replica, demand, engine)) + replica.load.failureShare + zoneCost + coldCost
+    }
+
+    private fun firstEventCost(
+        replica: Replica,
+        demand: GenerationDemand,
+        engine: EngineProfile,
+    ): Double {
+        val objectiveMillis = demand.firstEventObjectiveMillis.takeIf { it > 0 } ?: DEFAULT_OBJECTIVE_MILLIS
+        val share = estimator.firstEventMillis(replica, demand, engine) / objectiveMillis
+        return exceedance(share / TYPICAL_SHARE, FIRST_EVENT_UNCERTAINTY) + share.coerceAtMost(MAXIMUM_SHARE) * TIME_COST
+    }
+
+    /** The expected number of streams, this one included, whose pauses become too long while a prompt is read. */
+    private fun pauseCost(
+        replica: Replica,
+        demand: GenerationDemand,
+        engine: EngineProfile,
+    ): Double {
+        val limitMillis = demand.eventGapMillis.takeIf { it > 0 } ?: DEFAULT_GAP_MILLIS
+        val pauseMillis = estimator.readingGapMillis(replica, engine)
+        val inSpell = exceedance(pauseMillis * SPELL_FACTOR / limitMillis, PAUSE_UNCERTAINTY)
+        val now = exceedance(pauseMillis * replica.pace.speed() / limitMillis, PAUSE_UNCERTAINTY)
+        val readMillis = estimator.firstEventMillis(replica, demand, engine)
+        val meetsSpell = (SPELL_SHARE + readMillis / SPELL_INTERVAL_MILLIS).coerceAtMost(1.0)
+        val streams = replica.load.totalRunning.coerceAtMost(engine.slots) * LONG_SHARE
+        val isLong = demand.outputTokens >= LONG_EVENTS * engine.tokensPerEvent
+        val own = if (isLong) inSpell * OWN_PAUSE_SHARE else 0.0
+        return (maxOf(now, inSpell * meetsSpell) * streams + own) * LATE_COST
+    }
+
+    private fun memoryCost(share: Double): Double {
+        val overcommit = maxOf(0.0, share - FULL_MEMORY_SHARE) * OVERCOMMIT_COST_FACTOR
+        val preemption = if (share > 1) PREEMPTION_COST else 0.0
+        return share * MEMORY_COST + overcommit + preemption
+    }
+
+    /** Returns the probability that a value exceeds its limit, given its expected [share] of the limit. */
+    private fun exceedance(
+        share: Double,
+        uncertainty: Double,
+    ) = 1 / (1 + exp((1 - share) / uncertainty))
+
+    private companion object {
+        /** Difference in cost at which a replica is chosen a third as often. */
+        const val SPREAD = 0.06
+
+        /** Replicas whose cost is higher by this are not chosen, so that few requests leave the zone at random. */
+        const val MAXIMUM_EXCESS = 0.2
+
+        /** A few in a thousand requests go to any replica of the zone that has the memory. */
+        const val EXPLORED_WEIGHT = 0.003
+
+        /** Part of the value of a response that a local zone may cost more before traffic crosses zones. */
+        const val ZONE_COST = 0.25
+        const val COLD_COST = 0.25
+
+        const val DEFAULT_OBJECTIVE_MILLIS = 1_800L
+        const val DEFAULT_GAP_MILLIS = 180L
+
+        /** The first event is late in half of the cases if it is expected at this share of the objective. */
+        const val TYPICAL_SHARE = 0.8
+        const val FIRST_EVENT_UNCERTAINTY = 0.15
+        const val PAUSE_UNCERTAINTY = 0.08
+
+        /** Cost of an expected first event at the objective, beside the risk that it is late. */
+        const val TIME_COST = 0.2
+        const val MAXIMUM_SHARE = 5.0
+
+        /** Replicas are slower by this factor for 15 in 100 of the time, in spells that start every 4 s. */
+        const val SPELL_FACTOR = 2.5
+        const val SPELL_SHARE = 0.15
+        const val SPELL_INTERVAL_MILLIS = 4_000.0
+
+        /** About half of the running generations are long enough that a pause matters. */
+        const val LONG_SHARE = 0.5
+        const val LONG_EVENTS = 20
+
+        /** Probability that a long stream meets a spell while another prompt is read. */
+        const val OWN_PAUSE_SHARE = 0.3
+
+        /** A late stream is worth a sixth. */
+        const val LATE_COST = 0.8
+
+        const val MEMORY_COST = 0.4
+
+        /** Above this share of memory, generations that exceed their estimate are likely to be preempted. */
+        const val FULL_MEMORY_SHARE = 0.85
+        const val OVERCOMMIT_COST_FACTOR = 4.0
+        const val PREEMPTION_COST = 2.0
+    }
+}
--- a/core/src/main/kotlin/io/sequoiawheel/core/pace/ReplicaPace.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/pace/ReplicaPace.kt
@@ -35,6 +35,10 @@
     var figure: SpeedFigure? = null
         private set
 
+    /** The latest figure in a response to this instance, or null before the first. */
+    var ownFigure: SpeedFigure? = null
+        private set
+
     /** What the streams of this instance showed, or null before the first observation. */
     var observed: ObservedFactor? = null
         private set
@@ -49,13 +53,27 @@
     private var logMeanFigure = 0.0
     private var figuredMillis = 0.0
 
-    /** Records a figure; older ones than the latest are ignored. */
-    fun recordFigure(newer: SpeedFigure) {
+    /** Smoothed share of figures that the next one, if it came soon, confirmed. */
+    private var persistence = 1.0
+
+    /** The slow-moving mean of the figures, in hundredths. */
+    val typicalFigure: Double get() = USUAL * exp(logMeanFigure)
+
+    /** Records a figure that a response to this instance named. */
+    fun recordFigure(hundredths: Int) {
+        val newer = SpeedFigure(hundredths, clock.nowMillis())
+        ownFigure = newer
+        applyFigure(newer)
+    }
+
+    /** Applies a figure that any instance received; older ones than the latest are ignored. */
+    fun applyFigure(newer: SpeedFigure) {
         val previous = figure
         val bounded = newer.copy(hundredths = newer.hundredths.coerceIn(MINIMUM_FIGURE, MAXIMUM_FIGURE))
         if (previous != null && bounded.observedAtMillis <= previous.observedAtMillis) return
         val heldMillis =
             if (previous == null) MAXIMUM_HOLD_MILLIS else bounded.observedAtMillis - previous.observedAtMillis
+        if (previous != null) recordPersistence(previous, bounded, heldMillis)
         recordMean(previous ?: bounded, heldMillis.coerceAtMost(MAXIMUM_HOLD_MILLIS).toDouble())
         // Small changes would only move requests back and forth between instances that see the same figures.
         val isSame = previous != null && abs(ln(bounded.logRatio(previous))) < FIGURE_HYSTERESIS
@@ -64,6 +82,17 @@
 
     private fun SpeedFigure.logRatio(other: SpeedFigure) = hundredths.toDouble() / other.hundredths
 
+    /** Figures that change faster than they can be used would only move the load back and forth. */
+    private fun recordPersistence(
+        previous: SpeedFigure,
+        newer: SpeedFigure,
+        heldMillis: Long,
+    ) {
+        if (heldMillis > PERSISTENCE_MILLIS) return
+        val isKept = abs(ln(newer.logRatio(previous))) < NOTABLE_CHANGE
+        persistence += ((if (isKept) 1.0 else 0.0) - persistence) * PERSISTENCE_WEIGHT
+    }
+
     /** Each figure counts for the time until the next one, since instances report changes more often than the same. */
     private fun recordMean(
         held: SpeedFigure,
@@ -83,8 +112,9 @@
         }
         val weight = (known.weight + 1).coerceAtMost(MAXIMUM_OWN_WEIGHT)
         val previous = ln(known.factor)
+        val bound = if (weight > SETTLED_WEIGHT) MAXIMUM_STEP else Double.MAX_VALUE
         // A spell that no figure announced must not be taken for the replica's usual speed.
-        val step = if (weight > SETTLED_WEIGHT) (value - previous).coerceIn(-MAXIMUM_STEP, MAXIMUM_STEP) else value - previous
+        val step = (value - previous).coerceIn(-bound, bound)
         observed = ObservedFactor(exp(previous + step / weight), weight)
     }
 
@@ -106,7 +136,8 @@
         val known = figure ?: return 1.0
         val ageMillis = (clock.nowMillis() - known.observedAtMillis).coerceAtLeast(0)
         val logRatio = (ln(known.hundredths / USUAL) - logMeanFigure).coerceIn(-MAXIMUM_LOG_SPEED, MAXIMUM_LOG_SPEED)
-        return exp(logRatio * exp(-ageMillis / FIGURE_LIFE_MILLIS))
+        val trust = ((persistence - VOLATILE_SHARE) / (STEADY_SHARE - VOLATILE_SHARE)).coerceIn(0.0, 1.0)
+        return exp(logRatio * trust * exp(-ageMillis / FIGURE_LIFE_MILLIS))
     }
 
     /** Returns how long work takes now, as a factor of the usual time. */
@@ -125,6 +156,15 @@
         /** Spells of slowness last about 600 ms, so half of them are over at this age. */
         private const val FIGURE_LIFE_MILLIS = 400.0
 
+        /** Figures are compared if they are closer than this; a spell lasts about twice as long. */
+        private const val PERSISTENCE_MILLIS = 350L
+        private const val NOTABLE_CHANGE = 0.3
+        private const val PERSISTENCE_WEIGHT = 0.15
+
+        /** Below the first share of confirmed figures they are noise, above the second they count fully. */
+        private const val VOLATILE_SHARE = 0.25
+        private const val STEADY_SHARE = 0.6
+
         /** Nothing is known of the time after a figure, so that it counts no longer than a spell lasts. */
         private const val MAXIMUM_HOLD_MILLIS = 600L
 
--- a/core/src/main/kotlin/io/sequoiawheel/core/relay/LoadExchange.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/LoadExchange.kt
@@ -8,6 +8,7 @@
 
 import io.sequoiawheel.core.model.Clock
 import io.sequoiawheel.core.model.ZoneName
+import io.sequoiawheel.core.pace.SpeedExchange
 import io.sequoiawheel.core.quarantine.PartQuarantine
 
 /** A message to send to [destinations]. */
@@ -43,6 +44,7 @@
     private val aggregators = AggregatorSelection(self, roster, clock)
     private val sentReports = SentReports()
     private val received = ReceivedLoads(self.zone, clock)
+    private val speeds = SpeedExchange(self.zone.value, clock)
     private val fleetSize = FleetSizeEstimate(clock)
     private var sequence = 0L
     private var meshRounds = 0L
@@ -106,7 +108,8 @@
         limits: LimitsByReplica = emptyMap(),
     ): List<OutgoingMessage> {
         val outgoing = ArrayList<OutgoingMessage>()
-        val hasNewNotices = leaving != this.leaving || rates(limits) != rates(this.limits) || hasPartNotices
+        val hasNewNotices =
+            leaving != this.leaving || rates(limits) != rates(this.limits) || hasPartNotices || speeds.hasNews
         val hasChanged = hasNewNotices || generationTokens(work) != generationTokens(sentReports.latestWork)
         this.leaving = leaving
         this.limits = limits
@@ -125,6 +128,7 @@
         val endpoint = Endpoint.parseOrNull(message.endpoint) ?: return emptyList()
         if (message.sender == self.name) return emptyList()
         quarantine.merge(message.parts)
+        speeds.receive(message)
         val sender = Peer(message.sender, ZoneName(message.zone), endpoint)
         when (message) {
             is PeerReport -> receive(message, sender)
@@ -136,6 +140,7 @@
 
     /** Sets the load of the other instances on each of [replicas]. */
     fun apply(replicas: Collection<Replica>) {
+        speeds.apply(replicas)
         val work = othersWork()
         for (replica in replicas) {
             val part = work[replica.entry.id.value]
@@ -199,6 +204,7 @@
                 leaving,
                 ReportedLimit.of(limits, clock.nowMillis()),
                 quarantine.report(),
+                speeds.ofInstance(),
             )
         sentPartsVersion = quarantine.version
         hasNewIncarnation = false
@@ -225,7 +231,7 @@
                 rates(allLimits),
                 quarantine.version,
             )
-        if (content == lastTotals && !isElapsed(totalsSentMillis, TOTALS_INTERVAL_LIMIT_MILLIS)) return null
+        if (content == lastTotals && !speeds.hasFleetNews && !isElapsed(totalsSentMillis, TOTALS_INTERVAL_LIMIT_MILLIS)) return null
         lastTotals = content
         totalsSentMillis = clock.nowMillis()
         val hasAddresses = totalsRounds++ % ADDRESS_ROUNDS == 0L
@@ -243,6 +249,7 @@
                 content.leaving,
                 ReportedLimit.of(allLimits, clock.nowMillis()),
                 quarantine.report(),
+                speeds.ofFleet(),
             )
         totalsBytes = (report.work.size + report.members.size) * BYTES_PER_ENTRY
         return OutgoingMessage(requesters, report)
@@ -257,7 +264,7 @@
         val zoneLimits = listOf(limits, received.localLimits()).latestByReplica()
         val zoneLeaving = reports.fold(leaving) { known, member -> known + member.leaving }
         val content = SentContent(generationTokens(sums), zoneLeaving, rates(zoneLimits), quarantine.version)
-        if (content == lastSums && !isElapsed(sumsSentMillis, HEARTBEAT_MILLIS)) return null
+        if (content == lastSums && !speeds.hasZoneNews && !isElapsed(sumsSentMillis, HEARTBEAT_MILLIS)) return null
         lastSums = content
         sumsSentMillis = clock.nowMillis()
         val endpoint = self.endpoint.toString()
@@ -273,6 +280,7 @@
                 leaving = content.leaving,
                 limits = ReportedLimit.of(zoneLimits, clock.nowMillis()),
                 parts = quarantine.report(),
+                speeds = speeds.ofZone(),
             )
         return OutgoingMessage(targets.map { it.endpoint }, report)
     }
--- a/core/src/main/kotlin/io/sequoiawheel/core/relay/PeerMessage.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/PeerMessage.kt
@@ -6,6 +6,7 @@
 package io.sequoiawheel.core.relay
 
 import io.sequoiawheel.core.model.NestingLimit
+import io.sequoiawheel.core.pace.ReportedSpeed
 import io.sequoiawheel.core.quarantine.PartReport
 import kotlinx.serialization.KSerializer
 import kotlinx.serialization.SerialName
@@ -86,6 +87,7 @@
  *   that they are leaving
  * @property limits request limits that replicas named, by replica id
  * @property parts what the sender knows of prompt parts that end replicas
+ * @property speeds how long work takes at replicas, by replica id; only what changed notably
  */
 @Serializable
 sealed interface PeerMessage {
@@ -97,6 +99,7 @@
     val leaving: StartsByReplica
     val limits: Map<String, ReportedLimit>
     val parts: PartReport
+    val speeds: Map<String, ReportedSpeed>
 
     /** Whether this message is not newer than [other], a message of the same sender. */
     fun isNotNewerThan(other: PeerMessage): Boolean =
@@ -148,6 +151,7 @@
     @SerialName("q") override val leaving: StartsByReplica = emptyMap(),
     @SerialName("r") override val limits: Map<String, ReportedLimit> = emptyMap(),
     @SerialName("p") override val parts: PartReport = PartReport.NONE,
+    @SerialName("sp") override val speeds: Map<String, ReportedSpeed> = emptyMap(),
 ) : PeerMessage
 
 /**
@@ -170,6 +174,7 @@
     @SerialName("q") override val leaving: StartsByReplica = emptyMap(),
     @SerialName("r") override val limits: Map<String, ReportedLimit> = emptyMap(),
     @SerialName("p") override val parts: PartReport = PartReport.NONE,
+    @SerialName("sp") override val speeds: Map<String, ReportedSpeed> = emptyMap(),
 ) : PeerMessage
 
 /**
@@ -194,4 +199,5 @@
     @SerialName("q") override val leaving: StartsByReplica = emptyMap(),
     @SerialName("r") override val limits: Map<String, ReportedLimit> = emptyMap(),
     @SerialName("p") override val parts: PartReport = PartReport.NONE,
+    @SerialName("sp") override val speeds: Map<String, ReportedSpeed> = emptyMap(),
 ) : PeerMessage
--- a/core/src/main/kotlin/io/sequoiawheel/core/relay/ReplicaSelection.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/ReplicaSelection.kt
@@ -5,17 +5,23 @@
 package io.sequoiawheel.core.relay
 
 import io.sequoiawheel.core.model.ZoneName
+import io.sequoiawheel.core.pace.BatchServiceTimeEstimator
+import io.sequoiawheel.core.pace.PacedSelection
 import org.apache.commons.rng.UniformRandomProvider
 
 /**
  * The expected size of a generation, which needs [tokens] of memory when it ends.
  *
  * @property maximumOutputTokens the output after which the generation ends at the latest
+ * @property firstEventObjectiveMillis time within which the first event meets the objective, or 0 if there is none
+ * @property eventGapMillis longest interval between events that meets the objective, or 0 if there is none
  */
 data class GenerationDemand(
     val promptTokens: Int,
     val outputTokens: Int,
     val maximumOutputTokens: Int = outputTokens,
+    val firstEventObjectiveMillis: Long = 0,
+    val eventGapMillis: Long = 0,
 ) {
     val tokens: Long get() = promptTokens.toLong() + outputTokens
 }
@@ -25,18 +31,25 @@
     private val ownZone: ZoneName,
     private val random: UniformRandomProvider,
 ) {
+    private val paced = PacedSelection(ownZone, random, BatchServiceTimeEstimator())
+
     /** Returns the replica for a plain call, or null if [candidates] is empty. */
     fun forCall(candidates: List<Replica>): Replica? = reachable(candidates).minByOrNull { callCost(it) }
 
     /**
      * Returns the replica for a generation of [demand], or null if [candidates] is empty. If none has enough free
      * memory, the one that is expected to have it first is selected; engines queue generations that they cannot start.
+     * Where replicas report their speed, the expected times decide.
      */
     fun forGeneration(
         candidates: List<Replica>,
         demand: GenerationDemand,
         engine: EngineProfile,
-    ): Replica? = reachable(candidates).minByOrNull { generationCost(it, demand, engine) }
+    ): Replica? {
+        val reachable = reachable(candidates)
+        if (candidates.any { it.pace.isKnown }) return paced.forGeneration(reachable, demand, engine)
+        return reachable.minByOrNull { generationCost(it, demand, engine) }
+    }
 
     /**
      * Returns the replica that stores a copy of a generation of [demand], or null if none can do so without displacing
@@ -89,7 +102,7 @@
         val load = replica.load
         val slots = replica.entry.slots.coerceAtLeast(1)
         val queueing = maxOf(0.0, (load.totalRunning + 1.0) / slots - QUEUE_FREE_SHARE)
-        val base = load.expectedResponseMillis
+        val base = load.expectedResponseMillis * replica.pace.speed()
         val failurePenalty = load.failureShare * FAILURE_COST_MILLIS
         val zonePenalty = if (replica.entry.zone == ownZone) 0.0 else ZONE_COST_MILLIS
         val coldPenalty = if (replica.isCold) COLD_COST_MILLIS else 0.0
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/RelayDaemon.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/RelayDaemon.kt
@@ -57,6 +57,8 @@
 import io.sequoiawheel.relay.serving.QuarantineLog
 import io.sequoiawheel.relay.serving.RelayContext
 import io.sequoiawheel.relay.serving.ReplicaNotices
+import io.sequoiawheel.relay.serving.PaceGauges
+import io.sequoiawheel.relay.serving.PaceObserver
 import io.sequoiawheel.relay.serving.RunOutcomes
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
@@ -93,7 +95,8 @@
     private val quarantine = PartQuarantine(settings.name, monotonic, QuarantineLog(log, metrics))
     private val loads = LoadExchange(self, start = wall.nowMillis(), monotonic, quarantine)
     private val outcomes = RunOutcomes(monotonic, quarantine, log, metrics)
-    private val notices = ReplicaNotices(log, metrics, outcomes)
+    private val pace = PaceObserver(monotonic, log, metrics)
+    private val notices = ReplicaNotices(log, metrics, outcomes, pace)
     private val pool = BackendPool(connector, notices::onResponseHead, notices::onUnexpectedBytes)
     private val configuration = ConfigurationController(store, freshness, ConfigurationOrder(monotonic), scope, log)
     private val replicas = ReplicaController(directory, log, metrics)
@@ -111,6 +114,7 @@
             fleet = loads,
             quarantine,
             outcomes,
+            pace,
         )
     private val peers = PeerController(self, directory, loads, store, random, log, metrics)
     private val hubSelection = HubSelection(settings.name, settings.zone, monotonic, random, loads::live)
@@ -293,6 +297,7 @@
         metrics.gauge("store.history.bytes") { feeds.values.sumOf { it.sizeBytes } }
         metrics.gauge("replicas.quiet") { directory.all().count { it.isPaused } }
         metrics.gauge("replicas.limited") { directory.all().count { it.requestLimit.perSecond != null } }
+        PaceGauges.publish(metrics, directory::all)
         metrics.gauge("replicas.leaving.by.answer") { directory.announcedLeaving().size }
         metrics.gauge("parts.quarantined") { quarantine.quarantined.size }
         metrics.gauge("replicas.unreadable") { replicas.unreadableCount }
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/filter/Exchange.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/filter/Exchange.kt
@@ -31,7 +31,12 @@
 
     /** Estimated resource demand of the request if it is a generation. */
     val demand: GenerationDemand by lazy {
-        EngineProtocol.decodeDemand(request.headers.get(Headers.TOKENS), request.headers.get(Headers.OUTPUT_ESTIMATE))
+        EngineProtocol
+            .decodeDemand(request.headers.get(Headers.TOKENS), request.headers.get(Headers.OUTPUT_ESTIMATE))
+            .copy(
+                firstEventObjectiveMillis = route?.objectiveMillis ?: 0,
+                eventGapMillis = route?.eventGapMillis ?: 0,
+            )
     }
 
     /** The parts of the prompt that other requests may share; empty if the request has no prompt. */
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationAttempt.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationAttempt.kt
@@ -110,6 +110,7 @@
  * @property backup the replica that is to receive a continuously updated copy of the run, or null
  * @property stream decides which of the attempt's events are delivered
  * @param headers headers to add to the caller's request
+ * @param pace observes the time between the events
  */
 internal class GenerationAttempt(
     private val context: RelayContext,
@@ -119,6 +120,7 @@
     val backup: Replica?,
     val stream: ReplicaStream,
     private val headers: Map<String, String>,
+    private val pace: StreamPace,
     private val purpose: SendPurpose,
     private val signals: SendChannel<GenerationSignal>,
 ) {
@@ -304,7 +306,9 @@
                 hasEvents = true
                 val handled = CompletableDeferred<Unit>()
                 signals.trySend(GenerationSignal.Events(this, events, handled))
+                pace.recordEvents(events.size)
                 handled.await()
+                pace.recordDelivery()
             }
             if (!isLast) continue
             requireWhole(opened, splitter, hasEvents)
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationAttempts.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationAttempts.kt
@@ -55,6 +55,7 @@
         val demand = exchange.demand
         val backup = if (wantsBackup) copier.chooseBackup(replica, abandoned, service, demand) else null
         val backupHeader = backup?.let { mapOf(Headers.BACKUP_REPLICA to it.entry.address) }.orEmpty()
+        exchange.logFields += context.pace.expectation(replica, demand, service.engine)
         val stream = ReplicaStream(delivery, headers[Headers.LAST_EVENT_ID]?.toLongOrNull())
         return GenerationAttempt(
             context,
@@ -64,6 +65,7 @@
             backup,
             stream,
             headers + backupHeader,
+            context.pace.observe(replica, service.engine),
             purpose,
             signals,
         )
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/RelayContext.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/RelayContext.kt
@@ -36,6 +36,7 @@
     private val fleet: FleetMembership,
     private val quarantine: PartQuarantine,
     val outcomes: RunOutcomes,
+    val pace: PaceObserver,
 ) {
     private val retryBudgets = HashMap<ServiceName, SlidingWindowRetryBudget>()
 
--- a/standin/src/main/kotlin/io/sequoiawheel/standin/platform/ReplicaStandIn.kt
+++ b/standin/src/main/kotlin/io/sequoiawheel/standin/platform/ReplicaStandIn.kt
@@ -34,7 +34,8 @@
 ) {
     private val leavingHeader get() = if (replica.isLeaving) "Server-Leaving: 1\r\n" else ""
     private val limitHeader get() = replica.requestLimit?.let { "Server-Limit: $it\r\n" }.orEmpty()
-    private val noticeHeaders get() = leavingHeader + limitHeader
+    private val loadHeader get() = replica.load?.let { "X-Instance-Load: $it\r\n" }.orEmpty()
+    private val noticeHeaders get() = leavingHeader + limitHeader + loadHeader
 
     /** Whether the client has closed the connection, which is detected only when a write fails. */
     @Volatile
@@ -166,6 +167,10 @@
     @Volatile
     var requestLimit: String? = null
 
+    /** Value of the header in which every response names the load, or null for none. */
+    @Volatile
+    var load: String? = null
+
     /** All received requests in order of arrival. */
     val requests = CopyOnWriteArrayList<ReceivedRequest>()
 
