--- a/relay/src/main/kotlin/io/sequoiawheel/relay/filter/Exchange.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/filter/Exchange.kt
@@ -31,7 +31,12 @@
 
     /** Estimated resource demand of the request if it is a generation. */
     val demand: GenerationDemand by lazy {
-        EngineProtocol.decodeDemand(request.headers.get(Headers.TOKENS), request.headers.get(Headers.OUTPUT_ESTIMATE))
+        EngineProtocol
+            .decodeDemand(request.headers.get(Headers.TOKENS), request.headers.get(Headers.OUTPUT_ESTIMATE))
+            .copy(
+                firstEventObjectiveMillis = route?.objectiveMillis ?: 0,
+                eventGapMillis = route?.eventGapMillis ?: 0,
+            )
     }
 
     /** The parts of the prompt that other requests may share; empty if the request has no prompt. */
@@ -59,6 +64,12 @@
     var route: Route? = null
     var workspace: Workspace? = null
 
+    /** Priority of the request's workspace, or else of its route; 0 is the most urgent. */
+    val rank: Int get() = workspace?.priority ?: route?.priority ?: 0
+
+    /** Whether generations that can still meet their objective go before this one. */
+    var isDeferrable = false
+
     /** Monotonic time at which the caller or the route stops waiting. */
     var deadlineMillis = Long.MAX_VALUE
 
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/RelayContext.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/RelayContext.kt
@@ -5,7 +5,9 @@
 import io.sequoiawheel.core.quarantine.PartQuarantine
 import io.sequoiawheel.core.quarantine.PromptPart
 import io.sequoiawheel.core.relay.ColdShare
+import io.sequoiawheel.core.relay.DeploymentFeature
 import io.sequoiawheel.core.relay.FleetMembership
+import io.sequoiawheel.core.relay.InstanceSettings
 import io.sequoiawheel.core.relay.OverflowLimiter
 import io.sequoiawheel.core.relay.RelayConfiguration
 import io.sequoiawheel.core.relay.RelayService
@@ -15,7 +17,6 @@
 import io.sequoiawheel.core.relay.ReplicaSelection
 import io.sequoiawheel.core.relay.RequestLimiter
 import io.sequoiawheel.core.relay.Route
-import io.sequoiawheel.core.relay.ServiceBounds
 import io.sequoiawheel.core.relay.SlidingWindowRetryBudget
 import io.sequoiawheel.relay.backend.BackendPool
 import io.sequoiawheel.relay.filter.Exchange
@@ -31,12 +32,14 @@
     val pool: BackendPool,
     val log: DecisionLog,
     val metrics: RelayMetrics,
-    private val random: UniformRandomProvider,
-    private val bounds: ServiceBounds,
+    val random: UniformRandomProvider,
+    private val settings: InstanceSettings,
     private val fleet: FleetMembership,
     private val quarantine: PartQuarantine,
     val outcomes: RunOutcomes,
+    val pace: PaceObserver,
 ) {
+    private val bounds = settings.bounds
     private val retryBudgets = HashMap<ServiceName, SlidingWindowRetryBudget>()
 
     private val limiter = RequestLimiter(fleet)
@@ -47,6 +50,17 @@
     /** Selects the replica for each request. */
     val placement = ReplicaPlacement(selection, random, limiter, overflow, ::tryAdmitCold)
 
+    /** Whether callers of [service] compete for its capacity, so that generations are ordered before they are sent. */
+    fun sharesCapacity(service: RelayService): Boolean =
+        service.engine != null &&
+            (
+                DeploymentFeature.SCARCE_CAPACITY in settings.features ||
+                    directory.usable(service.name).any { it.pace.isKnown }
+            )
+
+    /** Time since the newest load message of another instance arrived, or null if none is in force. */
+    val loadAgeMillis: Long? get() = fleet.loadAgeMillis
+
     /** Returns the limit on the retries that this instance may send to [service]. */
     fun retryBudget(service: ServiceName): SlidingWindowRetryBudget =
         retryBudgets.getOrPut(service) {
--- a/relay/src/test/kotlin/io/sequoiawheel/relay/RelayFixture.kt
+++ b/relay/src/test/kotlin/io/sequoiawheel/relay/RelayFixture.kt
@@ -1,6 +1,7 @@
 package io.sequoiawheel.relay
 
 import io.sequoiawheel.core.model.ZoneName
+import io.sequoiawheel.core.relay.DeploymentFeature
 import io.sequoiawheel.core.relay.Endpoint
 import io.sequoiawheel.core.relay.InstanceSettings
 import io.sequoiawheel.core.relay.ServiceBounds
@@ -8,6 +9,7 @@
 import io.sequoiawheel.standin.platform.ReceivedRequest
 import io.sequoiawheel.standin.platform.ReplicaAnswer
 import io.sequoiawheel.standin.platform.ReplicaStandIn
+import kotlinx.collections.immutable.toImmutableSet
 import kotlinx.coroutines.runBlocking
 import kotlinx.serialization.json.Json
 import kotlinx.serialization.json.JsonArray
@@ -25,6 +27,9 @@
     lateinit var daemon: RelayDaemon
         private set
 
+    /** What the settings of instances started later ask for. */
+    var features: Set<DeploymentFeature> = emptySet()
+
     /** Starts a replica of service [name] that handles requests with [behaviour], and registers it in the store. */
     fun replica(
         id: String,
@@ -59,7 +64,12 @@
         version: Int = 1,
         keys: String = """["key-1"]""",
         timeoutMillis: Int = 1_200,
-    ) = store.put("config", "main", Json.parseToJsonElement(configuration(version, keys, timeoutMillis)))
+        objectiveMillis: Int = 150,
+    ) = store.put(
+        "config",
+        "main",
+        Json.parseToJsonElement(configuration(version, keys, timeoutMillis, objectiveMillis)),
+    )
 
     /** Writes a configuration as [configure] does, with additional [routes] and [workspaces]. */
     fun configureLarge(
@@ -157,17 +167,19 @@
         peerPorts = peerPort..peerPort,
         store = Endpoint("127.0.0.1", store.port),
         bounds = ServiceBounds(3_000, 2_000, 8.0, 5_000, 0.2, 54, 10_000, 1.5, 5.0),
+        features = features.toImmutableSet(),
     )
 
     private fun configuration(
         version: Int,
         keys: String,
         timeoutMillis: Int,
+        objectiveMillis: Int = 150,
     ) = """{"version":$version,"routes":[
         ${route("unsafe", "/unsafe/", PLAIN, timeoutMillis, 1)},
         ${route("safe", "/safe/", PLAIN, timeoutMillis, 2)},
-        ${route("stream", "/stream/", ENGINE, 20_000, 1)},
-        ${route("stream", "/resumable/", ENGINE, 20_000, 3, isResumable = true)}],
+        ${route("stream", "/stream/", ENGINE, 20_000, 1, objectiveMillis = objectiveMillis)},
+        ${route("stream", "/resumable/", ENGINE, 20_000, 3, isResumable = true, objectiveMillis = objectiveMillis)}],
         "svcs":[{"name":"$PLAIN","health_path":"/healthz","max_conns":100,"warmup_s":0,"warmup_per_s":0},
         {"name":"$ENGINE","health_path":"/healthz","max_conns":100,"warmup_s":0,"warmup_per_s":0,
         "runtime":{"slots":24,"kv_capacity":34000,"kv_token_bytes":163840,"stride":4,"moves":true,"backups":true}}],
@@ -181,9 +193,10 @@
         timeoutMillis: Int,
         attempts: Int,
         isResumable: Boolean = false,
+        objectiveMillis: Int = 150,
     ) = """{"name":"$type","host":"h.example","path_prefix":"$prefix","type":"$type","timeout_ms":$timeoutMillis,
-        "slo_ms":150,"prio":1,"svc":"$service","attempts":$attempts,"public":false,"resumable":$isResumable,
-        "itl_target_ms":180}"""
+        "slo_ms":$objectiveMillis,"prio":1,"svc":"$service","attempts":$attempts,"public":false,
+        "resumable":$isResumable,"itl_target_ms":180}"""
 
     companion object {
         const val PLAIN = "desk"
