--- a/relay/src/test/kotlin/io/sequoiawheel/relay/RelayChildProcess.kt
+++ b/relay/src/test/kotlin/io/sequoiawheel/relay/RelayChildProcess.kt
@@ -25,8 +25,9 @@
         name: String,
         callers: Int,
         readiness: Int,
+        limits: String = """"memory_mb":280""",
     ) = """{"node":"$name","ip":"127.0.0.1","zone":"a","listen":{"http":"127.0.0.1:$callers",
-        "ready":"127.0.0.1:$readiness"},"port_range":[${FreePorts.allocate()},0],"limits":{"cpu_share":1.0,"memory_mb":280},
+        "ready":"127.0.0.1:$readiness"},"port_range":[${FreePorts.allocate()},0],"limits":{"cpu_share":1.0,$limits},
         "bounds":{"contact_ms":3000,"drain_ms":2000,"grace_s":8,"revoke_ms":5000,"retry_ratio":0.2,"retry_extra":54,
         "retry_window_s":10,"warmup_excess":1.5,"warmup_margin":5},
         "platform":{"addr":"127.0.0.1:${fixture.store.port}"}}"""
