Account for the memory of callers' requests, and bound their number and time

Some tens of callers with large, stalled or pipelined requests made an instance run out of memory or descriptors. Each body was gathered by doubling and copied once more, and nothing bounded all connections together.

A connection's account covers undecoded bytes, headers, queued messages and the body. Without memory for it, the caller with the least progress for its bytes gets 503 (result code 3013). Heads and bodies that arrive too slowly get 408. The connections of callers take at most a third of the free descriptors; a newcomer takes the place of the idlest one.

--- a/core/src/main/kotlin/io/sequoiawheel/core/model/ResultCode.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/model/ResultCode.kt
@@ -54,6 +54,7 @@
     CONNECT_FAILED(3010, WorkState.NOT_RUN, 502, 49, "No connection to a backend server could be opened."),
     STALE_CONFIGURATION(3011, WorkState.NOT_RUN, 503, 50, "This instance cannot show that the API key is still valid."),
     PROMPT_QUARANTINED(3012, WorkState.NOT_RUN, 503, 51, "A part of the prompt ended several backend servers."),
+    NO_MEMORY(3013, WorkState.NOT_RUN, 503, 52, "This entry instance has no memory left for the request."),
 
     STREAM_INTERRUPTED(4001, WorkState.RAN, 502, 60, "The generation was lost after the stated number of tokens."),
     OUTCOME_UNKNOWN(4002, WorkState.UNKNOWN, 502, 61, "The call may have run; ask for the outcome by key."),
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/Main.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/Main.kt
@@ -3,6 +3,7 @@
 import io.sequoiawheel.core.model.ResultCode
 import io.sequoiawheel.platform.SettingsCodec
 import io.sequoiawheel.platform.UnreadableDocumentException
+import io.sequoiawheel.relay.http.CallerLimitSettings
 import java.io.IOException
 import kotlin.system.exitProcess
 
@@ -19,7 +20,7 @@
         System.getenv(SettingsCodec.PATH_VARIABLE) ?: fail("${SettingsCodec.PATH_VARIABLE} is not set")
     val status =
         try {
-            RelayProcess(path, metricsPort()).run()
+            RelayProcess(path, metricsPort(), callerLimits()).run()
         } catch (unreadable: UnreadableDocumentException) {
             fail("$path: ${unreadable.message}")
         } catch (failure: IOException) {
@@ -34,6 +35,13 @@
         ?: fail("$METRICS_PORT_VARIABLE: '$text' is not a port from 1 to $LARGEST_PORT")
 }
 
+private fun callerLimits(): CallerLimitSettings =
+    try {
+        CallerLimitSettings.of(System.getenv())
+    } catch (wrong: IllegalArgumentException) {
+        fail(wrong.message.orEmpty())
+    }
+
 private fun fail(message: String): Nothing {
     System.err.println(message)
     exitProcess(ResultCode.INVALID_SETTINGS.exitCode)
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/RelayDaemon.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/RelayDaemon.kt
@@ -47,6 +47,9 @@
 import io.sequoiawheel.relay.filter.RouteFilter
 import io.sequoiawheel.relay.filter.ShutdownFilter
 import io.sequoiawheel.relay.filter.WorkspaceFilter
+import io.sequoiawheel.relay.http.CallerConnections
+import io.sequoiawheel.relay.http.CallerLimitSettings
+import io.sequoiawheel.relay.http.CallerLimits
 import io.sequoiawheel.relay.http.CallerServer
 import io.sequoiawheel.relay.http.StatusResponse
 import io.sequoiawheel.relay.http.StatusServer
@@ -75,6 +78,7 @@
     private val metricsPort: Int? = null,
     private val monotonic: Clock = Clock { System.nanoTime() / NANOS_PER_MILLI },
     wall: Clock = Clock { System.currentTimeMillis() },
+    callerLimits: CallerLimitSettings = CallerLimitSettings(),
 ) {
     private val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
     private val eventLoop: EventLoop = group.next()
@@ -150,7 +154,12 @@
         )
     private var registration: Job? = null
     private val requests = RequestService(monotonic, filters, shutdown, log, metrics) { configuration.current }
-    private val server = CallerServer(eventLoop, scope, requests)
+    private val callerConnections =
+        CallerConnections(
+            monotonic,
+            CallerLimits.of(settings.limits, Runtime.getRuntime().maxMemory(), callerLimits),
+        )
+    private val server = CallerServer(eventLoop, scope, requests, callerConnections)
 
     /** The port on which the instance accepts callers; valid after [start]. */
     var callerPort = settings.callers.port
@@ -285,6 +294,10 @@
     private fun publishGauges() {
         metrics.gauge("requests.in.progress") { requests.inProgress }
         metrics.gauge("caller.connections") { server.connectionCount }
+        metrics.gauge("caller.memory.bytes") { callerConnections.memory.heldBytes }
+        metrics.gauge("caller.memory.peak.bytes") { callerConnections.memory.peakBytes }
+        metrics.gauge("caller.memory.limit.bytes") { callerConnections.memory.totalBytes }
+        metrics.gauge("caller.connections.limit") { callerConnections.limits.connections }
         metrics.gauge("store.calls") { store.calls.values.sum() }
         metrics.gauge("connections.opened") { pool.opened }
         metrics.gauge("connections.passed.over") { pool.passedOver }
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/RelayProcess.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/RelayProcess.kt
@@ -4,6 +4,7 @@
 import io.sequoiawheel.core.relay.InstanceSettings
 import io.sequoiawheel.platform.SettingsCodec
 import io.sequoiawheel.platform.UnreadableDocumentException
+import io.sequoiawheel.relay.http.CallerLimitSettings
 import io.sequoiawheel.relay.internal.LogConfiguration
 import kotlinx.coroutines.runBlocking
 import sun.misc.Signal
@@ -21,10 +22,12 @@
  *
  * @param settingsPath the settings file that the platform writes
  * @param metricsPort additional port for metrics, which are also served on the readiness address; or null
+ * @param callerLimits limits on what callers may occupy
  */
 class RelayProcess(
     private val settingsPath: String,
     private val metricsPort: Int?,
+    private val callerLimits: CallerLimitSettings = CallerLimitSettings(),
 ) {
     private val stop = CountDownLatch(1)
 
@@ -39,7 +42,7 @@
         Signal.handle(Signal("INT")) { stop.countDown() }
         LogConfiguration.isEnabled = true
         var lastModified = modificationTime()
-        val daemon = RelayDaemon(readSettings(settingsPath), metricsPort)
+        val daemon = RelayDaemon(readSettings(settingsPath), metricsPort, callerLimits = callerLimits)
         try {
             runBlocking { daemon.start() }
         } catch (failure: IOException) {
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/RequestService.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/RequestService.kt
@@ -9,8 +9,10 @@
 import io.sequoiawheel.relay.http.CallerResponse
 import io.sequoiawheel.relay.http.CallerService
 import io.sequoiawheel.relay.http.ConnectionLimits
+import io.sequoiawheel.relay.http.RefusalReason
 import io.sequoiawheel.relay.http.UnansweredReason
 import io.sequoiawheel.relay.internal.DecisionLog
+import io.sequoiawheel.relay.internal.RefusalLog
 import io.sequoiawheel.relay.internal.RelayMetrics
 
 /**
@@ -26,6 +28,8 @@
     private val metrics: RelayMetrics,
     private val configuration: () -> RelayConfiguration?,
 ) : CallerService {
+    private val refusals = RefusalLog(clock, log)
+
     /** Number of requests that are being handled. */
     var inProgress = 0
         private set
@@ -60,6 +64,11 @@
         detail: String,
     ) = log.request("request unreadable", mapOf("code" to code.number, "result" to code.name, "detail" to detail))
 
+    override fun onRefused(reason: RefusalReason) {
+        metrics.count("callers.refused", reason.label)
+        refusals.record(reason)
+    }
+
     override fun onUnanswered(
         reason: UnansweredReason,
         cause: Throwable?,
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/backend/InboundQueue.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/backend/InboundQueue.kt
@@ -22,10 +22,19 @@
  * Passes decoded messages from a Netty handler to a coroutine on the same event loop. Applies backpressure: reading
  * from the socket pauses while the queued messages occupy too much memory. Small parts of a body that are not read yet
  * are merged, so that they cost no more than their bytes.
+ *
+ * @param pauseBytes reading pauses above this memory of the queued messages, and resumes at half of it
+ * @param overhead returns the memory of a message without its content
  */
-internal class InboundQueue {
+internal class InboundQueue(
+    private val pauseBytes: Int = PAUSE_BYTES,
+    private val overhead: (HttpObject) -> Int = ::ordinaryOverhead,
+) {
     private val messages = ArrayDeque<HttpObject>()
-    private var queuedBytes = 0L
+
+    /** Memory of the queued messages. */
+    var queuedBytes = 0L
+        private set
     private var channel: Channel? = null
     private var waiter: CompletableDeferred<Unit>? = null
     private var isClosed = false
@@ -37,6 +46,9 @@
     var failure: Throwable? = null
         private set
 
+    /** Whether reading from the socket is paused. */
+    val isPaused: Boolean get() = channel?.config()?.isAutoRead == false
+
     /** Whether the queue holds unread messages. */
     val hasUnread: Boolean get() = messages.isNotEmpty()
 
@@ -61,7 +73,7 @@
             enqueue(message)
         }
         wake()
-        if (queuedBytes > PAUSE_BYTES) channel?.config()?.isAutoRead = false
+        if (queuedBytes > pauseBytes) channel?.config()?.isAutoRead = false
     }
 
     private fun isMergeable(part: HttpContent): Boolean =
@@ -111,7 +123,7 @@
                 ?: throw endOfMessages()
         if (messages.isEmpty()) merged = null
         queuedBytes -= sizeOf(message)
-        if (queuedBytes <= PAUSE_BYTES / 2) channel?.config()?.let { if (!it.isAutoRead) it.isAutoRead = true }
+        if (queuedBytes <= pauseBytes / 2) channel?.config()?.let { if (!it.isAutoRead) it.isAutoRead = true }
         return message
     }
 
@@ -132,11 +144,12 @@
         merged = null
         messages.forEach(ReferenceCountUtil::release)
         messages.clear()
+        queuedBytes = 0
         wake()
     }
 
     private fun sizeOf(message: HttpObject): Int =
-        MESSAGE_BYTES + ((message as? HttpContent)?.content()?.readableBytes() ?: HEAD_BYTES)
+        overhead(message) + ((message as? HttpContent)?.content()?.readableBytes() ?: 0)
 
     private companion object {
         /** Reading from the socket pauses above this memory of the queued messages, and resumes at half of it. */
@@ -148,6 +161,9 @@
         /** Memory of the status line and the headers of an ordinary head. */
         const val HEAD_BYTES = 1_024
 
+        fun ordinaryOverhead(message: HttpObject): Int =
+            if (message is HttpContent) MESSAGE_BYTES else MESSAGE_BYTES + HEAD_BYTES
+
         /** Larger parts are not copied. */
         const val MERGED_PART_BYTES = 1_024
         const val MERGED_BYTES = 8_192
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/http/CallerConnection.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/http/CallerConnection.kt
@@ -9,10 +9,7 @@
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.channel.socket.SocketChannel
-import io.netty.handler.codec.TooLongFrameException
 import io.netty.handler.codec.http.DefaultHttpContent
-import io.netty.handler.codec.http.HttpContent
-import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.HttpResponseStatus
@@ -31,7 +28,6 @@
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
-import java.io.ByteArrayOutputStream
 import java.io.IOException
 
 /** Serves the requests of caller connections. */
@@ -56,6 +52,9 @@
         detail: String,
     )
 
+    /** Called for a caller that is refused before its request was read completely. */
+    fun onRefused(reason: RefusalReason) = Unit
+
     /** Called for a request that was read and ended without a complete response. */
     fun onUnanswered(
         reason: UnansweredReason,
@@ -70,21 +69,20 @@
     val idleTimeoutMillis: Long,
 )
 
-/** Thrown for a request that is rejected while it is being read. */
-private class UnreadableRequestException(
-    val code: ResultCode,
-    val status: HttpResponseStatus,
-    message: String,
-) : IOException(message)
-
 internal class CallerConnection(
     private val channel: Channel,
     private val service: CallerService,
     private val scope: CoroutineScope,
     private val connections: CallerConnections,
 ) : ChannelInboundHandlerAdapter() {
-    private val inbound = InboundQueue()
+    private val inbound = InboundQueue(PAUSE_BYTES, CallerMemoryCost::of)
+    private val account = CallerAccount(connections.memory) { refuse(RefusalReason.MEMORY) }
+    private val reader =
+        CallerRequestReader(inbound, service, connections, account) { write(CallerResponse.continueResponse()) }
+    private val decoder: CallerRequestDecoder? by lazy { channel.pipeline().get(CallerRequestDecoder::class.java) }
     private var job: Job? = null
+    private var activeMillis = service.clock.nowMillis()
+    private var servedRequests = 0
     private var writable = CompletableDeferred<Unit>()
     private var isAborted = false
 
@@ -92,15 +90,73 @@
         inbound.attach(context.channel())
     }
 
+    override fun handlerRemoved(context: ChannelHandlerContext) = account.close()
+
     override fun channelActive(context: ChannelHandlerContext) {
-        connections.add(this)
+        if (!connections.add(this)) {
+            service.onRefused(RefusalReason.CONNECTIONS)
+            account.close()
+            context.close()
+            return
+        }
         job = scope.launch { serveAll() }
     }
 
     override fun channelRead(
         context: ChannelHandlerContext,
         message: Any,
-    ) = inbound.offer(message as HttpObject)
+    ) {
+        if (message is HttpRequest || message is LastHttpContent) decoder?.onHeadersDecoded()
+        inbound.offer(message as HttpObject)
+    }
+
+    override fun channelReadComplete(context: ChannelHandlerContext) {
+        countReceived()
+        context.fireChannelReadComplete()
+    }
+
+    /** Accounts for what was received and is not read yet, and refuses the caller if there is no memory for it. */
+    private fun countReceived() {
+        val undecodedBytes = decoder?.undecodedBytes ?: 0
+        if (account.recordReceived(decoder?.receivedBytes ?: 0)) activeMillis = service.clock.nowMillis()
+        if (undecodedBytes > 0 && !account.isServing) reader.onPartialHead()
+        val pausedBytes = if (account.isServing && inbound.isPaused) connections.limits.receiveBytes else 0
+        if (account.tryHoldUnread(undecodedBytes + inbound.queuedBytes + pausedBytes)) return
+        refuse(if (account.isServing) RefusalReason.PIPELINED else RefusalReason.MEMORY)
+    }
+
+    /** Refuses the request that is being read. What is queued behind a request that is served resets the connection. */
+    private fun refuse(reason: RefusalReason) {
+        if (account.isServing) {
+            service.onRefused(reason)
+            inbound.discard()
+            channel.reset()
+        } else {
+            reader.refuse(reason)
+        }
+    }
+
+    /**
+     * Returns for how long the connection has been idle if it may be closed for a new one, or null. The connection of a
+     * caller that reuses it in time is not closed.
+     */
+    fun idleMillis(nowMillis: Long): Long? {
+        val idle = nowMillis - activeMillis
+        val isClosable =
+            when {
+                account.isServing -> false
+                reader.isReading -> idle >= STALLED_MILLIS
+                servedRequests == 0 -> true
+                else -> idle > service.limits.idleTimeoutMillis * REUSE_SHARE
+            }
+        return idle.takeIf { isClosable }
+    }
+
+    /** Closes the connection, which is idle, for the benefit of a new one. */
+    fun closeForNewcomer() {
+        service.onRefused(RefusalReason.CONNECTIONS)
+        channel.close()
+    }
 
     override fun channelInactive(context: ChannelHandlerContext) {
         connections.remove(this)
@@ -146,11 +202,19 @@
         try {
             var isKeptOpen = true
             while (isKeptOpen) {
-                val head = receiveHead() ?: break
+                val head = reader.receiveHead()
+                if (head == null) {
+                    // A request that is on its way can be repeated elsewhere.
+                    channel.config().isAutoRead = false
+                    break
+                }
                 isKeptOpen = serve(head)
             }
             withTimeoutOrNull(READ_TIMEOUT_MILLIS) { channel.writeAndFlush(Unpooled.EMPTY_BUFFER).awaitDone() }
             if (!isKeptOpen) closeGracefully()
+        } catch (refused: CallerRefusedException) {
+            sendRefusal(CallerResponse(this, keepsConnection = false) { service.isLeaving }, refused.reason)
+            closeGracefully()
         } catch (failure: IOException) {
             channel.close()
         } catch (failure: Error) {
@@ -167,18 +231,25 @@
         val response = CallerResponse(this, HttpUtil.isKeepAlive(head) && !service.isLeaving) { service.isLeaving }
         val request =
             try {
-                readRequest(head)
+                reader.readRequest(head)
             } catch (unreadable: UnreadableRequestException) {
                 service.onRejected(unreadable.code, unreadable.message.orEmpty())
                 response.closeWhenComplete()
                 response.sendError(unreadable.status, unreadable.code, unreadable.message.orEmpty())
                 return false
             }
+        countReceived()
+        account.isServing = true
         try {
             service.serve(request, response)
         } catch (failure: Exception) {
             if (!response.isComplete) service.onUnanswered(reasonOf(failure), failure)
             throw failure
+        } finally {
+            account.isServing = false
+            account.releaseRequest()
+            servedRequests++
+            activeMillis = service.clock.nowMillis()
         }
         if (!response.isComplete) {
             service.onUnanswered(UnansweredReason.ABORTED)
@@ -195,92 +266,19 @@
             else -> UnansweredReason.FAILED
         }
 
-    /**
-     * Returns the head of the next request, or null if the connection should end because it is idle. Reading stops in
-     * the latter case, so that a request that is on its way can be repeated elsewhere. The timeout covers only the
-     * wait, since cancelling a receipt may lose the message.
-     */
-    private suspend fun receiveHead(): HttpRequest? {
-        while (true) {
-            if (!connections.isClosing) {
-                withTimeoutOrNull(service.limits.idleTimeoutMillis) { inbound.awaitMessage() }
-            }
-            if (inbound.isIdle) {
-                channel.config().isAutoRead = false
-                return null
-            }
-            val message = inbound.receive()
-            if (message is HttpRequest) return message
-            ReferenceCountUtil.release(message)
-        }
-    }
-
     /** Ends the connection unless a request is in progress or was already read; then it ends after that request. */
     fun endWhenIdle() = inbound.wake()
 
-    private suspend fun readRequest(head: HttpRequest): CallerRequest {
-        val receivedAtMillis = service.clock.nowMillis()
-        rejectMalformed(head)
-        val limits = service.limits
-        if (HttpUtil.getContentLength(head, 0L) > limits.bodyBytes) throw bodyTooLarge(limits)
-        if (HttpUtil.is100ContinueExpected(head)) write(CallerResponse.continueResponse())
-        val body = ByteArrayOutputStream()
-        while (true) {
-            val message = inbound.receive()
-            val content = message as? HttpContent ?: throw malformed("a request started within the body of another")
-            if (content.decoderResult().isFailure) {
-                content.release()
-                throw malformed("malformed body")
-            }
-            val isLast = content is LastHttpContent
-            content.content().readBytes(body, content.content().readableBytes())
-            content.release()
-            if (body.size() > limits.bodyBytes) throw bodyTooLarge(limits)
-            if (isLast) break
-        }
-        return CallerRequest(
-            head.method(),
-            head.uri(),
-            head.headers(),
-            body.toByteArray(),
-            receivedAtMillis,
-            HttpUtil.isKeepAlive(head),
-        )
-    }
-
-    private fun rejectMalformed(head: HttpRequest) {
-        if (head.decoderResult().isFailure) throw undecodable(head.decoderResult().cause())
-        val encodings = head.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING)
-        val isEncodingKnown = encodings.all { it.trim().equals("chunked", ignoreCase = true) } && encodings.size <= 1
-        val detail =
-            when {
-                !isEncodingKnown -> "unsupported transfer encoding"
-                head.headers().getAll(HttpHeaderNames.HOST).size != 1 -> "exactly one Host header is required"
-                !head.uri().startsWith("/") -> "the request target is not a path"
-                else -> return
-            }
-        throw malformed(detail)
-    }
-
-    private fun undecodable(cause: Throwable?): UnreadableRequestException {
-        if (cause !is TooLongFrameException) return malformed("malformed head: ${cause?.message}")
-        return UnreadableRequestException(
-            ResultCode.BODY_TOO_LARGE,
-            HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
-            "request head is too large",
-        )
+    private suspend fun sendRefusal(
+        response: CallerResponse,
+        reason: RefusalReason,
+    ) {
+        service.onRefused(reason)
+        account.close()
+        val retryMillis = RETRY_MILLIS.takeIf { reason.status == HttpResponseStatus.SERVICE_UNAVAILABLE }
+        response.sendError(reason.status, reason.code, reason.detail, retryMillis)
     }
 
-    private fun malformed(detail: String) =
-        UnreadableRequestException(ResultCode.INVALID_REQUEST, HttpResponseStatus.BAD_REQUEST, detail)
-
-    private fun bodyTooLarge(limits: ConnectionLimits) =
-        UnreadableRequestException(
-            ResultCode.BODY_TOO_LARGE,
-            HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE,
-            "the body exceeds ${limits.bodyBytes} bytes",
-        )
-
     /** Closes after the caller read the last response: closing with unread input would reset the connection. */
     private suspend fun closeGracefully() {
         (channel as? SocketChannel)?.shutdownOutput()
@@ -301,6 +299,18 @@
     }
 
     private companion object {
+        /** Memory of queued messages above which reading pauses; what one read decodes comes on top. */
+        const val PAUSE_BYTES = 16_384
+
+        /** A caller whose request does not arrive for so long gives way to a new one when all connections are taken. */
+        const val STALLED_MILLIS = 1_000L
+
+        /** Callers reuse connections that were idle for up to this share of the idle timeout. */
+        const val REUSE_SHARE = 0.8
+
+        /** Another instance has room at once; this one after a stalled body has gone. */
+        const val RETRY_MILLIS = 1_000L
+
         /** Time in which a caller that still wants its response reads the contents of the write buffer. */
         const val READ_TIMEOUT_MILLIS = 10_000L
 
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/http/CallerConnections.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/http/CallerConnections.kt
@@ -1,7 +1,15 @@
 package io.sequoiawheel.relay.http
 
-/** The open connections of callers. Confined to the event loop. */
-internal class CallerConnections {
+import io.sequoiawheel.core.memory.MemoryBudget
+import io.sequoiawheel.core.model.Clock
+import io.sequoiawheel.core.relay.ProcessLimits
+
+/** The open connections of callers, and the memory that they hold. Confined to the event loop. */
+internal class CallerConnections(
+    private val clock: Clock,
+    val limits: CallerLimits = CallerLimits.of(ProcessLimits(), Runtime.getRuntime().maxMemory()),
+    val memory: MemoryBudget = MemoryBudget(limits.memoryBytes, NEWCOMER_BYTES, clock),
+) {
     private val open = LinkedHashSet<CallerConnection>()
 
     /** Whether connections end as soon as no request is left on them. */
@@ -10,8 +18,20 @@
 
     val count: Int get() = open.size
 
-    fun add(connection: CallerConnection) {
+    /**
+     * Adds [connection], in place of the one that has been idle the longest if there are too many. Returns false if
+     * none of them is idle.
+     */
+    fun add(connection: CallerConnection): Boolean {
+        if (open.size >= limits.connections) {
+            val nowMillis = clock.nowMillis()
+            val idlest = open.maxByOrNull { it.idleMillis(nowMillis) ?: -1 }
+            if (idlest?.idleMillis(nowMillis) == null) return false
+            open -= idlest
+            idlest.closeForNewcomer()
+        }
         open += connection
+        return true
     }
 
     fun remove(connection: CallerConnection) {
@@ -23,6 +43,11 @@
         isClosing = true
         open.toList().forEach(CallerConnection::endWhenIdle)
     }
+
+    private companion object {
+        /** An ordinary request with its head fits into the reserve of the memory. */
+        const val NEWCOMER_BYTES = 65_536L
+    }
 }
 
 /**
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/http/CallerRequest.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/http/CallerRequest.kt
@@ -13,7 +13,7 @@
     val method: HttpMethod,
     val target: String,
     val headers: HttpHeaders,
-    val body: ByteArray,
+    val body: CallerBody,
     val receivedAtMillis: Long,
     val keepsConnection: Boolean,
 ) {
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/http/CallerServer.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/http/CallerServer.kt
@@ -1,6 +1,7 @@
 package io.sequoiawheel.relay.http
 
 import io.netty.bootstrap.ServerBootstrap
+import io.netty.channel.AdaptiveRecvByteBufAllocator
 import io.netty.channel.Channel
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
@@ -19,10 +20,18 @@
     private val eventLoop: EventLoop,
     private val scope: CoroutineScope,
     private val service: CallerService,
+    private val connections: CallerConnections = CallerConnections(service.clock),
 ) {
-    private val connections = CallerConnections()
     private var listener: Channel? = null
 
+    /**
+     * What is read at once is decoded at once, into messages that may occupy many times as much memory, and before any
+     * other connection is served.
+     */
+    private val receiveBuffers =
+        AdaptiveRecvByteBufAllocator(MINIMUM_READ_BYTES, INITIAL_READ_BYTES, MAXIMUM_READ_BYTES)
+            .maxMessagesPerRead(READS_IN_SUCCESSION)
+
     /** Number of open connections. */
     val connectionCount: Int get() = connections.count
 
@@ -40,6 +49,8 @@
                 .channel(NioServerSocketChannel::class.java)
                 .option(ChannelOption.SO_BACKLOG, BACKLOG)
                 .option(ChannelOption.SO_REUSEADDR, true)
+                .option(ChannelOption.SO_RCVBUF, connections.limits.receiveBytes)
+                .childOption(ChannelOption.RECVBUF_ALLOCATOR, receiveBuffers)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childOption(ChannelOption.SO_KEEPALIVE, true)
                 .childOption(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), KEEP_ALIVE_IDLE_SECONDS)
@@ -70,6 +81,11 @@
     }
 
     private companion object {
+        const val MINIMUM_READ_BYTES = 512
+        const val INITIAL_READ_BYTES = 2_048
+        const val MAXIMUM_READ_BYTES = 16_384
+        const val READS_IN_SUCCESSION = 1
+
         /** Connections that may be pending while the processor is busy. */
         const val BACKLOG = 512
 
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/BackendRequests.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/BackendRequests.kt
@@ -1,6 +1,5 @@
 package io.sequoiawheel.relay.serving
 
-import io.netty.buffer.Unpooled
 import io.netty.handler.codec.http.DefaultFullHttpRequest
 import io.netty.handler.codec.http.DefaultHttpHeaders
 import io.netty.handler.codec.http.HttpHeaderNames
@@ -23,7 +22,7 @@
         extraHeaders: Map<String, String> = emptyMap(),
     ): DefaultFullHttpRequest {
         val request = exchange.request
-        val content = Unpooled.wrappedBuffer(request.body)
+        val content = request.body.toBuffer()
         val result = DefaultFullHttpRequest(HttpVersion.HTTP_1_1, request.method, request.target, content)
         val headers = result.headers()
         val dropped = droppedNames(request.headers)
@@ -31,7 +30,7 @@
         val isFramed =
             request.headers.contains(HttpHeaderNames.CONTENT_LENGTH) ||
                 request.headers.contains(HttpHeaderNames.TRANSFER_ENCODING)
-        if (isFramed || request.body.isNotEmpty()) headers.set(HttpHeaderNames.CONTENT_LENGTH, request.body.size)
+        if (isFramed || request.body.size > 0) headers.set(HttpHeaderNames.CONTENT_LENGTH, request.body.size)
         headers.set(Headers.EXPECTED_REPLICA, replica.entry.id.value)
         headers.set(Headers.TIMEOUT_MILLIS, (exchange.deadlineMillis - clock.nowMillis()).coerceAtLeast(1))
         exchange.workspace?.let { headers.set(Headers.WORKSPACE, it.name.value) }
--- a/relay/src/test/kotlin/io/sequoiawheel/relay/http/CallerResponseTest.kt
+++ b/relay/src/test/kotlin/io/sequoiawheel/relay/http/CallerResponseTest.kt
@@ -40,7 +40,7 @@
         }
     private val scope = CoroutineScope(Dispatchers.Unconfined)
     private val response =
-        CallerResponse(CallerConnection(channel, service, scope, CallerConnections()), true) { false }
+        CallerResponse(CallerConnection(channel, service, scope, CallerConnections(service.clock)), true) { false }
 
     /** Returns all bytes sent since the last call. */
     private fun sent(): String =
