--- a/relay/src/test/kotlin/io/sequoiawheel/relay/RelayFixture.kt
+++ b/relay/src/test/kotlin/io/sequoiawheel/relay/RelayFixture.kt
@@ -65,10 +65,11 @@
         keys: String = """["key-1"]""",
         timeoutMillis: Int = 1_200,
         objectiveMillis: Int = 150,
+        bodyBytes: Int = 65_536,
     ) = store.put(
         "config",
         "main",
-        Json.parseToJsonElement(configuration(version, keys, timeoutMillis, objectiveMillis)),
+        Json.parseToJsonElement(configuration(version, keys, timeoutMillis, objectiveMillis, bodyBytes)),
     )
 
     /** Writes a configuration as [configure] does, with additional [routes] and [workspaces]. */
@@ -175,6 +176,7 @@
         keys: String,
         timeoutMillis: Int,
         objectiveMillis: Int = 150,
+        bodyBytes: Int = 65_536,
     ) = """{"version":$version,"routes":[
         ${route("unsafe", "/unsafe/", PLAIN, timeoutMillis, 1)},
         ${route("safe", "/safe/", PLAIN, timeoutMillis, 2)},
@@ -183,7 +185,7 @@
         "svcs":[{"name":"$PLAIN","health_path":"/healthz","max_conns":100,"warmup_s":0,"warmup_per_s":0},
         {"name":"$ENGINE","health_path":"/healthz","max_conns":100,"warmup_s":0,"warmup_per_s":0,
         "runtime":{"slots":24,"kv_capacity":34000,"kv_token_bytes":163840,"stride":4,"moves":true,"backups":true}}],
-        "limits":{"max_header_bytes":16384,"max_body_bytes":65536,"header_timeout_ms":3000,"idle_timeout_ms":15000},
+        "limits":{"max_header_bytes":16384,"max_body_bytes":$bodyBytes,"header_timeout_ms":3000,"idle_timeout_ms":15000},
         "tenants":[{"name":"workspace-1","api_keys":$keys}]}"""
 
     private fun route(
