--- a/core/src/main/kotlin/io/sequoiawheel/core/relay/Replica.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/Replica.kt
@@ -53,6 +53,9 @@
     /** How long work takes at the replica. */
     val pace = ReplicaPace(clock)
 
+    /** The requests of this instance that the replica has not read yet. */
+    val unreadRequests = UnreadRequests(clock)
+
     /** Limits the request rate of this instance while the replica is cold. */
     val coldRate = TokenBucket(clock, coldPhase)
 
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/backend/InboundQueue.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/backend/InboundQueue.kt
@@ -9,8 +9,10 @@
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
+import io.sequoiawheel.core.memory.MemoryAccount
 import kotlinx.coroutines.CompletableDeferred
 import java.io.IOException
+import java.util.concurrent.TimeUnit
 
 /** Thrown when the connection ended before the message was complete. [isReset] distinguishes a reset from a close. */
 internal class ConnectionEndedException(
@@ -39,6 +41,15 @@
     private var waiter: CompletableDeferred<Unit>? = null
     private var isClosed = false
 
+    /** Whether reading from the socket is paused. */
+    var isPaused = false
+        private set
+    private var account: MemoryAccount? = null
+    private var reservedBytes = 0L
+
+    /** Whether the queue holds bytes that the account of their caller has no room for. */
+    private val isOverdrawn: Boolean get() = account != null && reservedBytes < queuedBytes
+
     /** The buffer of the last message in the queue if further parts of the body may be appended to it, or null. */
     private var merged: ByteBuf? = null
 
@@ -46,9 +57,6 @@
     var failure: Throwable? = null
         private set
 
-    /** Whether reading from the socket is paused. */
-    val isPaused: Boolean get() = channel?.config()?.isAutoRead == false
-
     /** Whether the queue holds unread messages. */
     val hasUnread: Boolean get() = messages.isNotEmpty()
 
@@ -59,6 +67,23 @@
         this.channel = channel
     }
 
+    /**
+     * Counts the messages towards [account], the account of their caller, until [endCharge]. While it has no room,
+     * reading from the socket pauses as soon as something is queued.
+     */
+    fun charge(account: MemoryAccount?) {
+        endCharge()
+        this.account = account
+        settle()
+    }
+
+    /** Releases what the messages hold of the account of their caller. */
+    fun endCharge() {
+        account?.release(reservedBytes)
+        reservedBytes = 0
+        account = null
+    }
+
     /** Adds [message] and takes over its reference. */
     fun offer(message: HttpObject) {
         if (isClosed) {
@@ -73,7 +98,47 @@
             enqueue(message)
         }
         wake()
-        if (queuedBytes > pauseBytes) channel?.config()?.isAutoRead = false
+        settle()
+        if (queuedBytes > pauseBytes || isOverdrawn) pause()
+    }
+
+    private fun pause() {
+        if (isPaused) return
+        isPaused = true
+        channel?.config()?.isAutoRead = false
+        settle()
+        if (account != null) retryLater()
+    }
+
+    private fun resumeIfPossible() {
+        if (!isPaused || queuedBytes > pauseBytes / 2 || isOverdrawn) return
+        isPaused = false
+        settle()
+        channel?.config()?.isAutoRead = true
+    }
+
+    /** Asks for room again although nothing is read, so that the slowest of many paused callers is closed. */
+    private fun retryLater() {
+        val loop = channel?.eventLoop() ?: return
+        loop.schedule({
+            if (isPaused && !isClosed && account != null) {
+                settle()
+                resumeIfPossible()
+                if (isPaused) retryLater()
+            }
+        }, RETRY_MILLIS, TimeUnit.MILLISECONDS)
+    }
+
+    /** Adjusts what is reserved to the queued messages and, while reading pauses, to the buffer of the socket. */
+    private fun settle() {
+        val owner = account ?: return
+        val needed = queuedBytes + if (isPaused) RECEIVE_BUFFER_BYTES else 0
+        if (reservedBytes > needed) {
+            owner.release(reservedBytes - needed)
+            reservedBytes = needed
+        } else if (reservedBytes < needed && owner.tryReserve(needed - reservedBytes)) {
+            reservedBytes = needed
+        }
     }
 
     private fun isMergeable(part: HttpContent): Boolean =
@@ -123,7 +188,8 @@
                 ?: throw endOfMessages()
         if (messages.isEmpty()) merged = null
         queuedBytes -= sizeOf(message)
-        if (queuedBytes <= pauseBytes / 2) channel?.config()?.let { if (!it.isAutoRead) it.isAutoRead = true }
+        settle()
+        resumeIfPossible()
         return message
     }
 
@@ -145,28 +211,35 @@
         messages.forEach(ReferenceCountUtil::release)
         messages.clear()
         queuedBytes = 0
+        endCharge()
         wake()
     }
 
     private fun sizeOf(message: HttpObject): Int =
         overhead(message) + ((message as? HttpContent)?.content()?.readableBytes() ?: 0)
 
-    private companion object {
+    companion object {
+        /** Bytes that the system buffers of what a connection to a replica has not read. */
+        const val RECEIVE_BUFFER_BYTES = 65_536
+
+        /** Interval at which a paused queue asks for room again. */
+        private const val RETRY_MILLIS = 250L
+
         /** Reading from the socket pauses above this memory of the queued messages, and resumes at half of it. */
-        const val PAUSE_BYTES = 65_536
+        private const val PAUSE_BYTES = 65_536
 
         /** Memory of a message and its buffer without the content. */
-        const val MESSAGE_BYTES = 256
+        private const val MESSAGE_BYTES = 256
 
         /** Memory of the status line and the headers of an ordinary head. */
-        const val HEAD_BYTES = 1_024
+        private const val HEAD_BYTES = 1_024
 
-        fun ordinaryOverhead(message: HttpObject): Int =
+        private fun ordinaryOverhead(message: HttpObject): Int =
             if (message is HttpContent) MESSAGE_BYTES else MESSAGE_BYTES + HEAD_BYTES
 
         /** Larger parts are not copied. */
-        const val MERGED_PART_BYTES = 1_024
-        const val MERGED_BYTES = 8_192
-        const val INITIAL_MERGED_BYTES = 1_024
+        private const val MERGED_PART_BYTES = 1_024
+        private const val MERGED_BYTES = 8_192
+        private const val INITIAL_MERGED_BYTES = 1_024
     }
 }
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/http/CallerConnections.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/http/CallerConnections.kt
@@ -3,10 +3,17 @@
 import io.sequoiawheel.core.memory.MemoryBudget
 import io.sequoiawheel.core.model.Clock
 import io.sequoiawheel.core.relay.ProcessLimits
+import io.sequoiawheel.relay.backend.ResponseMemory
 
-/** The open connections of callers, and the memory that they hold. Confined to the event loop. */
+/**
+ * The open connections of callers, and the memory that they hold. Confined to the event loop.
+ *
+ * @property responseMemory what the connections may hold of responses that their callers have not read
+ * @property memory what they may hold of requests
+ */
 internal class CallerConnections(
     private val clock: Clock,
+    val responseMemory: ResponseMemory,
     val limits: CallerLimits = CallerLimits.of(ProcessLimits(), Runtime.getRuntime().maxMemory()),
     val memory: MemoryBudget = MemoryBudget(limits.memoryBytes, NEWCOMER_BYTES, clock),
 ) {
