--- a/core/src/main/kotlin/io/sequoiawheel/core/pace/PacedSelection.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/pace/PacedSelection.kt
@@ -73,7 +73,8 @@
     ): Double {
         val objectiveMillis = demand.firstEventObjectiveMillis.takeIf { it > 0 } ?: DEFAULT_OBJECTIVE_MILLIS
         val share = estimator.firstEventMillis(replica, demand, engine) / objectiveMillis
-        return exceedance(share / TYPICAL_SHARE, FIRST_EVENT_UNCERTAINTY) + share.coerceAtMost(MAXIMUM_SHARE) * TIME_COST
+        val timeCost = share.coerceAtMost(MAXIMUM_SHARE) * TIME_COST
+        return exceedance(share / TYPICAL_SHARE, FIRST_EVENT_UNCERTAINTY) + timeCost
     }
 
     /** The expected number of streams, this one included, whose pauses become too long while a prompt is read. */
@@ -91,7 +92,7 @@
         val streams = replica.load.totalRunning.coerceAtMost(engine.slots) * LONG_SHARE
         val isLong = demand.outputTokens >= LONG_EVENTS * engine.tokensPerEvent
         val own = if (isLong) inSpell * OWN_PAUSE_SHARE else 0.0
-        return (maxOf(now, inSpell * meetsSpell) * streams + own) * LATE_COST
+        return ((maxOf(now, inSpell * meetsSpell) * streams + own) * LATE_COST).coerceAtMost(MAXIMUM_PAUSE_COST)
     }
 
     private fun memoryCost(share: Double): Double {
@@ -152,6 +153,9 @@
         /** Above this share of memory, generations that exceed their estimate are likely to be preempted. */
         const val FULL_MEMORY_SHARE = 0.85
         const val OVERCOMMIT_COST_FACTOR = 4.0
-        const val PREEMPTION_COST = 2.0
+
+        /** Above the sum of all other costs, so that memory is overcommitted only if no replica has enough. */
+        const val PREEMPTION_COST = 6.0
+        const val MAXIMUM_PAUSE_COST = 2.0
     }
 }
--- a/core/src/main/kotlin/io/sequoiawheel/core/pace/SentSpeeds.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/pace/SentSpeeds.kt
@@ -18,7 +18,7 @@
 
     private val sent = HashMap<String, Sent>()
 
-    /** Returns the messages' entries for [speeds], given the [typicalFigures] of the replicas, and marks them as sent. */
+    /** Returns the entries for [speeds], given the [typicalFigures] of the replicas, and marks them as sent. */
     fun take(
         speeds: Map<String, KnownSpeed>,
         typicalFigures: Map<String, Double>,
@@ -60,7 +60,8 @@
         val figure = speed.figure ?: return false
         val before = last?.speed?.takeIf { it.incarnation == speed.incarnation }?.figure ?: return true
         val now = clock.nowMillis()
-        if (figure.observedAtMillis <= before.observedAtMillis || now - figure.observedAtMillis > NEWS_MILLIS) return false
+        val isNewer = figure.observedAtMillis > before.observedAtMillis
+        if (!isNewer || now - figure.observedAtMillis > NEWS_MILLIS) return false
         val isCurrent = now - before.observedAtMillis <= NEWS_MILLIS
         val assumed = if (isCurrent || typicalFigure == null) before.hundredths.toDouble() else typicalFigure
         return isNotable(figure.hundredths / assumed, NOTABLE_FIGURE)
--- a/core/src/main/kotlin/io/sequoiawheel/core/pace/ServiceTimeEstimator.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/pace/ServiceTimeEstimator.kt
@@ -56,7 +56,7 @@
         return engine.tokensPerEvent * (stepMillis(running) + chunkMillis)
     }
 
-    /** Returns the pause between events at the slow-moving factor while the replica reads a prompt, with one more run. */
+    /** Returns the pause at the slow-moving factor while the replica reads a prompt, with one more run. */
     fun readingGapMillis(
         replica: Replica,
         engine: EngineProfile,
--- a/core/src/main/kotlin/io/sequoiawheel/core/relay/LoadExchange.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/LoadExchange.kt
@@ -231,7 +231,8 @@
                 rates(allLimits),
                 quarantine.version,
             )
-        if (content == lastTotals && !speeds.hasFleetNews && !isElapsed(totalsSentMillis, TOTALS_INTERVAL_LIMIT_MILLIS)) return null
+        val isUnchanged = content == lastTotals && !speeds.hasFleetNews
+        if (isUnchanged && !isElapsed(totalsSentMillis, TOTALS_INTERVAL_LIMIT_MILLIS)) return null
         lastTotals = content
         totalsSentMillis = clock.nowMillis()
         val hasAddresses = totalsRounds++ % ADDRESS_ROUNDS == 0L
--- a/core/src/test/kotlin/io/sequoiawheel/core/pace/PacedSelectionTest.kt
+++ b/core/src/test/kotlin/io/sequoiawheel/core/pace/PacedSelectionTest.kt
@@ -19,7 +19,10 @@
     // Guards against equal shares for engines of unequal speed, where the slow ones delay the first events.
     @Test
     fun `engines of twice the speed take more long streams but not more than fit into their memory`() {
-        repeat(40) { fleet.begin(checkNotNull(fleet.selection.forGeneration(uneven, LONG, PROFILE)), LONG, it % 3 == 0) }
+        repeat(40) {
+            val chosen = checkNotNull(fleet.selection.forGeneration(uneven, LONG, PROFILE))
+            fleet.begin(chosen, LONG, isReading = it % 3 == 0)
+        }
         val counts = uneven.associateWith { it.load.running }
         val mean = { engines: List<Replica> -> engines.map { counts.getValue(it) }.average() }
         assertTrue(mean(fast) > mean(uneven - fast), "$counts")
@@ -79,12 +82,24 @@
         val far = List(4) { fleet.engineOf("far-$it", 1.2, zone = "b") }
         assertTrue(fleet.choices(near + far, SHORT, 200).keys.all { it in near })
         near.forEach { engine -> repeat(5) { fleet.begin(engine, LONG) } }
-        assertTrue(fleet.choices(near + far, SHORT, 200).filterKeys { it in far }.values.sum() > 190)
+        assertTrue(
+            fleet
+                .choices(near + far, SHORT, 200)
+                .filterKeys { it in far }
+                .values
+                .sum() > 190,
+        )
         for (engine in near) {
             engine.load.endPrompt(engine.load.promptTokens)
             repeat(4) { engine.load.end(LONG.tokens) }
         }
-        assertTrue(fleet.choices(near + far, SHORT, 200).filterKeys { it in near }.values.sum() > 100)
+        assertTrue(
+            fleet
+                .choices(near + far, SHORT, 200)
+                .filterKeys { it in near }
+                .values
+                .sum() > 100,
+        )
     }
 
     // Guards against a silent replica being taken for a fast or a dead one.
--- a/core/src/test/kotlin/io/sequoiawheel/core/pace/SpeedExchangeTest.kt
+++ b/core/src/test/kotlin/io/sequoiawheel/core/pace/SpeedExchangeTest.kt
@@ -52,7 +52,11 @@
         first.engine.pace.recordFigure(250)
         exchangeMessages()
         assertTrue(second.engine.pace.isKnown)
-        assertEquals(250, second.engine.pace.figure?.hundredths)
+        assertEquals(
+            250,
+            second.engine.pace.figure
+                ?.hundredths,
+        )
     }
 
     @Test
