--- a/relay/src/main/kotlin/io/sequoiawheel/relay/RelayDaemon.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/RelayDaemon.kt
@@ -54,11 +54,10 @@
 import io.sequoiawheel.relay.internal.RelayMetrics
 import io.sequoiawheel.relay.serving.CallRelay
 import io.sequoiawheel.relay.serving.GenerationRelay
+import io.sequoiawheel.relay.serving.PaceGauges
 import io.sequoiawheel.relay.serving.QuarantineLog
 import io.sequoiawheel.relay.serving.RelayContext
 import io.sequoiawheel.relay.serving.ReplicaNotices
-import io.sequoiawheel.relay.serving.PaceGauges
-import io.sequoiawheel.relay.serving.PaceObserver
 import io.sequoiawheel.relay.serving.RunOutcomes
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
@@ -95,8 +94,7 @@
     private val quarantine = PartQuarantine(settings.name, monotonic, QuarantineLog(log, metrics))
     private val loads = LoadExchange(self, start = wall.nowMillis(), monotonic, quarantine)
     private val outcomes = RunOutcomes(monotonic, quarantine, log, metrics)
-    private val pace = PaceObserver(monotonic, log, metrics)
-    private val notices = ReplicaNotices(log, metrics, outcomes, pace)
+    private val notices = ReplicaNotices(log, metrics, outcomes)
     private val pool = BackendPool(connector, notices::onResponseHead, notices::onUnexpectedBytes)
     private val configuration = ConfigurationController(store, freshness, ConfigurationOrder(monotonic), scope, log)
     private val replicas = ReplicaController(directory, log, metrics)
@@ -114,7 +112,6 @@
             fleet = loads,
             quarantine,
             outcomes,
-            pace,
         )
     private val peers = PeerController(self, directory, loads, store, random, log, metrics)
     private val hubSelection = HubSelection(settings.name, settings.zone, monotonic, random, loads::live)
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/RelayContext.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/RelayContext.kt
@@ -36,8 +36,9 @@
     private val fleet: FleetMembership,
     private val quarantine: PartQuarantine,
     val outcomes: RunOutcomes,
-    val pace: PaceObserver,
 ) {
+    val pace: PaceObserver get() = outcomes.pace
+
     private val retryBudgets = HashMap<ServiceName, SlidingWindowRetryBudget>()
 
     private val limiter = RequestLimiter(fleet)
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/ReplicaNotices.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/ReplicaNotices.kt
@@ -18,7 +18,6 @@
     private val log: DecisionLog,
     private val metrics: RelayMetrics,
     private val outcomes: RunOutcomes,
-    private val pace: PaceObserver,
 ) {
     /** Handles the head of any response received from [replica], including responses that no request waits for. */
     fun onResponseHead(
@@ -34,7 +33,7 @@
         outcomes.recordLife(replica)
         val notice = ReplicaNotice.decode(head.status().code()) { head.headers().getAll(it) }
         notice.coldForMillis?.let(replica::coldFor)
-        pace.onLoad(replica, notice.load)
+        outcomes.pace.onLoad(replica, notice.load)
         if (notice.isLeaving) markLeaving(replica, head)
         notice.invalidRetryAfter?.let { value ->
             log.stateChange(
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/RunOutcomes.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/RunOutcomes.kt
@@ -10,7 +10,7 @@
 
 /**
  * Records which runs were lost with the connection to their replica and which went on, as evidence against and for the
- * parts of their prompts. Confined to the event loop.
+ * parts of their prompts, and how fast they went. Confined to the event loop.
  */
 internal class RunOutcomes(
     private val clock: Clock,
@@ -18,6 +18,9 @@
     private val log: DecisionLog,
     private val metrics: RelayMetrics,
 ) {
+    /** Records the speed of the replicas. */
+    val pace = PaceObserver(clock, log, metrics)
+
     /**
      * Records that the connection to [replica] ended after the request was sent and before its response was complete.
      *
