--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/RelayContext.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/RelayContext.kt
@@ -37,8 +37,9 @@
     private val fleet: FleetMembership,
     private val quarantine: PartQuarantine,
     val outcomes: RunOutcomes,
-    val pace: PaceObserver,
 ) {
+    val pace: PaceObserver get() = outcomes.pace
+
     private val bounds = settings.bounds
     private val retryBudgets = HashMap<ServiceName, SlidingWindowRetryBudget>()
 
