--- a/core/src/main/kotlin/io/sequoiawheel/core/scheduling/AdmissionRequest.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/scheduling/AdmissionRequest.kt
@@ -32,8 +32,8 @@
     }
 
     /**
-     * Whether an idle engine reads the prompt within the objective. The largest requests would starve if they went after
-     * all others because their objective cannot be met at any load.
+     * Whether an idle engine reads the prompt within the objective. The largest requests would starve if they went
+     * after all others because their objective cannot be met at any load.
      */
     val isMetByIdleEngine: Boolean
         get() = GenerationSize.promptMillis(demand.promptTokens.toLong()) <= objectiveMillis
--- a/core/src/main/kotlin/io/sequoiawheel/core/scheduling/WorkspaceUsage.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/scheduling/WorkspaceUsage.kt
@@ -83,7 +83,7 @@
     }
 
     private companion object {
-        /** An instance receives a request of one of ten workspaces every 20 s, and ten of one at ten times its share. */
+        /** An instance receives one request of each of ten workspaces in this time, ten at ten times the share. */
         const val RECENT_MILLIS = 20_000.0
         const val USUAL_MILLIS = 300_000.0
         const val LEARNING_MILLIS = 30_000L
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/internal/RelayMetrics.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/internal/RelayMetrics.kt
@@ -41,7 +41,7 @@
         amount: Double = 1.0,
     ) = registry.counter("sequoiawheel.$name", "reason", reason).increment(amount)
 
-    /** Registers a gauge whose [value] is read whenever the metrics are scraped, one of several if it has a [reason]. */
+    /** Registers a gauge whose [value] is read at each scrape, one of several of the name if it has a [reason]. */
     fun gauge(
         name: String,
         reason: String? = null,
