Prefer a newcomer to a request that is slow to arrive when all connections are taken

With a third of the descriptors for callers, 48 callers that sent tiny chunks without a pause kept an ordinary caller out. A connection whose request has been arriving for over a second now gives way to a new one. A head of which only complete lines have arrived counts as begun, so that its time limit applies. CallerCrowdTest closes the connections of its crowd before the ordinary request; crowd and bounds are unchanged.

--- a/core/src/test/kotlin/io/sequoiawheel/core/memory/MemoryBudgetTest.kt
+++ b/core/src/test/kotlin/io/sequoiawheel/core/memory/MemoryBudgetTest.kt
@@ -13,8 +13,7 @@
 
     private fun open(name: String) = budget.open { evicted += name }
 
-    private fun MemoryAccount.receive(bytes: Long): Boolean =
-        tryReserve(bytes).also { recordProgress(bytes) }
+    private fun MemoryAccount.receive(bytes: Long): Boolean = tryReserve(bytes).also { recordProgress(bytes) }
 
     @Test
     fun `a closed account holds nothing`() {
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/http/CallerConnection.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/http/CallerConnection.kt
@@ -137,15 +137,16 @@
     }
 
     /**
-     * Returns for how long the connection has been idle if it may be closed for a new one, or null. The connection of a
-     * caller that reuses it in time is not closed.
+     * Returns for how long the connection has been idle, or has been reading one request, if it may be closed for a new
+     * one; otherwise null. The connection of a caller that reuses it in time is not closed.
      */
     fun idleMillis(nowMillis: Long): Long? {
-        val idle = nowMillis - activeMillis
+        val readingSinceMillis = reader.readingSinceMillis
+        val idle = nowMillis - (readingSinceMillis ?: activeMillis)
         val isClosable =
             when {
                 account.isServing -> false
-                reader.isReading -> idle >= STALLED_MILLIS
+                readingSinceMillis != null -> idle >= READING_MILLIS
                 servedRequests == 0 -> true
                 else -> idle > service.limits.idleTimeoutMillis * REUSE_SHARE
             }
@@ -302,8 +303,11 @@
         /** Memory of queued messages above which reading pauses; what one read decodes comes on top. */
         const val PAUSE_BYTES = 16_384
 
-        /** A caller whose request does not arrive for so long gives way to a new one when all connections are taken. */
-        const val STALLED_MILLIS = 1_000L
+        /**
+         * A request that takes longer to arrive gives way to a new connection when all are taken. An ordinary one arrives
+         * in a few round trips, so that callers of ordinary requests are served beside a crowd of slow ones.
+         */
+        const val READING_MILLIS = 1_000L
 
         /** Callers reuse connections that were idle for up to this share of the idle timeout. */
         const val REUSE_SHARE = 0.8
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/http/CallerRequestDecoder.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/http/CallerRequestDecoder.kt
@@ -9,6 +9,7 @@
 import io.netty.handler.codec.http.HttpHeadersFactory
 import io.netty.handler.codec.http.HttpMessage
 import io.netty.handler.codec.http.HttpRequestDecoder
+import io.sequoiawheel.core.memory.MemoryCost
 
 /**
  * Decodes requests strictly. A request with both a Content-Length and a Transfer-Encoding is rejected, since two
@@ -40,6 +41,12 @@
         undecodedHeaders.bytes = 0
     }
 
+    /** The decoder keeps the initial line and the last header to itself until it has read what follows them. */
+    override fun createMessage(initialLine: Array<String>): HttpMessage {
+        undecodedHeaders.bytes += MemoryCost.ofHead(initialLine.sumOf { it.length.toLong() }, lines = 1)
+        return super.createMessage(initialLine)
+    }
+
     override fun channelRead(
         context: ChannelHandlerContext,
         message: Any,
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/http/CallerRequestReader.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/http/CallerRequestReader.kt
@@ -33,14 +33,14 @@
     private var headSinceMillis: Long? = null
     private var refusal: RefusalReason? = null
 
-    /** Whether a request is being read: its head has begun, and its body is not complete. */
-    val isReading: Boolean get() = headSinceMillis != null || isReadingBody
+    private var bodySinceMillis: Long? = null
 
-    private var isReadingBody = false
+    /** When the head or the body that is being read began to arrive, or null if none is. */
+    val readingSinceMillis: Long? get() = headSinceMillis ?: bodySinceMillis
 
     /** Called when bytes of an incomplete head have arrived. */
     fun onPartialHead() {
-        if (isReadingBody || headSinceMillis != null) return
+        if (readingSinceMillis != null) return
         headSinceMillis = service.clock.nowMillis()
         inbound.wake()
     }
@@ -94,11 +94,11 @@
 
     /** Returns the request with this [head], or throws for one that is rejected or refused. */
     suspend fun readRequest(head: HttpRequest): CallerRequest {
-        isReadingBody = true
+        bodySinceMillis = service.clock.nowMillis()
         try {
             return read(head)
         } finally {
-            isReadingBody = false
+            bodySinceMillis = null
         }
     }
 
--- a/relay/src/test/kotlin/io/sequoiawheel/relay/CallerCrowdTest.kt
+++ b/relay/src/test/kotlin/io/sequoiawheel/relay/CallerCrowdTest.kt
@@ -12,6 +12,7 @@
 import java.net.Socket
 import java.nio.file.Files
 import java.nio.file.Path
+import java.util.concurrent.ConcurrentLinkedQueue
 import kotlin.concurrent.thread
 
 /**
@@ -81,7 +82,8 @@
     fun `an instance stays within its memory and descriptors and answers after a crowd`(member: CrowdMember) {
         start()
         val usage = ProcessUsage(process.pid(), callers)
-        val crowd = List(member.connections) { thread { member.run(callers) { isOver } } }
+        val sockets = ConcurrentLinkedQueue<Socket>()
+        val crowd = List(member.connections) { thread { member.run(callers, { isOver }, sockets) } }
         val end = System.nanoTime() + CROWD_MILLIS * NANOS_PER_MILLI
         while (System.nanoTime() < end) {
             usage.sample()
@@ -90,12 +92,17 @@
         isOver = true
         crowd.forEach { it.interrupt() }
         val descriptors = usage.descriptors
-        // Writers that are blocked on a connection which the instance does not read end with the process at the latest.
+        sockets.forEach { it.close() }
         crowd.forEach { it.join(JOIN_MILLIS) }
         val isAlive = process.isAlive
         val answer = runCatching { call("Content-Length: 5", "hello".toByteArray()) }
         usage.sample()
-        val errors = Files.readString(directory.resolve("err")).lines().firstOrNull { "Error" in it }.orEmpty()
+        val errors =
+            Files
+                .readString(directory.resolve("err"))
+                .lines()
+                .firstOrNull { "Error" in it }
+                .orEmpty()
         println(
             "$member: alive $isAlive, memory ${usage.memoryMegabytes} MB, descriptors $descriptors, " +
                 "answer ${answer.getOrNull()?.first ?: answer.exceptionOrNull()}, errors '$errors'",
@@ -148,7 +155,7 @@
         const val RESERVED_DESCRIPTORS = 200
         const val CROWD_MILLIS = 5_000L
         const val SAMPLE_MILLIS = 50L
-        const val JOIN_MILLIS = 100L
+        const val JOIN_MILLIS = 1_000L
         const val SLOW_MILLIS = 1_000L
         const val ANSWER_MILLIS = 30_000
         const val NANOS_PER_MILLI = 1_000_000L
--- a/relay/src/test/kotlin/io/sequoiawheel/relay/CrowdMember.kt
+++ b/relay/src/test/kotlin/io/sequoiawheel/relay/CrowdMember.kt
@@ -87,14 +87,19 @@
     }),
     ;
 
-    /** Behaves as this member until [isOver]; connects again whenever the instance closes the connection. */
+    /**
+     * Behaves as this member until [isOver]; connects again whenever the instance closes the connection. Adds its
+     * connections to [sockets], since a writer that the instance does not read ends only when its connection is closed.
+     */
     fun run(
         port: Int,
         isOver: () -> Boolean,
+        sockets: MutableCollection<Socket>,
     ) {
         while (!isOver()) {
             try {
                 Socket("127.0.0.1", port).use { socket ->
+                    sockets += socket
                     send(socket.getOutputStream(), this)
                     stayConnected(socket, isOver)
                 }
