--- a/relay/src/main/kotlin/io/sequoiawheel/relay/http/CallerConnection.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/http/CallerConnection.kt
@@ -85,6 +85,7 @@
     private var servedRequests = 0
     private var writable = CompletableDeferred<Unit>()
     private var isAborted = false
+    private var isEnding = false
 
     override fun handlerAdded(context: ChannelHandlerContext) {
         inbound.attach(context.channel())
@@ -147,7 +148,8 @@
             when {
                 account.isServing -> false
                 readingSinceMillis != null -> idle >= READING_MILLIS
-                servedRequests == 0 -> true
+                isEnding -> true
+                servedRequests == 0 -> idle >= FIRST_REQUEST_MILLIS
                 else -> idle > service.limits.idleTimeoutMillis * REUSE_SHARE
             }
         return idle.takeIf { isClosable }
@@ -282,6 +284,7 @@
 
     /** Closes after the caller read the last response: closing with unread input would reset the connection. */
     private suspend fun closeGracefully() {
+        isEnding = true
         (channel as? SocketChannel)?.shutdownOutput()
         withTimeoutOrNull(CLOSE_TIMEOUT_MILLIS) {
             try {
@@ -304,11 +307,14 @@
         const val PAUSE_BYTES = 16_384
 
         /**
-         * A request that takes longer to arrive gives way to a new connection when all are taken. An ordinary one arrives
-         * in a few round trips, so that callers of ordinary requests are served beside a crowd of slow ones.
+         * A request that takes longer to arrive gives way to a new connection when all are taken. An ordinary one
+         * arrives in a few round trips, so that its caller is served beside a crowd of slow ones.
          */
         const val READING_MILLIS = 1_000L
 
+        /** A new connection is kept for a few round trips, in which its first request arrives. */
+        const val FIRST_REQUEST_MILLIS = 100L
+
         /** Callers reuse connections that were idle for up to this share of the idle timeout. */
         const val REUSE_SHARE = 0.8
 
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/http/CallerLimits.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/http/CallerLimits.kt
@@ -105,8 +105,8 @@
         private const val OWN_DESCRIPTORS = 100
 
         /**
-         * Beside the connection of its caller, a request may have one to the replica that serves it and one to a replica
-         * whose answer is no longer wanted.
+         * Beside the connection of its caller, a request may have one to the replica that serves it and one to a
+         * replica whose answer is no longer wanted.
          */
         private const val DESCRIPTOR_DIVISOR = 3
 
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/internal/RefusalLog.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/internal/RefusalLog.kt
@@ -4,8 +4,8 @@
 import io.sequoiawheel.relay.http.RefusalReason
 
 /**
- * Logs refused callers: at most one line for each reason in [INTERVAL_MILLIS], with the number of callers since the line
- * before, so that a crowd does not displace other lines.
+ * Logs refused callers: at most one line for each reason in [INTERVAL_MILLIS], with the number of callers since the
+ * line before, so that a crowd does not displace other lines.
  */
 internal class RefusalLog(
     private val clock: Clock,
--- a/relay/src/test/kotlin/io/sequoiawheel/relay/http/CallerMemoryTest.kt
+++ b/relay/src/test/kotlin/io/sequoiawheel/relay/http/CallerMemoryTest.kt
@@ -132,13 +132,13 @@
 
     // Stalled bodies kept the memory that the bodies of other callers needed.
     @Test
-    fun `a stalled body gives way to another one with 503`() {
+    fun `one of two bodies that find no room together is refused with 503`() {
         val port = start()
         val stalled = connect(port, head("Content-Length: $BODY_BYTES") + "x".repeat(BODY_BYTES - 1))
         RelayFixture.awaitTrue("the stalled body is held") { budget.heldBytes >= BODY_BYTES }
         val second = connect(port, head("Content-Length: $BODY_BYTES\r\nConnection: close") + "x".repeat(BODY_BYTES))
         val answers = listOf(stalled.answer(), second.answer())
-        assertTrue(answers.any { it.startsWith("HTTP/1.1 503") && "Retry-After" in it }, answers.toString())
+        assertTrue(answers.any { it.startsWith("HTTP/1.1 503") && "retry-after: 1.000" in it }, answers.toString())
         assertTrue(RefusalReason.MEMORY in refused, refused.toString())
     }
 
@@ -156,7 +156,13 @@
     @Test
     fun `a body is gathered without memory far beyond its size`() {
         var held = 0L
-        val builder = CallerBodyBuilder(announcedBytes = null) { bytes -> (held + bytes < BUDGET_BYTES).also { held += bytes } }
+        val builder =
+            CallerBodyBuilder(announcedBytes = null) { bytes ->
+                (held + bytes < BUDGET_BYTES).also {
+                    held +=
+                        bytes
+                }
+            }
         repeat(BODY_BYTES) { assertTrue(builder.append(Unpooled.wrappedBuffer(byteArrayOf(it.toByte())))) }
         val buffer = builder.build().toBuffer()
         assertEquals(BODY_BYTES, buffer.readableBytes())
