--- a/relay/src/test/kotlin/io/sequoiawheel/relay/CrowdMember.kt
+++ b/relay/src/test/kotlin/io/sequoiawheel/relay/CrowdMember.kt
@@ -3,6 +3,7 @@
 import java.io.IOException
 import java.io.OutputStream
 import java.net.Socket
+import java.net.SocketTimeoutException
 
 /** The limits of the instance that a crowd of callers meets, and the pace of the crowd. */
 internal object CrowdLimits {
@@ -120,13 +121,18 @@
         while (!isOver()) {
             if (this == ANSWERS_NEVER_READ) {
                 Thread.sleep(RECONNECT_MILLIS)
-            } else {
-                val next = runCatching { socket.getInputStream().read() }
-                if (next.getOrNull() == -1) return
-                if (next.exceptionOrNull().let { it != null && it !is java.net.SocketTimeoutException }) return
+            } else if (hasEnded(socket)) {
+                return
             }
         }
     }
+
+    private fun hasEnded(socket: Socket): Boolean =
+        try {
+            socket.getInputStream().read() == -1
+        } catch (open: SocketTimeoutException) {
+            false
+        }
 }
 
 private const val CONNECTIONS = 48
--- a/relay/src/test/kotlin/io/sequoiawheel/relay/RelayFixture.kt
+++ b/relay/src/test/kotlin/io/sequoiawheel/relay/RelayFixture.kt
@@ -173,7 +173,8 @@
         "svcs":[{"name":"$PLAIN","health_path":"/healthz","max_conns":100,"warmup_s":0,"warmup_per_s":0},
         {"name":"$ENGINE","health_path":"/healthz","max_conns":100,"warmup_s":0,"warmup_per_s":0,
         "runtime":{"slots":24,"kv_capacity":34000,"kv_token_bytes":163840,"stride":4,"moves":true,"backups":true}}],
-        "limits":{"max_header_bytes":16384,"max_body_bytes":$bodyBytes,"header_timeout_ms":3000,"idle_timeout_ms":15000},
+        "limits":{"max_header_bytes":16384,"max_body_bytes":$bodyBytes,"header_timeout_ms":3000,
+        "idle_timeout_ms":15000},
         "tenants":[{"name":"workspace-1","api_keys":$keys}]}"""
 
     private fun route(
--- a/relay/src/test/kotlin/io/sequoiawheel/relay/http/CallerMemoryTest.kt
+++ b/relay/src/test/kotlin/io/sequoiawheel/relay/http/CallerMemoryTest.kt
@@ -158,10 +158,8 @@
         var held = 0L
         val builder =
             CallerBodyBuilder(announcedBytes = null) { bytes ->
-                (held + bytes < BUDGET_BYTES).also {
-                    held +=
-                        bytes
-                }
+                held += bytes
+                held < BUDGET_BYTES
             }
         repeat(BODY_BYTES) { assertTrue(builder.append(Unpooled.wrappedBuffer(byteArrayOf(it.toByte())))) }
         val buffer = builder.build().toBuffer()
