--- a/relay/src/main/kotlin/io/sequoiawheel/relay/http/CallerConnection.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/http/CallerConnection.kt
@@ -84,6 +84,7 @@
     private var servedRequests = 0
     private val writer = ResponseWriter(channel, connections.responseMemory)
     private var isAborted = false
+    private var isEnding = false
 
     /** The accounts of what is held of responses that the caller has not read. */
     val accounts: CallerAccounts get() = writer.accounts
@@ -143,16 +144,18 @@
     }
 
     /**
-     * Returns for how long the connection has been idle if it may be closed for a new one, or null. The connection of a
-     * caller that reuses it in time is not closed.
+     * Returns for how long the connection has been idle, or has been reading one request, if it may be closed for a new
+     * one; otherwise null. The connection of a caller that reuses it in time is not closed.
      */
     fun idleMillis(nowMillis: Long): Long? {
-        val idle = nowMillis - activeMillis
+        val readingSinceMillis = reader.readingSinceMillis
+        val idle = nowMillis - (readingSinceMillis ?: activeMillis)
         val isClosable =
             when {
                 account.isServing -> false
-                reader.isReading -> idle >= STALLED_MILLIS
-                servedRequests == 0 -> true
+                readingSinceMillis != null -> idle >= READING_MILLIS
+                isEnding -> true
+                servedRequests == 0 -> idle >= FIRST_REQUEST_MILLIS
                 else -> idle > service.limits.idleTimeoutMillis * REUSE_SHARE
             }
         return idle.takeIf { isClosable }
@@ -277,6 +280,7 @@
 
     /** Closes after the caller read the last response: closing with unread input would reset the connection. */
     private suspend fun closeGracefully() {
+        isEnding = true
         (channel as? SocketChannel)?.shutdownOutput()
         withTimeoutOrNull(CLOSE_TIMEOUT_MILLIS) {
             try {
@@ -298,8 +302,14 @@
         /** Memory of queued messages above which reading pauses; what one read decodes comes on top. */
         const val PAUSE_BYTES = 16_384
 
-        /** A caller whose request does not arrive for so long gives way to a new one when all connections are taken. */
-        const val STALLED_MILLIS = 1_000L
+        /**
+         * A request that takes longer to arrive gives way to a new connection when all are taken. An ordinary one
+         * arrives in a few round trips, so that its caller is served beside a crowd of slow ones.
+         */
+        const val READING_MILLIS = 1_000L
+
+        /** A new connection is kept for a few round trips, in which its first request arrives. */
+        const val FIRST_REQUEST_MILLIS = 100L
 
         /** Callers reuse connections that were idle for up to this share of the idle timeout. */
         const val REUSE_SHARE = 0.8
--- a/relay/src/test/kotlin/io/sequoiawheel/relay/CrowdMember.kt
+++ b/relay/src/test/kotlin/io/sequoiawheel/relay/CrowdMember.kt
@@ -3,6 +3,7 @@
 import java.io.IOException
 import java.io.OutputStream
 import java.net.Socket
+import java.net.SocketTimeoutException
 
 /** The limits of the instance that a crowd of callers meets, and the pace of the crowd. */
 internal object CrowdLimits {
@@ -87,14 +88,19 @@
     }),
     ;
 
-    /** Behaves as this member until [isOver]; connects again whenever the instance closes the connection. */
+    /**
+     * Behaves as this member until [isOver]; connects again whenever the instance closes the connection. Adds its
+     * connections to [sockets], since a writer that the instance does not read ends only when its connection is closed.
+     */
     fun run(
         port: Int,
         isOver: () -> Boolean,
+        sockets: MutableCollection<Socket>,
     ) {
         while (!isOver()) {
             try {
                 Socket("127.0.0.1", port).use { socket ->
+                    sockets += socket
                     send(socket.getOutputStream(), this)
                     stayConnected(socket, isOver)
                 }
@@ -115,13 +121,18 @@
         while (!isOver()) {
             if (this == ANSWERS_NEVER_READ) {
                 Thread.sleep(RECONNECT_MILLIS)
-            } else {
-                val next = runCatching { socket.getInputStream().read() }
-                if (next.getOrNull() == -1) return
-                if (next.exceptionOrNull().let { it != null && it !is java.net.SocketTimeoutException }) return
+            } else if (hasEnded(socket)) {
+                return
             }
         }
     }
+
+    private fun hasEnded(socket: Socket): Boolean =
+        try {
+            socket.getInputStream().read() == -1
+        } catch (open: SocketTimeoutException) {
+            false
+        }
 }
 
 private const val CONNECTIONS = 48
