Decide on rollouts of new versions from the evidence of all instances

Operators order the replacement of a service's version, and a bad version must reach few callers. Each instance admits a canary share of its own requests and a part of the margin, so the sum keeps to the bound whatever the instances know of each other. Responses by route and version travel in the load messages, and every instance compares the new version with the old one over the same time.

--- a/core/src/main/kotlin/io/sequoiawheel/core/relay/LoadExchange.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/LoadExchange.kt
@@ -9,6 +9,7 @@
 import io.sequoiawheel.core.model.Clock
 import io.sequoiawheel.core.model.ZoneName
 import io.sequoiawheel.core.quarantine.PartQuarantine
+import io.sequoiawheel.core.rollout.RolloutReport
 
 /** A message to send to [destinations]. */
 class OutgoingMessage(
@@ -37,6 +38,7 @@
         val leaving: StartsByReplica = emptyMap(),
         val rates: Map<String, Double?> = emptyMap(),
         val partsVersion: Int = 0,
+        val versions: RolloutReport = RolloutReport.NONE,
     )
 
     private val roster = PeerRoster(clock)
@@ -63,6 +65,14 @@
     private var leaving: StartsByReplica = emptyMap()
     private var limits: LimitsByReplica = emptyMap()
 
+    /** What this instance knows of rollouts itself. */
+    var ownVersions: RolloutReport = RolloutReport.NONE
+    private var sentVersions = RolloutReport.NONE
+
+    /** When a message of another instance was received last, or null. */
+    var receivedAtMillis: Long? = null
+        private set
+
     override val selfName: String get() = self.name
     override val isKnown: Boolean get() = isListed || !received.isEmpty
     override val zone: ZoneName get() = self.zone
@@ -93,6 +103,9 @@
     /** The replicas that announced to other instances that they are leaving. */
     val leavingReportedByPeers: StartsByReplica get() = received.leaving()
 
+    /** What all instances together know of rollouts, this one included. */
+    fun knownVersions(): RolloutReport = totals()?.versions ?: RolloutReport.sum(received.versions() + ownVersions)
+
     /** The request limits that other instances observed. */
     val limitsReportedByPeers: LimitsByReplica get() = received.limits()
 
@@ -107,7 +120,10 @@
     ): List<OutgoingMessage> {
         val outgoing = ArrayList<OutgoingMessage>()
         val hasNewNotices = leaving != this.leaving || rates(limits) != rates(this.limits) || hasPartNotices
-        val hasChanged = hasNewNotices || generationTokens(work) != generationTokens(sentReports.latestWork)
+        val hasVersionNews = !ownVersions.isSameAs(sentVersions)
+        val hasChanged =
+            hasNewNotices || hasVersionNews ||
+                generationTokens(work) != generationTokens(sentReports.latestWork)
         this.leaving = leaving
         this.limits = limits
         if (hasChanged || isElapsed(reportSentMillis, heartbeatMillis())) outgoing += newReport(work, isLeaving = false)
@@ -124,6 +140,7 @@
     fun receive(message: PeerMessage): List<OutgoingMessage> {
         val endpoint = Endpoint.parseOrNull(message.endpoint) ?: return emptyList()
         if (message.sender == self.name) return emptyList()
+        receivedAtMillis = clock.nowMillis()
         quarantine.merge(message.parts)
         val sender = Peer(message.sender, ZoneName(message.zone), endpoint)
         when (message) {
@@ -199,8 +216,10 @@
                 leaving,
                 ReportedLimit.of(limits, clock.nowMillis()),
                 quarantine.report(),
+                ownVersions,
             )
         sentPartsVersion = quarantine.version
+        sentVersions = ownVersions
         hasNewIncarnation = false
         sentReports.add(report)
         reportSentMillis = clock.nowMillis()
@@ -218,12 +237,14 @@
         if (requesters.isEmpty()) return null
         val totals = (received.work() + listOf(work)).sumByReplica()
         val allLimits = listOf(limits, received.reportedLimits()).latestByReplica()
+        val versions = RolloutReport.sum(received.versions() + ownVersions)
         val content =
             SentContent(
                 generationTokens(totals),
                 leaving + received.reportedLeaving(),
                 rates(allLimits),
                 quarantine.version,
+                versions.withoutAges(),
             )
         if (content == lastTotals && !isElapsed(totalsSentMillis, TOTALS_INTERVAL_LIMIT_MILLIS)) return null
         lastTotals = content
@@ -243,6 +264,7 @@
                 content.leaving,
                 ReportedLimit.of(allLimits, clock.nowMillis()),
                 quarantine.report(),
+                versions,
             )
         totalsBytes = (report.work.size + report.members.size) * BYTES_PER_ENTRY
         return OutgoingMessage(requesters, report)
@@ -256,7 +278,9 @@
         val sums = (reports.map { it.work } + listOf(work)).sumByReplica()
         val zoneLimits = listOf(limits, received.localLimits()).latestByReplica()
         val zoneLeaving = reports.fold(leaving) { known, member -> known + member.leaving }
-        val content = SentContent(generationTokens(sums), zoneLeaving, rates(zoneLimits), quarantine.version)
+        val versions = RolloutReport.sum(received.localVersions() + ownVersions)
+        val content =
+            SentContent(generationTokens(sums), zoneLeaving, rates(zoneLimits), quarantine.version, versions.withoutAges())
         if (content == lastSums && !isElapsed(sumsSentMillis, HEARTBEAT_MILLIS)) return null
         lastSums = content
         sumsSentMillis = clock.nowMillis()
@@ -273,6 +297,7 @@
                 leaving = content.leaving,
                 limits = ReportedLimit.of(zoneLimits, clock.nowMillis()),
                 parts = quarantine.report(),
+                versions = versions,
             )
         return OutgoingMessage(targets.map { it.endpoint }, report)
     }
--- a/core/src/main/kotlin/io/sequoiawheel/core/relay/PeerMessage.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/PeerMessage.kt
@@ -7,6 +7,7 @@
 
 import io.sequoiawheel.core.model.NestingLimit
 import io.sequoiawheel.core.quarantine.PartReport
+import io.sequoiawheel.core.rollout.RolloutReport
 import kotlinx.serialization.KSerializer
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
@@ -86,6 +87,7 @@
  *   that they are leaving
  * @property limits request limits that replicas named, by replica id
  * @property parts what the sender knows of prompt parts that end replicas
+ * @property versions what the instances whose load the message includes know of rollouts
  */
 @Serializable
 sealed interface PeerMessage {
@@ -97,6 +99,7 @@
     val leaving: StartsByReplica
     val limits: Map<String, ReportedLimit>
     val parts: PartReport
+    val versions: RolloutReport
 
     /** Whether this message is not newer than [other], a message of the same sender. */
     fun isNotNewerThan(other: PeerMessage): Boolean =
@@ -148,6 +151,7 @@
     @SerialName("q") override val leaving: StartsByReplica = emptyMap(),
     @SerialName("r") override val limits: Map<String, ReportedLimit> = emptyMap(),
     @SerialName("p") override val parts: PartReport = PartReport.NONE,
+    @SerialName("v") override val versions: RolloutReport = RolloutReport.NONE,
 ) : PeerMessage
 
 /**
@@ -170,6 +174,7 @@
     @SerialName("q") override val leaving: StartsByReplica = emptyMap(),
     @SerialName("r") override val limits: Map<String, ReportedLimit> = emptyMap(),
     @SerialName("p") override val parts: PartReport = PartReport.NONE,
+    @SerialName("v") override val versions: RolloutReport = RolloutReport.NONE,
 ) : PeerMessage
 
 /**
@@ -194,4 +199,5 @@
     @SerialName("q") override val leaving: StartsByReplica = emptyMap(),
     @SerialName("r") override val limits: Map<String, ReportedLimit> = emptyMap(),
     @SerialName("p") override val parts: PartReport = PartReport.NONE,
+    @SerialName("v") override val versions: RolloutReport = RolloutReport.NONE,
 ) : PeerMessage
--- a/core/src/main/kotlin/io/sequoiawheel/core/relay/ReceivedLoads.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/ReceivedLoads.kt
@@ -2,6 +2,7 @@
 
 import io.sequoiawheel.core.model.Clock
 import io.sequoiawheel.core.model.ZoneName
+import io.sequoiawheel.core.rollout.RolloutReport
 
 /**
  * The latest load messages of other instances; messages expire if their sender falls silent. Confined to one thread.
@@ -96,6 +97,13 @@
     /** Returns the request limits from all messages. */
     fun limits(): LimitsByReplica = limitsOf(reports.values + zones.values + listOfNotNull(fleet))
 
+    /** Returns what the instances of the local zone reported of rollouts. */
+    fun localVersions(): List<RolloutReport> = localReports.map { it.versions }
+
+    /** Returns what the other instances know of rollouts, from the same messages as [work]. */
+    fun versions(): List<RolloutReport> =
+        localVersions() + sums.map { it.versions } + reportsOfZonesWithoutSums().map { it.versions }
+
     private fun limitsOf(messages: Collection<Received<out PeerMessage>>): LimitsByReplica =
         messages
             .filter(::isFresh)
--- a/core/src/main/kotlin/io/sequoiawheel/core/relay/ReplicaEntry.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/ReplicaEntry.kt
@@ -11,6 +11,7 @@
  * @property coldForMillis remaining time for which the replica is cold, as of when it wrote the entry
  * @property startedAtMillis start time in Unix milliseconds, which identifies the incarnation of an id; null if not
  *   provided
+ * @property version version of the service that the replica runs, or null if not provided
  */
 data class ReplicaEntry(
     val id: InstanceId,
@@ -22,6 +23,7 @@
     val isDraining: Boolean,
     val coldForMillis: Long,
     val startedAtMillis: Long?,
+    val version: String? = null,
 ) {
     val address: String get() = "$host:$port"
 
--- /dev/null
+++ b/core/src/main/kotlin/io/sequoiawheel/core/rollout/RolloutGate.kt
@@ -0,0 +1,235 @@
+/*
+ * Decides which versions of a service may receive requests. Before an order, and outside of one, a version that appears
+ * beside the known ones receives nothing, since its replicas may be listed before the order is.
+ */
+package io.sequoiawheel.core.rollout
+
+import io.sequoiawheel.core.membership.RendezvousHashing
+import io.sequoiawheel.core.model.Clock
+import io.sequoiawheel.core.model.ServiceName
+import io.sequoiawheel.core.relay.Replica
+import io.sequoiawheel.core.relay.RolloutBounds
+import org.apache.commons.rng.UniformRandomProvider
+import kotlin.math.ceil
+
+/**
+ * The orders that one instance knows, and what they allow. Confined to one thread.
+ *
+ * @param instanceCount returns an upper estimate of the number of instances
+ * @param isInContact whether this instance would learn from the store or from the other instances that a version is bad
+ */
+class RolloutGate(
+    private val bounds: RolloutBounds,
+    private val clock: Clock,
+    private val random: UniformRandomProvider,
+    private val instanceCount: () -> Int,
+    private val isInContact: () -> Boolean,
+) {
+    private val rollouts = LinkedHashMap<ServiceName, ServiceRollout>()
+    private val established = HashMap<ServiceName, Set<String?>>()
+
+    /** Revisions of the latest orders that were withdrawn, of which late messages may still tell. */
+    private val withdrawn = HashMap<ServiceName, Long>()
+
+    /** The newest order of each service. */
+    val all: Collection<ServiceRollout> get() = rollouts.values
+
+    operator fun get(service: ServiceName): ServiceRollout? = rollouts[service]
+
+    /**
+     * Starts to carry out [order], which is [elapsedMillis] old.
+     *
+     * @param isLate whether this instance learned of it only after it had started, or from another instance
+     */
+    fun begin(
+        order: RolloutOrder,
+        stage: RolloutStage,
+        elapsedMillis: Long = 0,
+        isLate: Boolean = false,
+    ): ServiceRollout {
+        val budget =
+            CanaryBudget(bounds, order.durationMillis, instanceCount(), hasMargin = !isLate, random.nextDouble(), clock)
+        settle(order.service)
+        return ServiceRollout(order, stage, clock.nowMillis() - elapsedMillis, budget, clock)
+            .also { rollouts[order.service] = it }
+    }
+
+    /** Forgets the order for [service]; the versions that it allowed stay. */
+    fun withdraw(service: ServiceName) {
+        val rollout = rollouts[service] ?: return
+        withdrawn[service] = rollout.order.revision
+        settle(service)
+    }
+
+    /** Whether an order of [revision] for [service] is newer than those that this instance knows. */
+    fun isNews(
+        service: ServiceName,
+        revision: Long,
+    ): Boolean = revision > maxOf(rollouts[service]?.order?.revision ?: 0, withdrawn[service] ?: 0)
+
+    /** Replaces the order of [service] by the versions that it allowed. */
+    private fun settle(service: ServiceName) {
+        val rollout = rollouts.remove(service) ?: return
+        val known = established[service].orEmpty()
+        established[service] =
+            when (rollout.stage) {
+                RolloutStage.COMPLETE -> setOf(rollout.order.version)
+                else -> known - rollout.order.version
+            }
+    }
+
+    /** Records the versions of services that were unknown so far. Call it whenever replicas may have been listed. */
+    fun observe(replicas: Collection<Replica>) {
+        for ((service, members) in replicas.filter { !it.isLeaving }.groupBy { it.entry.service }) {
+            if (established[service].isNullOrEmpty()) established[service] = members.map { it.entry.version }.toSet()
+        }
+    }
+
+    /** Whether all [replicas] of a service that may receive requests without an order are of [version]. */
+    fun isInForce(
+        version: String,
+        service: ServiceName,
+        replicas: Collection<Replica>,
+    ): Boolean {
+        val known = established[service].orEmpty()
+        val used = replicas.filter { it.entry.service == service && !it.isLeaving && it.entry.version in known }
+        return used.isNotEmpty() && used.all { it.entry.version == version }
+    }
+
+    /** Records a request for [service], wherever it is sent. */
+    fun recordRequest(service: ServiceName) {
+        rollouts[service]?.budget?.recordRequest()
+    }
+
+    /** Whether [replica] may receive a request now, apart from what limits it otherwise. */
+    fun mayReceive(replica: Replica): Boolean {
+        val rollout = rollouts[replica.entry.service] ?: return isEstablished(replica)
+        val isNew = replica.entry.version == rollout.order.version
+        return when (rollout.stage) {
+            RolloutStage.CANARY -> !isNew || isOpen(rollout) && rollout.budget.mayAdmit
+            RolloutStage.SHIFTING -> !isNew || isOpen(rollout)
+            RolloutStage.COMPLETE -> isNew
+            RolloutStage.REVERTED -> !isNew
+        }
+    }
+
+    /** Takes the permission to send a request to [replica] now, or returns false. Call it immediately before sending. */
+    fun tryAdmit(replica: Replica): Boolean {
+        if (!mayReceive(replica)) return false
+        val rollout = rollouts[replica.entry.service] ?: return true
+        if (replica.entry.version != rollout.order.version) return true
+        if (rollout.stage == RolloutStage.CANARY) return rollout.budget.tryAdmit()
+        rollout.budget.recordUnbudgeted()
+        return true
+    }
+
+    /**
+     * Returns groups of the [usable] replicas of [service] for a request, in order of preference. A request that is
+     * sent again before anything of its response was delivered goes to the old version.
+     *
+     * @param isFirst whether the request is sent for the first time
+     * @param running version that sent events of the response, with which it must go on while the order is active
+     */
+    fun preferences(
+        service: ServiceName,
+        usable: List<Replica>,
+        isFirst: Boolean,
+        running: Replica? = null,
+    ): List<List<Replica>> {
+        val rollout = rollouts[service] ?: return listOf(usable.filter(::isEstablished).ifEmpty { usable })
+        val (new, old) = usable.partition { it.entry.version == rollout.order.version }
+        val open = new.filter(::mayReceive)
+        return when (rollout.stage) {
+            RolloutStage.COMPLETE -> listOf(new)
+            RolloutStage.REVERTED -> listOf(old)
+            RolloutStage.CANARY ->
+                when {
+                    running != null -> listOf(if (isNew(running, rollout)) open else old)
+                    isFirst -> listOf(canaries(rollout, open), old)
+                    else -> listOf(old)
+                }
+
+            RolloutStage.SHIFTING ->
+                when {
+                    running != null && isNew(running, rollout) -> listOf(open)
+                    isFirst && !isShifted(rollout) -> listOf(old, open)
+                    else -> listOf(open, old)
+                }
+        }.filter { it.isNotEmpty() }
+    }
+
+    /** Whether a run on [source] may be copied to [destination], or go on there. */
+    fun mayMove(
+        source: Replica,
+        destination: Replica,
+    ): Boolean {
+        val rollout = rollouts[source.entry.service] ?: return mayReceive(destination)
+        if (!mayReceive(destination)) return false
+        val isSame = isNew(source, rollout) == isNew(destination, rollout)
+        return when (rollout.stage) {
+            RolloutStage.CANARY -> isSame
+            RolloutStage.SHIFTING -> isNew(destination, rollout)
+            RolloutStage.COMPLETE, RolloutStage.REVERTED -> true
+        }
+    }
+
+    /** Whether runs on [replica] should move to another version now. */
+    fun isVacated(replica: Replica): Boolean {
+        val rollout = rollouts[replica.entry.service] ?: return false
+        return rollout.stage == RolloutStage.SHIFTING && !rollout.isBad && !isNew(replica, rollout)
+    }
+
+    /** Returns what the other instances should know, given all known [replicas]. */
+    fun report(replicas: Collection<Replica>): RolloutReport {
+        val reported = rollouts.values.filter { it.isReported }
+        if (reported.isEmpty()) return RolloutReport.NONE
+        return RolloutReport(reported.map { it.share(oldRuns(it, replicas)) }.sortedBy { it.service })
+    }
+
+    private fun oldRuns(
+        rollout: ServiceRollout,
+        replicas: Collection<Replica>,
+    ) = replicas
+        .filter { it.entry.service == rollout.order.service && !isNew(it, rollout) }
+        .sumOf { it.load.running }
+
+    /**
+     * Returns the replicas of the new version that receive the first requests. They are few, and all instances choose
+     * the same ones, so that the load on each is like that after the rollout.
+     */
+    private fun canaries(
+        rollout: ServiceRollout,
+        open: List<Replica>,
+    ): List<Replica> {
+        val count = ceil(open.size * CANARY_REPLICA_SHARE).toInt().coerceAtLeast(MINIMUM_CANARIES)
+        val key = "${rollout.order.service.value}@${rollout.order.revision}"
+        val chosen = RendezvousHashing.subset(key, open.map { it.entry.id }, count).toSet()
+        return open.filter { it.entry.id in chosen && !it.isCold }.ifEmpty { open }
+    }
+
+    /** Whether a request goes to the new version, at random with a share that grows during the shift. */
+    private fun isShifted(rollout: ServiceRollout): Boolean {
+        val progress = rollout.shiftedMillis.toDouble() / RolloutPlan(rollout.order.durationMillis).rampMillis
+        return random.nextDouble() < bounds.canaryShare + progress
+    }
+
+    private fun isOpen(rollout: ServiceRollout) = !rollout.isBad && isInContact()
+
+    private fun isNew(
+        replica: Replica,
+        rollout: ServiceRollout,
+    ) = replica.entry.version == rollout.order.version
+
+    private fun isEstablished(replica: Replica): Boolean {
+        val known = established[replica.entry.service]
+        return known.isNullOrEmpty() || replica.entry.version in known
+    }
+
+    private companion object {
+        /** With the canary share of 0.1 and the margin, a tenth to a sixth of the requests. */
+        const val CANARY_REPLICA_SHARE = 0.15
+
+        /** A single replica may be on a slow machine. */
+        const val MINIMUM_CANARIES = 2
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/io/sequoiawheel/core/rollout/ServiceRollout.kt
@@ -0,0 +1,89 @@
+package io.sequoiawheel.core.rollout
+
+import io.sequoiawheel.core.model.Clock
+
+/**
+ * What one instance knows of the newest order for a service, and its own part in it. Confined to one thread.
+ *
+ * @param orderedAtMillis when the order was written, as far as known
+ */
+class ServiceRollout internal constructor(
+    val order: RolloutOrder,
+    stage: RolloutStage,
+    orderedAtMillis: Long,
+    internal val budget: CanaryBudget,
+    private val clock: Clock,
+) {
+    val evidence = RolloutEvidence(clock)
+
+    /** How far the order has been carried out, as the store or another instance says. */
+    var stage = stage
+        private set
+
+    /** Whether the new version is known to be bad, even if the verdict is not written yet. */
+    var isBad = false
+        private set
+
+    var orderedAtMillis = orderedAtMillis
+        private set
+
+    /** When this instance learned that runs are moved, or null. */
+    var shiftedAtMillis: Long? = if (stage == RolloutStage.SHIFTING) clock.nowMillis() else null
+        private set
+
+    val elapsedMillis: Long get() = clock.nowMillis() - orderedAtMillis
+    val shiftedMillis: Long get() = shiftedAtMillis?.let { clock.nowMillis() - it } ?: 0
+
+    /** Requests that this instance received for the service, and those that it sent to the new version. */
+    val received: Int get() = budget.received
+    val admitted: Int get() = budget.admitted
+
+    /** Whether other instances should be told of the order: it is in force, or its verdict is recent. */
+    val isReported: Boolean get() = !stage.isFinal || elapsedMillis < order.durationMillis + REPORTED_MILLIS
+
+    /** Moves to [next] unless the order is further already. Returns whether the stage changed. */
+    fun advance(next: RolloutStage): Boolean {
+        if (next <= stage || stage.isFinal) return false
+        replaceStage(next)
+        return true
+    }
+
+    /** Adopts the verdict that the store holds, which takes precedence over one that this instance heard of. */
+    fun adoptVerdict(verdict: RolloutStage) {
+        if (verdict != stage) replaceStage(verdict)
+    }
+
+    private fun replaceStage(next: RolloutStage) {
+        stage = next
+        if (next == RolloutStage.SHIFTING) shiftedAtMillis = clock.nowMillis()
+    }
+
+    /** Records that the new version is bad. Returns whether that is new. */
+    fun markBad(): Boolean = !isBad.also { isBad = true }
+
+    /** Records that the order is at least [elapsedMillis] old. */
+    fun observeAge(elapsedMillis: Long) {
+        orderedAtMillis = minOf(orderedAtMillis, clock.nowMillis() - elapsedMillis)
+    }
+
+    /** Returns what this instance knows, with its [oldRuns] in progress on other versions. */
+    fun share(oldRuns: Int) =
+        RolloutShare(
+            order.service.value,
+            order.version,
+            order.revision,
+            order.durationMillis,
+            elapsedMillis,
+            stage,
+            isBad,
+            budget.received,
+            budget.admitted,
+            oldRuns,
+            evidence = if (stage.isFinal) emptyMap() else evidence.snapshot(),
+        )
+
+    private companion object {
+        /** An instance that lost the store learns of the verdict from the others within this time. */
+        const val REPORTED_MILLIS = 15_000L
+    }
+}
