Carry out rollouts in the relay

Operators order a version by an object of kind rollouts. The relay watches the kind where the bounds of the settings have rollouts, places requests by the versions that the order allows, moves runs during the shift, and writes the status on the condition of the object's revision.

--- a/core/src/main/kotlin/io/sequoiawheel/core/relay/Replica.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/Replica.kt
@@ -2,6 +2,8 @@
 
 import io.sequoiawheel.core.model.Clock
 import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.flow.MutableStateFlow
+import kotlinx.coroutines.flow.first
 
 /**
  * Why a replica receives no new work.
@@ -26,6 +28,9 @@
 
     /** It announced this in a response to another instance. */
     TOLD_BY_PEER(isFinal = true),
+
+    /** A new version of the service takes over its runs; the replica itself has not announced anything. */
+    SUPERSEDED(isFinal = false),
 }
 
 /**
@@ -131,6 +136,21 @@
         }
     }
 
+    private val vacated = MutableStateFlow(false)
+
+    /** Whether runs are to move off the replica, to a new version of the service. */
+    val isVacated: Boolean get() = vacated.value
+
+    /** Sets whether runs are to move off the replica. */
+    fun setVacated(isVacated: Boolean) {
+        vacated.value = isVacated
+    }
+
+    /** Suspends until runs are to move off the replica. */
+    suspend fun awaitVacated() {
+        vacated.first { it }
+    }
+
     /** Suspends until the replica is leaving, and returns the reason. */
     suspend fun awaitLeaving(): LeaveReason = departure.await()
 
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/RelayDaemon.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/RelayDaemon.kt
@@ -24,6 +24,7 @@
 import io.sequoiawheel.core.relay.RequestKind
 import io.sequoiawheel.core.relay.StoreContact
 import io.sequoiawheel.core.relay.StoreEras
+import io.sequoiawheel.core.rollout.RolloutGate
 import io.sequoiawheel.platform.StoreKind
 import io.sequoiawheel.relay.backend.BackendPool
 import io.sequoiawheel.relay.backend.Connector
@@ -37,6 +38,9 @@
 import io.sequoiawheel.relay.control.LoopSupervisor
 import io.sequoiawheel.relay.control.PeerController
 import io.sequoiawheel.relay.control.ReplicaController
+import io.sequoiawheel.relay.control.RolloutContact
+import io.sequoiawheel.relay.control.RolloutController
+import io.sequoiawheel.relay.control.RolloutStatusWriter
 import io.sequoiawheel.relay.control.StoreClient
 import io.sequoiawheel.relay.filter.ConfigurationFilter
 import io.sequoiawheel.relay.filter.DeadlineFilter
@@ -98,6 +102,17 @@
     private val configuration = ConfigurationController(store, freshness, ConfigurationOrder(monotonic), scope, log)
     private val replicas = ReplicaController(directory, log, metrics)
     private val evacuations = EvacuationController(directory, log)
+    private val rolloutContact =
+        settings.bounds.rollout?.let { RolloutContact(it, loads, freshness, monotonic) }
+    private val rolloutGate =
+        settings.bounds.rollout?.let { bounds ->
+            RolloutGate(bounds, monotonic, random, { loads.instanceCount }) { rolloutContact?.isPresent ?: false }
+        }
+    private val rollouts =
+        rolloutGate?.let { gate ->
+            val writer = RolloutStatusWriter(store, scope, monotonic) { rolloutContact?.peerAgeMillis }
+            RolloutController(gate, directory, loads, writer, monotonic, wall, log, metrics)
+        }
     private val context =
         RelayContext(
             monotonic,
@@ -111,21 +126,19 @@
             fleet = loads,
             quarantine,
             outcomes,
+            rolloutGate,
         )
-    private val peers = PeerController(self, directory, loads, store, random, log, metrics)
+    private val peers = PeerController(self, directory, loads, store, random, log, metrics, rollouts)
     private val hubSelection = HubSelection(settings.name, settings.zone, monotonic, random, loads::live)
     private val sources = ChangeSources(store, connector, hubSelection, eras, log)
     private val feeds =
-        listOf(
-            StoreKind.CONFIGURATION,
-            StoreKind.REPLICAS,
-            StoreKind.EVACUATIONS,
-        ).associateWith(::ChangeFeed)
+        (BASIC_KINDS + listOfNotNull(rollouts?.let { StoreKind.ROLLOUTS })).associateWith(::ChangeFeed)
     private val changeHub = ChangeHub(feeds, hubSelection, freshness)
     private val longWatchers =
-        listOf(
+        listOfNotNull(
             watcher(StoreKind.REPLICAS, LONG_WAIT_MILLIS, replicas) {},
             watcher(StoreKind.EVACUATIONS, LONG_WAIT_MILLIS, evacuations) {},
+            rollouts?.let { watcher(StoreKind.ROLLOUTS, LONG_WAIT_MILLIS, it) {} },
         )
     private val configurationWatcher =
         watcher(StoreKind.CONFIGURATION, configurationWaitMillis(), configuration) {
@@ -266,6 +279,7 @@
             return
         }
         exchange.logFields["service"] = service.name.value
+        rolloutGate?.recordRequest(service.name)
         if (route.kind == RequestKind.STREAM) generations.relay(exchange, service) else calls.relay(exchange, service)
     }
 
@@ -300,6 +314,7 @@
         metrics.gauge("objects.failed") { watchers.sumOf { it.failedObjects } }
         metrics.gauge("store.era") { eras.current ?: 0 }
         metrics.gauge("instances.live") { liveInstances }
+        rollouts?.publishGauges()
         metrics.gauge("peer.datagrams.sent") { peers.datagramsSent }
         metrics.gauge("peer.bytes.sent") { peers.bytesSent }
     }
@@ -327,6 +342,7 @@
 
     private companion object {
         const val NANOS_PER_MILLI = 1_000_000L
+        val BASIC_KINDS = listOf(StoreKind.CONFIGURATION, StoreKind.REPLICAS, StoreKind.EVACUATIONS)
         const val MILLIS_PER_SECOND = 1_000
         const val METRICS_PATH = "/metrics"
 
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/control/ChangeHub.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/control/ChangeHub.kt
@@ -72,7 +72,7 @@
         asOf: ClockReading,
     ) {
         resume(changes.revision, asOf, changes.era)
-        history.append(changes.revision, changes.events.map(StoreProtocol::encodeEvent))
+        history.append(changes.revision, changes.events.map { StoreProtocol.encodeEvent(it, kind == StoreKind.ROLLOUTS) })
         confirmedAt = asOf
         notifyWaiters()
     }
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/control/PeerController.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/control/PeerController.kt
@@ -42,6 +42,7 @@
     private val random: UniformRandomProvider,
     private val log: DecisionLog,
     private val metrics: RelayMetrics,
+    private val rollouts: RolloutController? = null,
 ) {
     private var channel: Channel? = null
 
@@ -94,6 +95,7 @@
             exchange.apply(directory.all())
             directory.markReportedLeaving(exchange.leavingReportedByPeers)
             directory.applyReportedLimits(exchange.limitsReportedByPeers).forEach(::logReportedLimit)
+            rollouts?.let { exchange.ownVersions = it.tick(exchange.knownVersions()) }
             val work = LoadExchange.work(directory.all())
             send(exchange.tick(work, directory.announcedLeaving(), directory.observedLimits()))
         }
--- /dev/null
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/control/RolloutStatusWriter.kt
@@ -0,0 +1,83 @@
+package io.sequoiawheel.relay.control
+
+import io.sequoiawheel.core.model.Clock
+import io.sequoiawheel.platform.StoreKind
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.launch
+import kotlinx.serialization.json.JsonObject
+
+/** What became of a write of a status; [label] is the value in metrics. */
+internal enum class StatusWriteOutcome(
+    val label: String,
+) {
+    WRITTEN("written"),
+
+    /** The object has another revision, which the watch reports. */
+    CONFLICT("conflict"),
+
+    /** The store did not answer, or did nothing. The write may be done later if the revision is still the same. */
+    UNKNOWN("unknown"),
+}
+
+/**
+ * Writes the status of rollouts, one write for each object at a time and not more often than [RETRY_MILLIS], since each
+ * call has a price. Confined to the event loop.
+ *
+ * @param inputAgeMillis returns the age of the last message from another instance, or null if there was none
+ */
+internal class RolloutStatusWriter(
+    private val store: StoreClient,
+    private val scope: CoroutineScope,
+    private val clock: Clock,
+    val inputAgeMillis: () -> Long?,
+) {
+    private class Attempt(
+        val status: JsonObject,
+        val revision: Long,
+        val atMillis: Long,
+        var outcome: StatusWriteOutcome? = null,
+    )
+
+    private val attempts = HashMap<String, Attempt>()
+
+    /**
+     * Writes [status] if the object [name] still has [revision], unless the same write is in progress, was done, or
+     * failed a moment ago. Reports the outcome to [onOutcome].
+     */
+    fun write(
+        name: String,
+        status: JsonObject,
+        revision: Long,
+        onOutcome: (StatusWriteOutcome) -> Unit,
+    ) {
+        val last = attempts[name]
+        if (last != null && !isDue(last, status, revision)) return
+        val attempt = Attempt(status, revision, clock.nowMillis())
+        attempts[name] = attempt
+        scope.launch {
+            val outcome =
+                store.replaceStatus(StoreKind.ROLLOUTS, name, status, revision).fold({
+                    if (it is StoreFailure.Conflict) StatusWriteOutcome.CONFLICT else StatusWriteOutcome.UNKNOWN
+                }, { StatusWriteOutcome.WRITTEN })
+            attempt.outcome = outcome
+            onOutcome(outcome)
+        }
+    }
+
+    private fun isDue(
+        last: Attempt,
+        status: JsonObject,
+        revision: Long,
+    ): Boolean {
+        val outcome = last.outcome ?: return false
+        val isSameWrite = last.revision == revision && last.status["state"] == status["state"]
+        val isSettled = isSameWrite && last.status["stage"] == status["stage"] && outcome != StatusWriteOutcome.UNKNOWN
+        // After a conflict the revision in force arrives by the watch, with which the write is another one.
+        return !isSettled && (outcome != StatusWriteOutcome.UNKNOWN || clock.nowMillis() - last.atMillis >= RETRY_MILLIS)
+    }
+
+    private companion object {
+        /** A store that is down for a moment is back within some of these; an order takes some seconds. */
+        const val RETRY_MILLIS = 400L
+    }
+}
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/control/StoreClient.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/control/StoreClient.kt
@@ -25,6 +25,7 @@
 import io.sequoiawheel.relay.backend.ResponseTooLargeException
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.serialization.json.JsonElement
+import kotlinx.serialization.json.JsonObject
 import java.io.IOException
 import java.util.TreeMap
 
@@ -175,6 +176,20 @@
         ).map {
         }
 
+    /** Replaces the status of an object, or fails with [StoreFailure.Conflict] if [revision] is not its revision. */
+    suspend fun replaceStatus(
+        kind: StoreKind,
+        name: String,
+        status: JsonObject,
+        revision: Long,
+    ): Either<StoreFailure, Unit> =
+        call(
+            "status $kind",
+            HttpMethod.PUT,
+            StoreProtocol.statusPath(kind, name),
+            StoreProtocol.statusBody(name, status, revision),
+        ).map { }
+
     /** Removes an object. */
     suspend fun delete(
         kind: StoreKind,
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/CallRelay.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/CallRelay.kt
@@ -13,6 +13,7 @@
 import io.sequoiawheel.core.relay.RelayService
 import io.sequoiawheel.core.relay.Replica
 import io.sequoiawheel.core.relay.ReplicaPlacement
+import io.sequoiawheel.core.rollout.RolloutObservation
 import io.sequoiawheel.relay.backend.ConnectFailedException
 import io.sequoiawheel.relay.backend.ConnectionEndedException
 import io.sequoiawheel.relay.backend.ConnectionLease
@@ -183,8 +184,9 @@
         private fun hasTimeLeft() = exchange.deadlineMillis - context.clock.nowMillis() > MINIMUM_RETRY_TIME_MILLIS
 
         private fun place(): Placement {
-            val usable = context.directory.usable(service.name)
-            return context.placement.forCall(usable, triedReplicas, mayReuseTried = earlierResponse == null, service)
+            return context.place(service, isFirst = triedReplicas.isEmpty()) { usable ->
+                context.placement.forCall(usable, triedReplicas, mayReuseTried = earlierResponse == null, service)
+            }
         }
 
         private suspend fun giveUp(result: AttemptResult) {
@@ -233,6 +235,7 @@
             val startedMillis = context.clock.nowMillis()
             var isSent = false
             replica.load.begin(0)
+            var observation: RolloutObservation? = null
             try {
                 return context.pool.use(replica, exchange.requestId, mustBeRecent = !route.isRepeatable) { lease ->
                     val connection = lease.connection
@@ -247,6 +250,7 @@
                     }
                     exchange.mayHaveRun = true
                     exchange.sends++
+                    observation = context.observe(exchange, replica)
                     connection.send(requests.build(exchange, replica))
                     isSent = true
                     exchange.sendLog.add(replica, purpose.label, exchange.sendLog.takeCause(), connection.trace)
@@ -258,17 +262,23 @@
                     if (head.status().code() in SUCCESS) {
                         context.outcomes.recordCompletion(exchange, replica, startedMillis, connection.isFramed)
                     }
-                    classifyResponse(replica, head, body, startedMillis)
+                    classifyResponse(replica, head, body, startedMillis).also {
+                        val isGood = it is AttemptResult.Responded && head.status().code() < SERVER_ERROR
+                        if (isGood) observation?.recordFirstEvent() else observation?.recordFailure()
+                    }
                 }
             } catch (failure: ConnectFailedException) {
                 replica.markUnreachable()
                 return AttemptResult.NotRun(NotRunProof.NOTHING_SENT, failure.message.orEmpty())
             } catch (ended: ConnectionEndedException) {
+                observation?.recordFailure()
                 if (isSent) context.outcomes.recordLoss(exchange, replica, begunMillis = null)
                 return unknownResult(replica, ended)
             } catch (failure: IOException) {
+                observation?.recordFailure()
                 return unknownResult(replica, failure)
             } finally {
+                observation?.end()
                 replica.load.end(0)
                 // A call that was cancelled at its timeout has no response to record.
                 val elapsedMillis = context.clock.nowMillis() - startedMillis
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationAttempt.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationAttempt.kt
@@ -9,6 +9,7 @@
 import io.sequoiawheel.core.relay.Replica
 import io.sequoiawheel.core.relay.ReplicaStream
 import io.sequoiawheel.core.relay.StreamEvent
+import io.sequoiawheel.core.rollout.RolloutObservation
 import io.sequoiawheel.platform.Headers
 import io.sequoiawheel.relay.backend.BackendConnection
 import io.sequoiawheel.relay.backend.ConnectFailedException
@@ -125,6 +126,7 @@
     private val requests = BackendRequests(context.clock)
     private var job: Job? = null
     private var connection: BackendConnection? = null
+    private var observation: RolloutObservation? = null
 
     /** When the request was sent, or null if no byte of it was. */
     var sentMillis: Long? = null
@@ -188,9 +190,11 @@
                         ),
                     )
                 } catch (ended: ConnectionEndedException) {
+                    observation?.recordFailure()
                     if (isSent) context.outcomes.recordLoss(exchange, replica, begunMillis)
                     reportConnectionFailure(ended)
                 } catch (failure: IOException) {
+                    observation?.recordFailure()
                     reportConnectionFailure(failure)
                 } finally {
                     releaseResources()
@@ -210,6 +214,7 @@
 
     /** Cancels the attempt because its stream does not continue the response, and returns the signal of its failure. */
     fun rejectStream(detail: String): GenerationSignal.ConnectionFailed {
+        observation?.recordFailure()
         cancel()
         return GenerationSignal.ConnectionFailed(this, "$replica: $detail", FailureCause.INVALID_STREAM)
     }
@@ -220,6 +225,7 @@
     }
 
     private fun releaseResources() {
+        observation?.end()
         finishPrefill()
         replica.load.end(demand.tokens)
         backup?.load?.release(demand.tokens)
@@ -251,6 +257,7 @@
         }
         exchange.mayHaveRun = true
         exchange.sends++
+        observation = context.observe(exchange, replica)
         opened.send(requests.build(exchange, replica, headers))
         sentMillis = context.clock.nowMillis()
         sendRecord = exchange.sendLog.add(replica, purpose.label, cause, opened.trace)
@@ -274,6 +281,7 @@
             return
         }
         if (status !in SUCCESS) {
+            if (status >= SERVER_ERROR) observation?.recordFailure() else observation?.recordFirstEvent()
             val body = opened.receiveErrorBody()
             isExchangeComplete = true
             signals.trySend(GenerationSignal.Failed(this, head, body))
@@ -302,6 +310,7 @@
             val events = splitter.append(bytes)
             if (events.isNotEmpty()) {
                 hasEvents = true
+                observation?.recordEvents(events.size)
                 val handled = CompletableDeferred<Unit>()
                 signals.trySend(GenerationSignal.Events(this, events, handled))
                 handled.await()
@@ -334,6 +343,7 @@
 
     private companion object {
         val SUCCESS = 200..299
+        const val SERVER_ERROR = 500
 
         /** Streaming callers time out after two seconds without an event at the earliest. */
         const val MAXIMUM_ACCEPTANCE_WAIT_MILLIS = 1_500L
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationAttempts.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationAttempts.kt
@@ -1,6 +1,7 @@
 package io.sequoiawheel.relay.serving
 
 import io.sequoiawheel.core.relay.Delivery
+import io.sequoiawheel.core.relay.Placement
 import io.sequoiawheel.core.relay.RelayService
 import io.sequoiawheel.core.relay.Replica
 import io.sequoiawheel.core.relay.ReplicaStream
@@ -22,6 +23,14 @@
     private val wantsBackup: Boolean,
     private val signals: SendChannel<GenerationSignal>,
 ) {
+    private var lastReplica: Replica? = null
+
+    /** Places an attempt with [place] among the replicas of the versions that rollouts allow. */
+    fun place(
+        isFirst: Boolean,
+        place: (List<Replica>) -> Placement,
+    ): Placement = context.place(service, isFirst, lastReplica?.takeIf { delivery.delivered > 0 }, place)
+
     /** Creates an attempt that runs the generation from its beginning, or goes on after the events delivered so far. */
     fun create(
         replica: Replica,
@@ -52,6 +61,7 @@
         abandoned: Set<Replica>,
         purpose: SendPurpose,
     ): GenerationAttempt {
+        lastReplica = replica
         val demand = exchange.demand
         val backup = if (wantsBackup) copier.chooseBackup(replica, abandoned, service, demand) else null
         val backupHeader = backup?.let { mapOf(Headers.BACKUP_REPLICA to it.entry.address) }.orEmpty()
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationRun.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationRun.kt
@@ -151,7 +151,7 @@
         source?.let { runsLeft.stopAll(it.replica) }
         when {
             source == null -> retryWithoutCopy(detail)
-            source.replica.isLeaving -> migrate(source)
+            source.replica.isLeaving || source.replica.isVacated -> migrate(source)
         }
         return true
     }
@@ -270,7 +270,7 @@
 
     /** Continues on the replica that holds the backup of [attempt]'s run. Returns false if no backup is usable. */
     private fun continueFromBackup(attempt: GenerationAttempt): Boolean {
-        val backup = attempt.backup?.takeIf(context.directory::mayReceive) ?: return false
+        val backup = attempt.backup?.takeIf { context.mayMove(attempt.replica, it) } ?: return false
         if (context.outcomes.isSuspected(exchange)) return false
         if (!attempt.hasStarted || !usedBackups.add(backup)) return false
         continueFrom(copier.backupCopy(backup, exchange.requestId.orEmpty()))
@@ -352,12 +352,13 @@
         if (delivery.delivered > 0 && delivery.lastId == null) return false
         quarantinedPart = context.refusedPart(exchange)
         if (quarantinedPart != null) return false
-        val usable = context.directory.usable(service.name)
-        val placement = context.placement.forGeneration(usable, excluded, demand, engine, service)
+        val isFirst = runs == 0 && refusals == 0
+        val placement =
+            attempts.place(isFirst) { context.placement.forGeneration(it, excluded, demand, engine, service) }
         retryAfterMillis =
             (placement as? Placement.Deferred)?.retryAfterMillis ?: ReplicaPlacement.FULL_GENERATIONS_MILLIS
         val replica = (placement as? Placement.Assigned)?.replica ?: return false
-        val purpose = if (runs == 0 && refusals == 0) SendPurpose.FIRST_ATTEMPT else SendPurpose.RETRY
+        val purpose = if (isFirst) SendPurpose.FIRST_ATTEMPT else SendPurpose.RETRY
         current =
             attempts.create(replica, abandoned, purpose).also {
                 it.start(scope)
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/LeavingWatch.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/LeavingWatch.kt
@@ -1,16 +1,18 @@
 package io.sequoiawheel.relay.serving
 
+import io.sequoiawheel.core.relay.LeaveReason
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.channels.SendChannel
 import kotlinx.coroutines.launch
 
-/** Reports when the replica of one attempt leaves. */
+/** Reports when the replica of one attempt leaves, or when runs are to move off it. */
 internal class LeavingWatch(
     private val scope: CoroutineScope,
     private val signals: SendChannel<GenerationSignal>,
 ) {
     private var job: Job? = null
+    private var vacationJob: Job? = null
 
     /** Watches the replica of [attempt], and no other one any more. */
     fun start(attempt: GenerationAttempt) {
@@ -20,10 +22,16 @@
                 val reason = attempt.replica.awaitLeaving()
                 signals.trySend(GenerationSignal.ReplicaLeaving(attempt, reason))
             }
+        vacationJob =
+            scope.launch {
+                attempt.replica.awaitVacated()
+                signals.trySend(GenerationSignal.ReplicaLeaving(attempt, LeaveReason.SUPERSEDED))
+            }
     }
 
     /** Ends the watch. */
     fun stop() {
         job?.cancel()
+        vacationJob?.cancel()
     }
 }
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/RelayContext.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/RelayContext.kt
@@ -7,6 +7,7 @@
 import io.sequoiawheel.core.relay.ColdShare
 import io.sequoiawheel.core.relay.FleetMembership
 import io.sequoiawheel.core.relay.OverflowLimiter
+import io.sequoiawheel.core.relay.Placement
 import io.sequoiawheel.core.relay.RelayConfiguration
 import io.sequoiawheel.core.relay.RelayService
 import io.sequoiawheel.core.relay.Replica
@@ -17,6 +18,8 @@
 import io.sequoiawheel.core.relay.Route
 import io.sequoiawheel.core.relay.ServiceBounds
 import io.sequoiawheel.core.relay.SlidingWindowRetryBudget
+import io.sequoiawheel.core.rollout.RolloutGate
+import io.sequoiawheel.core.rollout.RolloutObservation
 import io.sequoiawheel.relay.backend.BackendPool
 import io.sequoiawheel.relay.filter.Exchange
 import io.sequoiawheel.relay.internal.DecisionLog
@@ -36,6 +39,7 @@
     private val fleet: FleetMembership,
     private val quarantine: PartQuarantine,
     val outcomes: RunOutcomes,
+    val rollouts: RolloutGate? = null,
 ) {
     private val retryBudgets = HashMap<ServiceName, SlidingWindowRetryBudget>()
 
@@ -73,17 +77,67 @@
     }
 
     /**
-     * Returns the replicas of [service] that may currently receive a copy of a run, except those in [excluded]. A run
+     * Returns the replicas of [service] that may currently receive a copy of a run on [source], except those in
+     * [excluded]. A run
      * may have to continue on its copy, so replicas that name a request limit are returned only if there are no others.
      */
     fun copyCandidates(
         service: RelayService,
+        source: Replica,
         excluded: Set<Replica>,
     ): List<Replica> {
-        val open = directory.usable(service.name).filter { it !in excluded && waitMillis(it) == 0L }
+        val open =
+            directory.usable(service.name).filter {
+                it !in excluded && waitMillis(it) == 0L && isVersionOpen(source, it)
+            }
         return open.filter { it.requestLimit.perSecond == null }.ifEmpty { open }
     }
 
+    /**
+     * Places a request with [place] among the replicas of the version that a rollout prefers for it, or else among
+     * those of the other version that it allows.
+     *
+     * @param isFirst whether the request is placed for the first time
+     * @param source the replica that sent the events delivered so far, or null
+     */
+    fun place(
+        service: RelayService,
+        isFirst: Boolean,
+        source: Replica? = null,
+        place: (List<Replica>) -> Placement,
+    ): Placement {
+        val usable = directory.usable(service.name)
+        val gate = rollouts ?: return place(usable)
+        val groups = gate.preferences(service.name, usable, isFirst, source)
+        var last: Placement = Placement.Unavailable
+        for (group in groups) {
+            last = place(group)
+            if (last is Placement.Assigned) break
+        }
+        return last
+    }
+
+    /** Whether a run on [source] may go on at [destination] now. */
+    fun mayMove(
+        source: Replica,
+        destination: Replica,
+    ): Boolean = directory.mayReceive(destination) && isVersionOpen(source, destination)
+
+    private fun isVersionOpen(
+        source: Replica,
+        destination: Replica,
+    ) = rollouts?.mayMove(source, destination) ?: true
+
+    /** Starts to observe the request of [exchange], which is sent to [replica] now, for a rollout; null without one. */
+    fun observe(
+        exchange: Exchange,
+        replica: Replica,
+    ): RolloutObservation? {
+        val rollout = rollouts?.get(replica.entry.service)?.takeIf { !it.stage.isFinal } ?: return null
+        val route = exchange.route ?: return null
+        return rollout.evidence.begin("${route.name}/${route.kind}", replica.entry.version == rollout.order.version)
+    }
+
     /** Returns the delay before callers should retry if no replica of [service] accepts requests now, or null. */
     fun retryAfterMillis(service: RelayService): Long? = placement.retryAfterMillis(directory.usable(service.name))
 
@@ -102,7 +156,9 @@
     ): Boolean =
         directory.mayReceive(replica) &&
             quarantine.blocking(exchange.sharedParts) == null &&
+            (rollouts?.mayReceive(replica) ?: true) &&
             tryAdmitControl(replica, purpose) &&
+            (rollouts?.tryAdmit(replica) ?: true) &&
             quarantine.tryAdmit(exchange.sharedParts)
 
     /**
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/RunCopier.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/RunCopier.kt
@@ -44,7 +44,7 @@
         demand: GenerationDemand,
     ): Replica? {
         val engine = service.engine?.takeIf { it.supportsBackup } ?: return null
-        val candidates = context.copyCandidates(service, excluded + source)
+        val candidates = context.copyCandidates(service, source, excluded + source)
         return context.selection.forCopy(candidates, demand, engine, source.entry.zone, isUrgent = false)
     }
 
@@ -71,7 +71,7 @@
         var result: CopyResult = CopyResult.Refused("no replica has room for a copy")
         val refusingReplicas = HashSet<Replica>()
         repeat(COPY_ATTEMPTS) {
-            val candidates = context.copyCandidates(service, excluded + source + refusingReplicas)
+            val candidates = context.copyCandidates(service, source, excluded + source + refusingReplicas)
             val destination =
                 context.selection.forCopy(candidates, demand, engine, source.entry.zone, isUrgent = true)
                     ?: context.selection.forGeneration(candidates, demand, engine)
--- a/relay/src/test/kotlin/io/sequoiawheel/relay/RelayFixture.kt
+++ b/relay/src/test/kotlin/io/sequoiawheel/relay/RelayFixture.kt
@@ -3,6 +3,7 @@
 import io.sequoiawheel.core.model.ZoneName
 import io.sequoiawheel.core.relay.Endpoint
 import io.sequoiawheel.core.relay.InstanceSettings
+import io.sequoiawheel.core.relay.RolloutBounds
 import io.sequoiawheel.core.relay.ServiceBounds
 import io.sequoiawheel.standin.platform.PlatformStoreStandIn
 import io.sequoiawheel.standin.platform.ReceivedRequest
@@ -19,7 +20,9 @@
 import java.net.Socket
 
 /** A relay instance on loopback with fakes of the platform store and the replicas. */
-internal class RelayFixture : AutoCloseable {
+internal class RelayFixture(
+    private val rollout: RolloutBounds? = null,
+) : AutoCloseable {
     val store = PlatformStoreStandIn()
     private val replicas = ArrayList<ReplicaStandIn>()
     lateinit var daemon: RelayDaemon
@@ -30,10 +33,11 @@
         id: String,
         name: String = PLAIN,
         zone: String = "a",
+        version: String = "v1",
         behaviour: (ReceivedRequest, ReplicaAnswer) -> Unit,
     ): ReplicaStandIn {
         val replica = ReplicaStandIn(behaviour).also { replicas += it }
-        register(id, name, replica, state = "ready", zone)
+        register(id, name, replica, state = "ready", zone, version = version)
         return replica
     }
 
@@ -45,11 +49,12 @@
         state: String,
         zone: String = "a",
         born: Int = 1,
+        version: String = "v1",
     ) = store.put(
         "servers",
         id,
         Json.parseToJsonElement(
-            """{"svc":"$name","addr":"${replica.address}","zone":"$zone","version":"v1","slots":6,"state":"$state",
+            """{"svc":"$name","addr":"${replica.address}","zone":"$zone","version":"$version","slots":6,"state":"$state",
               "warmup_left_ms":0,"seq":1,"born":$born}""",
         ),
     )
@@ -156,7 +161,7 @@
         readiness = Endpoint("127.0.0.1", 0),
         peerPorts = peerPort..peerPort,
         store = Endpoint("127.0.0.1", store.port),
-        bounds = ServiceBounds(3_000, 2_000, 8.0, 5_000, 0.2, 54, 10_000, 1.5, 5.0),
+        bounds = ServiceBounds(3_000, 2_000, 8.0, 5_000, 0.2, 54, 10_000, 1.5, 5.0, rollout),
     )
 
     private fun configuration(
--- a/standin/src/main/kotlin/io/sequoiawheel/standin/platform/PlatformStoreStandIn.kt
+++ b/standin/src/main/kotlin/io/sequoiawheel/standin/platform/PlatformStoreStandIn.kt
@@ -89,6 +89,10 @@
     @Volatile
     var afterPage: () -> Unit = {}
 
+    /** While set, a status is written but the call is not answered. */
+    @Volatile
+    var losesStatusAnswers = false
+
     /** Number of calls received so far. */
     @Volatile
     var calls = 0
@@ -115,6 +119,16 @@
         name: String,
     ) = lock.withLock { delete(kind, name) }
 
+    /** Returns the status of an object, or null if there is none. */
+    fun status(
+        kind: String,
+        name: String,
+    ): JsonObject? = lock.withLock { objects[kind to name]?.get("status") as? JsonObject }
+
+    /** Returns the states of the objects of [kind] so far, in the order of their changes. */
+    fun statuses(kind: String): List<JsonElement?> =
+        lock.withLock { allChanges.filter { it.kind == kind }.map { it.target["status"] } }
+
     /** Returns the names of the objects of [kind]. */
     fun names(kind: String): List<String> = lock.withLock { objects.keys.filter { it.first == kind }.map { it.second } }
 
@@ -208,8 +222,10 @@
                 isDown -> UNAVAILABLE to "{}"
                 exchange.requestMethod == "GET" && "watch" in query -> watch(kind, query)
                 exchange.requestMethod == "GET" -> list(kind, query["since_rev"])
+                segments.getOrNull(2) == STATUS -> writeStatus(kind, name.orEmpty(), body)
                 else -> write(exchange.requestMethod, kind, name, body)
             }
+        if (losesStatusAnswers && segments.getOrNull(2) == STATUS) return exchange.close()
         val bytes = text.toByteArray()
         exchange.responseHeaders.set("Content-Type", "application/json")
         exchange.responseHeaders.set("Store-Era", eraOverride ?: era.toString())
@@ -298,6 +314,25 @@
             OK to store(kind, target, fields.getValue("spec"), isBySystem = true).toString()
         }
 
+    private fun writeStatus(
+        kind: String,
+        name: String,
+        body: String,
+    ): Pair<Int, String> =
+        lock.withLock {
+            val existing = objects[kind to name] ?: return MISSING to "{}"
+            val fields = Json.parseToJsonElement(body).jsonObject
+            val condition = fields["meta"]?.jsonObject?.get("revision")
+            val meta = existing.getValue("meta").jsonObject
+            if (condition != null && condition != meta["revision"]) return CONFLICT to existing.toString()
+            if (existing["status"] == fields["status"]) return OK to existing.toString()
+            val newMeta = JsonObject(meta + ("revision" to JsonPrimitive(++revision)))
+            val target = JsonObject(existing + mapOf("meta" to newMeta, "status" to fields.getValue("status")))
+            objects[kind to name] = target
+            record(Change(kind, revision, target, isDeleted = false, isBySystem = true))
+            OK to target.toString()
+        }
+
     private fun store(
         kind: String,
         name: String,
@@ -344,6 +379,8 @@
         const val OK = 200
         const val CONFLICT = 409
         const val GONE = 410
+        const val MISSING = 404
+        const val STATUS = "status"
         const val UNAVAILABLE = 503
         const val UNRESPONSIVE_POLL_MILLIS = 20L
     }
