--- a/core/src/main/kotlin/io/sequoiawheel/core/relay/LimitObservation.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/LimitObservation.kt
@@ -92,3 +92,6 @@
         return ReportedLimit(values[0], values[1].takeIf { it >= 0 }, values[2])
     }
 }
+
+/** Returns the limits in requests per second, without what dates them. */
+internal fun LimitsByReplica.rates(): Map<String, Double?> = mapValues { it.value.perSecond }
--- a/core/src/main/kotlin/io/sequoiawheel/core/relay/LoadExchange.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/LoadExchange.kt
@@ -53,9 +53,11 @@
     private var sentPartsVersion = 0
     private var hasNewIncarnation = false
 
-    /** Whether the other instances should learn something about prompt parts soon. */
-    private val hasPartNotices: Boolean
-        get() = quarantine.version != sentPartsVersion || (hasNewIncarnation && quarantine.isActive)
+    /** Whether the other instances should learn something about prompt parts or rollouts soon. */
+    private val hasOtherNotices: Boolean
+        get() =
+            quarantine.version != sentPartsVersion || (hasNewIncarnation && quarantine.isActive) ||
+                !ownVersions.isSameAs(sentReports.latestVersions)
     private var reportSentMillis: Long? = null
     private var totalsSentMillis: Long? = null
     private var sumsSentMillis: Long? = null
@@ -67,7 +69,6 @@
 
     /** What this instance knows of rollouts itself. */
     var ownVersions: RolloutReport = RolloutReport.NONE
-    private var sentVersions = RolloutReport.NONE
 
     /** When a message of another instance was received last, or null. */
     var receivedAtMillis: Long? = null
@@ -119,11 +120,8 @@
         limits: LimitsByReplica = emptyMap(),
     ): List<OutgoingMessage> {
         val outgoing = ArrayList<OutgoingMessage>()
-        val hasNewNotices = leaving != this.leaving || rates(limits) != rates(this.limits) || hasPartNotices
-        val hasVersionNews = !ownVersions.isSameAs(sentVersions)
-        val hasChanged =
-            hasNewNotices || hasVersionNews ||
-                generationTokens(work) != generationTokens(sentReports.latestWork)
+        val hasNewNotices = leaving != this.leaving || limits.rates() != this.limits.rates() || hasOtherNotices
+        val hasChanged = hasNewNotices || generationTokens(work) != generationTokens(sentReports.latestWork)
         this.leaving = leaving
         this.limits = limits
         if (hasChanged || isElapsed(reportSentMillis, heartbeatMillis())) outgoing += newReport(work, isLeaving = false)
@@ -219,7 +217,6 @@
                 ownVersions,
             )
         sentPartsVersion = quarantine.version
-        sentVersions = ownVersions
         hasNewIncarnation = false
         sentReports.add(report)
         reportSentMillis = clock.nowMillis()
@@ -242,7 +239,7 @@
             SentContent(
                 generationTokens(totals),
                 leaving + received.reportedLeaving(),
-                rates(allLimits),
+                allLimits.rates(),
                 quarantine.version,
                 versions.withoutAges(),
             )
@@ -280,17 +277,16 @@
         val zoneLeaving = reports.fold(leaving) { known, member -> known + member.leaving }
         val versions = RolloutReport.sum(received.localVersions() + ownVersions)
         val content =
-            SentContent(generationTokens(sums), zoneLeaving, rates(zoneLimits), quarantine.version, versions.withoutAges())
+            SentContent(generationTokens(sums), zoneLeaving, zoneLimits.rates(), quarantine.version, versions.withoutAges())
         if (content == lastSums && !isElapsed(sumsSentMillis, HEARTBEAT_MILLIS)) return null
         lastSums = content
         sumsSentMillis = clock.nowMillis()
-        val endpoint = self.endpoint.toString()
         val report =
             ZoneReport(
                 self.name,
                 start,
                 ++sequence,
-                endpoint,
+                self.endpoint.toString(),
                 self.zone.value,
                 1 + reports.size,
                 sums,
@@ -351,8 +347,6 @@
     private fun generationTokens(work: WorkByReplica): Map<String, Pair<Long, Long>> =
         work.mapValues { it.value.tokens to it.value.promptTokens }.filterValues { it.first > 0 }
 
-    private fun rates(limits: LimitsByReplica): Map<String, Double?> = limits.mapValues { it.value.perSecond }
-
     companion object {
         /** Returns the load of this instance on [replicas]; idle replicas are omitted. */
         fun work(replicas: Collection<Replica>): WorkByReplica =
--- a/core/src/main/kotlin/io/sequoiawheel/core/relay/SentReports.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/SentReports.kt
@@ -1,5 +1,7 @@
 package io.sequoiawheel.core.relay
 
+import io.sequoiawheel.core.rollout.RolloutReport
+
 /** The last reports of this instance, used to subtract its own load from a received total. Confined to one thread. */
 internal class SentReports {
     private val reports = ArrayDeque<PeerReport>()
@@ -7,6 +9,9 @@
     /** The work in the latest report. */
     val latestWork: WorkByReplica get() = reports.lastOrNull()?.work.orEmpty()
 
+    /** What the latest report said of rollouts. */
+    val latestVersions: RolloutReport get() = reports.lastOrNull()?.versions ?: RolloutReport.NONE
+
     fun add(report: PeerReport) {
         reports.addLast(report)
         if (reports.size > MAXIMUM_KEPT) reports.removeFirst()
--- a/core/src/main/kotlin/io/sequoiawheel/core/rollout/RolloutGate.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/rollout/RolloutGate.kt
@@ -137,7 +137,9 @@
         running: Replica? = null,
     ): List<List<Replica>> {
         val rollout = rollouts[service] ?: return listOf(usable.filter(::isEstablished).ifEmpty { usable })
-        val (new, old) = usable.partition { it.entry.version == rollout.order.version }
+        val (new, others) = usable.partition { isNew(it, rollout) }
+        // A version that an earlier order held back stays so.
+        val old = others.filter(::isEstablished).ifEmpty { others }
         val open = new.filter(::mayReceive)
         return when (rollout.stage) {
             RolloutStage.COMPLETE -> listOf(new)
@@ -176,7 +178,8 @@
     /** Whether runs on [replica] should move to another version now. */
     fun isVacated(replica: Replica): Boolean {
         val rollout = rollouts[replica.entry.service] ?: return false
-        return rollout.stage == RolloutStage.SHIFTING && !rollout.isBad && !isNew(replica, rollout)
+        val isMoving = rollout.stage == RolloutStage.SHIFTING && !rollout.isBad || rollout.stage == RolloutStage.COMPLETE
+        return isMoving && !isNew(replica, rollout)
     }
 
     /** Returns what the other instances should know, given all known [replicas]. */
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationAttempts.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationAttempts.kt
@@ -27,9 +27,12 @@
 
     /** Places an attempt with [place] among the replicas of the versions that rollouts allow. */
     fun place(
-        isFirst: Boolean,
+        purpose: SendPurpose,
         place: (List<Replica>) -> Placement,
-    ): Placement = context.place(service, isFirst, lastReplica?.takeIf { delivery.delivered > 0 }, place)
+    ): Placement {
+        val source = lastReplica?.takeIf { delivery.delivered > 0 }
+        return context.place(service, purpose == SendPurpose.FIRST_ATTEMPT, source, place)
+    }
 
     /** Creates an attempt that runs the generation from its beginning, or goes on after the events delivered so far. */
     fun create(
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationRun.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationRun.kt
@@ -352,13 +352,12 @@
         if (delivery.delivered > 0 && delivery.lastId == null) return false
         quarantinedPart = context.refusedPart(exchange)
         if (quarantinedPart != null) return false
-        val isFirst = runs == 0 && refusals == 0
+        val purpose = if (runs == 0 && refusals == 0) SendPurpose.FIRST_ATTEMPT else SendPurpose.RETRY
         val placement =
-            attempts.place(isFirst) { context.placement.forGeneration(it, excluded, demand, engine, service) }
+            attempts.place(purpose) { context.placement.forGeneration(it, excluded, demand, engine, service) }
         retryAfterMillis =
             (placement as? Placement.Deferred)?.retryAfterMillis ?: ReplicaPlacement.FULL_GENERATIONS_MILLIS
         val replica = (placement as? Placement.Assigned)?.replica ?: return false
-        val purpose = if (isFirst) SendPurpose.FIRST_ATTEMPT else SendPurpose.RETRY
         current =
             attempts.create(replica, abandoned, purpose).also {
                 it.start(scope)
