--- a/relay/src/main/kotlin/io/sequoiawheel/relay/control/RolloutController.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/control/RolloutController.kt
@@ -12,6 +12,7 @@
 import io.sequoiawheel.core.relay.ListReliability
 import io.sequoiawheel.core.relay.LoadExchange
 import io.sequoiawheel.core.relay.ReplicaDirectory
+import io.sequoiawheel.core.rollout.EvidenceCell
 import io.sequoiawheel.core.rollout.RolloutGate
 import io.sequoiawheel.core.rollout.RolloutNews
 import io.sequoiawheel.core.rollout.RolloutPlan
@@ -253,7 +254,10 @@
         val known = gate[ServiceName(target.name)] ?: return false
         val order = runCatching { RolloutCodec.decode(target) }.getOrNull() ?: return true
         val isSame = isSameOrder(known, order) || order.order.version == known.order.version
-        if (isSame) stored[known.order.service] = Stored(target.revision, order.stage)
+        if (isSame) {
+            stored[known.order.service] = Stored(target.revision, order.stage)
+            writer.forget(target.name)
+        }
         return order.order.revision <= known.order.revision
     }
 
@@ -329,11 +333,13 @@
             "inputAgeMilliseconds" to writer.inputAgeMillis(),
             "routes" to
                 routes.joinToString("; ") { (route, parts) ->
-                    "$route new ${parts.new.failures}/${parts.new.responses} old ${parts.old.failures}/${parts.old.responses}"
+                    "$route new ${counts(parts.new)} old ${counts(parts.old)}"
                 },
         )
     }
 
+    private fun counts(cell: EvidenceCell) = "${cell.failures}/${cell.responses}"
+
     private companion object {
         /** A write and the watch that reports it take up to 400 ms if the store is slow. */
         const val TURN_MILLIS = 500L
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/control/RolloutStatusWriter.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/control/RolloutStatusWriter.kt
@@ -64,6 +64,11 @@
         }
     }
 
+    /** Forgets the writes of [name], which a restored store may have lost, and whose revisions it assigns again. */
+    fun forget(name: String) {
+        attempts.remove(name)
+    }
+
     private fun isDue(
         last: Attempt,
         status: JsonObject,
