--- a/core/src/main/kotlin/io/sequoiawheel/core/relay/LoadExchange.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/LoadExchange.kt
@@ -32,15 +32,6 @@
 ) : FleetMembership {
     constructor(self: Peer, start: Long, clock: Clock) : this(self, start, clock, PartQuarantine(self.name, clock))
 
-    /** The content of the last message that is compared to decide whether a new message is needed. */
-    private data class SentContent(
-        val generationTokens: Map<String, Pair<Long, Long>> = emptyMap(),
-        val leaving: StartsByReplica = emptyMap(),
-        val rates: Map<String, Double?> = emptyMap(),
-        val partsVersion: Int = 0,
-        val versions: RolloutReport = RolloutReport.NONE,
-    )
-
     private val roster = PeerRoster(clock)
     private val aggregators = AggregatorSelection(self, roster, clock)
     private val sentReports = SentReports()
@@ -56,7 +47,8 @@
     /** Whether the other instances should learn something about prompt parts or rollouts soon. */
     private val hasOtherNotices: Boolean
         get() =
-            quarantine.version != sentPartsVersion || (hasNewIncarnation && quarantine.isActive) ||
+            quarantine.version != sentPartsVersion ||
+                (hasNewIncarnation && quarantine.isActive) ||
                 !ownVersions.isSameAs(sentReports.latestVersions)
     private var reportSentMillis: Long? = null
     private var totalsSentMillis: Long? = null
@@ -277,7 +269,13 @@
         val zoneLeaving = reports.fold(leaving) { known, member -> known + member.leaving }
         val versions = RolloutReport.sum(received.localVersions() + ownVersions)
         val content =
-            SentContent(generationTokens(sums), zoneLeaving, zoneLimits.rates(), quarantine.version, versions.withoutAges())
+            SentContent(
+                generationTokens(sums),
+                zoneLeaving,
+                zoneLimits.rates(),
+                quarantine.version,
+                versions.withoutAges(),
+            )
         if (content == lastSums && !isElapsed(sumsSentMillis, HEARTBEAT_MILLIS)) return null
         lastSums = content
         sumsSentMillis = clock.nowMillis()
--- a/core/src/main/kotlin/io/sequoiawheel/core/rollout/RolloutGate.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/rollout/RolloutGate.kt
@@ -178,7 +178,8 @@
     /** Whether runs on [replica] should move to another version now. */
     fun isVacated(replica: Replica): Boolean {
         val rollout = rollouts[replica.entry.service] ?: return false
-        val isMoving = rollout.stage == RolloutStage.SHIFTING && !rollout.isBad || rollout.stage == RolloutStage.COMPLETE
+        val isMoving =
+            rollout.stage == RolloutStage.SHIFTING && !rollout.isBad || rollout.stage == RolloutStage.COMPLETE
         return isMoving && !isNew(replica, rollout)
     }
 
--- a/core/src/main/kotlin/io/sequoiawheel/core/rollout/RolloutProgress.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/rollout/RolloutProgress.kt
@@ -85,7 +85,10 @@
         }
         while (records.size > 1 && now - records[1].elapsedMillis >= RECENT_MILLIS) records.removeFirst()
         // The counts of an instance that ended are missing from the sum, and would be missing from the difference.
-        return records.first().takeIf { now - it.elapsedMillis >= RECENT_MILLIS && share.instances >= it.instances }?.evidence
+        return records
+            .first()
+            .takeIf { now - it.elapsedMillis >= RECENT_MILLIS && share.instances >= it.instances }
+            ?.evidence
     }
 
     private fun adoptOrder(share: RolloutShare): ServiceRollout? {
--- a/core/src/main/kotlin/io/sequoiawheel/core/rollout/RolloutReport.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/rollout/RolloutReport.kt
@@ -153,8 +153,7 @@
     fun isSameAs(other: RolloutReport): Boolean = withoutAges() == other.withoutAges()
 
     /** Returns the report without the time that has passed since the orders. */
-    fun withoutAges() =
-        if (shares.isEmpty()) this else RolloutReport(shares.map { it.copy(elapsedMillis = 0) })
+    fun withoutAges() = if (shares.isEmpty()) this else RolloutReport(shares.map { it.copy(elapsedMillis = 0) })
 
     companion object {
         val NONE = RolloutReport()
--- a/core/src/main/kotlin/io/sequoiawheel/core/rollout/RolloutVerdict.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/rollout/RolloutVerdict.kt
@@ -32,7 +32,8 @@
         earlier: EvidenceByRoute? = null,
     ): RolloutAssessment {
         val isShifting = share.stage == RolloutStage.SHIFTING
-        val findings = findings(share.evidence, share.evidence, isShifting, "") + recentFindings(share, earlier, isShifting)
+        val findings =
+            findings(share.evidence, share.evidence, isShifting, "") + recentFindings(share, earlier, isShifting)
         val worst = findings.minByOrNull { it.chance }
         val certainty = if (isShifting) SHIFTING_CHANCE else REVERT_CHANCE
         val plan = RolloutPlan(share.durationMillis)
@@ -80,7 +81,11 @@
         val isClear = answered >= AMPLE_RESPONSES && (worst == null || worst.chance > CLEAR_CHANCE)
         return when {
             isDue && isSuspect -> RolloutAssessment(RolloutStep.REVERT, worst.toString())
-            isDue && answered >= 1 -> RolloutAssessment(RolloutStep.SHIFT, "$answered responses, none of them convicting")
+            isDue && answered >= 1 ->
+                RolloutAssessment(
+                    RolloutStep.SHIFT,
+                    "$answered responses, none of them convicting",
+                )
             isLast -> RolloutAssessment(RolloutStep.REVERT, "no response of the new version")
             isClear && share.elapsedMillis >= plan.earliestShiftMillis ->
                 RolloutAssessment(RolloutStep.SHIFT, "$answered responses, as good as the old version")
@@ -133,12 +138,19 @@
                 val share = maxOf(expectedShare(parts.old, usual), expectedShare(usual, usual))
                 val expected = share + tolerance
                 val bad = badOf(parts.new, usual)
-                Finding(route + period, bad, parts.new.responses, expected.coerceAtMost(LARGEST_EXPECTED), parts.new.failures)
+                Finding(
+                    route + period,
+                    bad,
+                    parts.new.responses,
+                    expected.coerceAtMost(LARGEST_EXPECTED),
+                    parts.new.failures,
+                )
             }
         if (routes.size < 2) return routes
         val responses = routes.sumOf { it.responses }
         val expected = routes.sumOf { it.expected * it.responses } / responses
-        val total = Finding("all routes$period", routes.sumOf { it.bad }, responses, expected, routes.sumOf { it.failures })
+        val total =
+            Finding("all routes$period", routes.sumOf { it.bad }, responses, expected, routes.sumOf { it.failures })
         return routes + total
     }
 
--- a/core/src/test/kotlin/io/sequoiawheel/core/rollout/RolloutSimulationTest.kt
+++ b/core/src/test/kotlin/io/sequoiawheel/core/rollout/RolloutSimulationTest.kt
@@ -59,7 +59,18 @@
     @Test
     fun `a version that turns bad after four seconds is reverted`() {
         val late =
-            VersionConduct { _, millis -> VersionConduct.Conduct(failureShare = if (millis > LATE_MILLIS) 0.6 else 0.0) }
+            VersionConduct { _, millis ->
+                VersionConduct.Conduct(
+                    failureShare =
+                        if (millis >
+                            LATE_MILLIS
+                        ) {
+                            0.6
+                        } else {
+                            0.0
+                        },
+                )
+            }
         assertReverted(results(1..100) { RolloutLoad(instances(it), new = late) })
     }
 
@@ -75,7 +86,18 @@
     @Test
     fun `a version that turns bad while requests shift to it is reverted`() {
         val underLoad =
-            VersionConduct { _, millis -> VersionConduct.Conduct(failureShare = if (millis > SHIFTED_MILLIS) 0.6 else 0.0) }
+            VersionConduct { _, millis ->
+                VersionConduct.Conduct(
+                    failureShare =
+                        if (millis >
+                            SHIFTED_MILLIS
+                        ) {
+                            0.6
+                        } else {
+                            0.0
+                        },
+                )
+            }
         val results = results(1..100) { RolloutLoad(instances(it), new = underLoad) }
         val reverted = results.count { it.verdict == RolloutStage.REVERTED }
         assertEquals(results.size, reverted, "${results.missed()}")
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/control/ChangeHub.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/control/ChangeHub.kt
@@ -72,7 +72,10 @@
         asOf: ClockReading,
     ) {
         resume(changes.revision, asOf, changes.era)
-        history.append(changes.revision, changes.events.map { StoreProtocol.encodeEvent(it, kind == StoreKind.ROLLOUTS) })
+        history.append(
+            changes.revision,
+            changes.events.map { StoreProtocol.encodeEvent(it, kind == StoreKind.ROLLOUTS) },
+        )
         confirmedAt = asOf
         notifyWaiters()
     }
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/control/RolloutController.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/control/RolloutController.kt
@@ -84,7 +84,10 @@
             adopt(target, isLate = isFirstListing)
         }
         if (reliability == ListReliability.CERTAIN) {
-            gate.all.map { it.order.service }.filter { it.value !in names }.forEach(::withdraw)
+            gate.all
+                .map { it.order.service }
+                .filter { it.value !in names }
+                .forEach(::withdraw)
         }
         isFirstListing = false
     }
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/control/RolloutStatusWriter.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/control/RolloutStatusWriter.kt
@@ -78,7 +78,8 @@
         val isSameWrite = last.revision == revision && last.status["state"] == status["state"]
         val isSettled = isSameWrite && last.status["stage"] == status["stage"] && outcome != StatusWriteOutcome.UNKNOWN
         // After a conflict the revision in force arrives by the watch, with which the write is another one.
-        return !isSettled && (outcome != StatusWriteOutcome.UNKNOWN || clock.nowMillis() - last.atMillis >= RETRY_MILLIS)
+        return !isSettled &&
+            (outcome != StatusWriteOutcome.UNKNOWN || clock.nowMillis() - last.atMillis >= RETRY_MILLIS)
     }
 
     private companion object {
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/CallRelay.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/CallRelay.kt
@@ -183,11 +183,10 @@
 
         private fun hasTimeLeft() = exchange.deadlineMillis - context.clock.nowMillis() > MINIMUM_RETRY_TIME_MILLIS
 
-        private fun place(): Placement {
-            return context.place(service, isFirst = triedReplicas.isEmpty()) { usable ->
+        private fun place(): Placement =
+            context.place(service, isFirst = triedReplicas.isEmpty()) { usable ->
                 context.placement.forCall(usable, triedReplicas, mayReuseTried = earlierResponse == null, service)
             }
-        }
 
         private suspend fun giveUp(result: AttemptResult) {
             val response = earlierResponse
--- a/relay/src/test/kotlin/io/sequoiawheel/relay/RolloutTest.kt
+++ b/relay/src/test/kotlin/io/sequoiawheel/relay/RolloutTest.kt
@@ -107,7 +107,13 @@
         repeat(20) { assertTrue(call().endsWith("old")) }
         assertEquals(before, newCalls.get())
         assertTrue(before < MAXIMUM_BAD, "$before requests to the bad version")
-        assertTrue("failed" in fixture.store.status(KIND, SERVICE)?.text("reason").orEmpty())
+        assertTrue(
+            "failed" in
+                fixture.store
+                    .status(KIND, SERVICE)
+                    ?.text("reason")
+                    .orEmpty(),
+        )
     }
 
     // The order stays with an old replica list that has no other version to compare with.
@@ -139,7 +145,11 @@
         fixture.store.losesStatusAnswers = true
         order()
         callUntil { state() == "complete" }
-        val states = fixture.store.statuses(KIND).filterIsInstance<JsonObject>().map { it.text("state") }
+        val states =
+            fixture.store
+                .statuses(KIND)
+                .filterIsInstance<JsonObject>()
+                .map { it.text("state") }
         assertEquals(listOf("active", "active", "complete"), states)
     }
 
