--- a/core/src/main/kotlin/io/sequoiawheel/core/rollout/CanaryBudget.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/rollout/CanaryBudget.kt
@@ -79,7 +79,7 @@
         const val SPENDABLE_SHARE = 0.5
         const val SHARE_IN_USE = 0.95
 
-        /** The margin is released over this share of the order's time, so that a bad version shows at the first part. */
+        /** The margin is released over this share of the time, so that a bad version shows at its first part. */
         const val RAMP_SHARE = 0.25
     }
 }
--- a/core/src/main/kotlin/io/sequoiawheel/core/rollout/RolloutGate.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/rollout/RolloutGate.kt
@@ -113,7 +113,7 @@
         }
     }
 
-    /** Takes the permission to send a request to [replica] now, or returns false. Call it immediately before sending. */
+    /** Takes the permission to send a request to [replica], or returns false. Call it immediately before sending. */
     fun tryAdmit(replica: Replica): Boolean {
         if (!mayReceive(replica)) return false
         val rollout = rollouts[replica.entry.service] ?: return true
@@ -144,13 +144,7 @@
         return when (rollout.stage) {
             RolloutStage.COMPLETE -> listOf(new)
             RolloutStage.REVERTED -> listOf(old)
-            RolloutStage.CANARY ->
-                when {
-                    running != null -> listOf(if (isNew(running, rollout)) open else old)
-                    isFirst -> listOf(canaries(rollout, open), old)
-                    else -> listOf(old)
-                }
-
+            RolloutStage.CANARY -> canaryPreferences(rollout, open, old, isFirst, running)
             RolloutStage.SHIFTING ->
                 when {
                     running != null && isNew(running, rollout) -> listOf(open)
@@ -160,6 +154,18 @@
         }.filter { it.isNotEmpty() }
     }
 
+    private fun canaryPreferences(
+        rollout: ServiceRollout,
+        open: List<Replica>,
+        old: List<Replica>,
+        isFirst: Boolean,
+        running: Replica?,
+    ) = when {
+        running != null -> listOf(if (isNew(running, rollout)) open else old)
+        isFirst -> listOf(canaries(rollout, open), old)
+        else -> listOf(old)
+    }
+
     /** Whether a run on [source] may be copied to [destination], or go on there. */
     fun mayMove(
         source: Replica,
--- a/core/src/main/kotlin/io/sequoiawheel/core/rollout/RolloutProgress.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/rollout/RolloutProgress.kt
@@ -43,7 +43,7 @@
             news
         }
 
-    /** Returns what the evidence in [known] calls for in [rollout]; the version is bad from the first time it says so. */
+    /** Returns what the evidence in [known] calls for in [rollout]; a version that it finds bad once stays bad. */
     fun assess(
         rollout: ServiceRollout,
         known: RolloutReport,
@@ -72,7 +72,7 @@
             RolloutStep.REVERT -> RolloutTarget(RolloutStage.REVERTED, assessment.reason)
         }
 
-    /** Records [share], and returns the evidence of [RECENT_MILLIS] before, or null if there is none to compare with. */
+    /** Records [share], and returns the evidence of [RECENT_MILLIS] before, or null if there is none to compare. */
     private fun earlier(
         rollout: ServiceRollout,
         share: RolloutShare,
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/control/RolloutController.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/control/RolloutController.kt
@@ -14,7 +14,6 @@
 import io.sequoiawheel.core.relay.ReplicaDirectory
 import io.sequoiawheel.core.rollout.EvidenceCell
 import io.sequoiawheel.core.rollout.RolloutGate
-import io.sequoiawheel.core.rollout.RolloutNews
 import io.sequoiawheel.core.rollout.RolloutPlan
 import io.sequoiawheel.core.rollout.RolloutProgress
 import io.sequoiawheel.core.rollout.RolloutReport
@@ -103,7 +102,7 @@
     /** Applies what all instances know, and writes the status if it is this instance's turn. Call it every 100 ms. */
     fun tick(known: RolloutReport): RolloutReport {
         gate.observe(directory.all())
-        progress.merge(known).forEach(::logNews)
+        progress.merge(known).forEach { log.stateChange(it.text, fields(it.rollout)) }
         for (rollout in gate.all.toList()) {
             if (!rollout.stage.isFinal) assess(rollout, known) else rewriteVerdict(rollout)
             vacate(rollout)
@@ -161,7 +160,8 @@
         wanted[service] = Wanted(target, since)
         val state = stored[service] ?: return
         if (state.stage == target.stage || now - since < rank(rollout) * TURN_MILLIS) return
-        val status = RolloutCodec.encodeStatus(rollout.order, target.stage, target.reason, orderedAtUnixMillis(rollout))
+        val orderedAtUnixMillis = wallClock.nowMillis() - rollout.elapsedMillis
+        val status = RolloutCodec.encodeStatus(rollout.order, target.stage, target.reason, orderedAtUnixMillis)
         writer.write(service.value, status, state.revision) { outcome ->
             metrics.count("rollouts.status.writes", outcome.label)
             log.stateChange(
@@ -191,8 +191,6 @@
         return (zoneRank + memberRank).coerceAtMost(LAST_RANK)
     }
 
-    private fun orderedAtUnixMillis(rollout: ServiceRollout) = wallClock.nowMillis() - rollout.elapsedMillis
-
     /** Moves runs off the replicas of the old version, one replica after the other. */
     private fun vacate(rollout: ServiceRollout) {
         val spreadMillis = RolloutPlan(rollout.order.durationMillis).rampMillis
@@ -291,8 +289,6 @@
         )
     }
 
-    private fun logNews(news: RolloutNews) = log.stateChange(news.text, fields(news.rollout))
-
     private fun logStage(
         rollout: ServiceRollout,
         source: String,
