--- a/relay/src/test/kotlin/io/sequoiawheel/relay/RelayFixture.kt
+++ b/relay/src/test/kotlin/io/sequoiawheel/relay/RelayFixture.kt
@@ -54,8 +54,8 @@
         "servers",
         id,
         Json.parseToJsonElement(
-            """{"svc":"$name","addr":"${replica.address}","zone":"$zone","version":"$version","slots":6,"state":"$state",
-              "warmup_left_ms":0,"seq":1,"born":$born}""",
+            """{"svc":"$name","addr":"${replica.address}","zone":"$zone","version":"$version","slots":6,
+              "state":"$state","warmup_left_ms":0,"seq":1,"born":$born}""",
         ),
     )
 
