--- a/core/src/main/kotlin/io/sequoiawheel/core/relay/LoadExchange.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/LoadExchange.kt
@@ -10,6 +10,7 @@
 import io.sequoiawheel.core.model.ZoneName
 import io.sequoiawheel.core.pace.SpeedExchange
 import io.sequoiawheel.core.quarantine.PartQuarantine
+import io.sequoiawheel.core.rollout.RolloutReport
 
 /** A message to send to [destinations]. */
 class OutgoingMessage(
@@ -32,14 +33,6 @@
 ) : FleetMembership {
     constructor(self: Peer, start: Long, clock: Clock) : this(self, start, clock, PartQuarantine(self.name, clock))
 
-    /** The content of the last message that is compared to decide whether a new message is needed. */
-    private data class SentContent(
-        val generationTokens: Map<String, Pair<Long, Long>> = emptyMap(),
-        val leaving: StartsByReplica = emptyMap(),
-        val rates: Map<String, Double?> = emptyMap(),
-        val partsVersion: Int = 0,
-    )
-
     private val roster = PeerRoster(clock)
     private val aggregators = AggregatorSelection(self, roster, clock)
     private val sentReports = SentReports()
@@ -53,9 +46,12 @@
     private var sentPartsVersion = 0
     private var hasNewIncarnation = false
 
-    /** Whether the other instances should learn something about prompt parts soon. */
-    private val hasPartNotices: Boolean
-        get() = quarantine.version != sentPartsVersion || (hasNewIncarnation && quarantine.isActive)
+    /** Whether the other instances should learn something about prompt parts or rollouts soon. */
+    private val hasOtherNotices: Boolean
+        get() =
+            quarantine.version != sentPartsVersion ||
+                (hasNewIncarnation && quarantine.isActive) ||
+                !ownVersions.isSameAs(sentReports.latestVersions)
     private var reportSentMillis: Long? = null
     private var totalsSentMillis: Long? = null
     private var sumsSentMillis: Long? = null
@@ -65,6 +61,13 @@
     private var leaving: StartsByReplica = emptyMap()
     private var limits: LimitsByReplica = emptyMap()
 
+    /** What this instance knows of rollouts itself. */
+    var ownVersions: RolloutReport = RolloutReport.NONE
+
+    /** When a message of another instance was received last, or null. */
+    var receivedAtMillis: Long? = null
+        private set
+
     override val selfName: String get() = self.name
     override val loadAgeMillis: Long? get() = received.ageMillis
     override val isKnown: Boolean get() = isListed || !received.isEmpty
@@ -96,6 +99,9 @@
     /** The replicas that announced to other instances that they are leaving. */
     val leavingReportedByPeers: StartsByReplica get() = received.leaving()
 
+    /** What all instances together know of rollouts, this one included. */
+    fun knownVersions(): RolloutReport = totals()?.versions ?: RolloutReport.sum(received.versions() + ownVersions)
+
     /** The request limits that other instances observed. */
     val limitsReportedByPeers: LimitsByReplica get() = received.limits()
 
@@ -110,7 +116,7 @@
     ): List<OutgoingMessage> {
         val outgoing = ArrayList<OutgoingMessage>()
         val hasNewNotices =
-            leaving != this.leaving || rates(limits) != rates(this.limits) || hasPartNotices || speeds.hasNews
+            leaving != this.leaving || limits.rates() != this.limits.rates() || hasOtherNotices || speeds.hasNews
         val hasChanged = hasNewNotices || generationTokens(work) != generationTokens(sentReports.latestWork)
         this.leaving = leaving
         this.limits = limits
@@ -128,6 +134,7 @@
     fun receive(message: PeerMessage): List<OutgoingMessage> {
         val endpoint = Endpoint.parseOrNull(message.endpoint) ?: return emptyList()
         if (message.sender == self.name) return emptyList()
+        receivedAtMillis = clock.nowMillis()
         quarantine.merge(message.parts)
         speeds.receive(message)
         val sender = Peer(message.sender, ZoneName(message.zone), endpoint)
@@ -206,6 +213,7 @@
                 ReportedLimit.of(limits, clock.nowMillis()),
                 quarantine.report(),
                 speeds.ofInstance(),
+                ownVersions,
             )
         sentPartsVersion = quarantine.version
         hasNewIncarnation = false
@@ -225,12 +233,14 @@
         if (requesters.isEmpty()) return null
         val totals = (received.work() + listOf(work)).sumByReplica()
         val allLimits = listOf(limits, received.reportedLimits()).latestByReplica()
+        val versions = RolloutReport.sum(received.versions() + ownVersions)
         val content =
             SentContent(
                 generationTokens(totals),
                 leaving + received.reportedLeaving(),
-                rates(allLimits),
+                allLimits.rates(),
                 quarantine.version,
+                versions.withoutAges(),
             )
         val isUnchanged = content == lastTotals && !speeds.hasFleetNews
         if (isUnchanged && !isElapsed(totalsSentMillis, TOTALS_INTERVAL_LIMIT_MILLIS)) return null
@@ -252,6 +262,7 @@
                 ReportedLimit.of(allLimits, clock.nowMillis()),
                 quarantine.report(),
                 speeds.ofFleet(),
+                versions,
             )
         totalsBytes = (report.work.size + report.members.size) * BYTES_PER_ENTRY
         return OutgoingMessage(requesters, report)
@@ -265,17 +276,24 @@
         val sums = (reports.map { it.work } + listOf(work)).sumByReplica()
         val zoneLimits = listOf(limits, received.localLimits()).latestByReplica()
         val zoneLeaving = reports.fold(leaving) { known, member -> known + member.leaving }
-        val content = SentContent(generationTokens(sums), zoneLeaving, rates(zoneLimits), quarantine.version)
+        val versions = RolloutReport.sum(received.localVersions() + ownVersions)
+        val content =
+            SentContent(
+                generationTokens(sums),
+                zoneLeaving,
+                zoneLimits.rates(),
+                quarantine.version,
+                versions.withoutAges(),
+            )
         if (content == lastSums && !speeds.hasZoneNews && !isElapsed(sumsSentMillis, HEARTBEAT_MILLIS)) return null
         lastSums = content
         sumsSentMillis = clock.nowMillis()
-        val endpoint = self.endpoint.toString()
         val report =
             ZoneReport(
                 self.name,
                 start,
                 ++sequence,
-                endpoint,
+                self.endpoint.toString(),
                 self.zone.value,
                 1 + reports.size,
                 sums,
@@ -283,6 +301,7 @@
                 limits = ReportedLimit.of(zoneLimits, clock.nowMillis()),
                 parts = quarantine.report(),
                 speeds = speeds.ofZone(),
+                versions = versions,
             )
         return OutgoingMessage(targets.map { it.endpoint }, report)
     }
@@ -336,8 +355,6 @@
     private fun generationTokens(work: WorkByReplica): Map<String, Pair<Long, Long>> =
         work.mapValues { it.value.tokens to it.value.promptTokens }.filterValues { it.first > 0 }
 
-    private fun rates(limits: LimitsByReplica): Map<String, Double?> = limits.mapValues { it.value.perSecond }
-
     companion object {
         /** Returns the load of this instance on [replicas]; idle replicas are omitted. */
         fun work(replicas: Collection<Replica>): WorkByReplica =
--- a/core/src/main/kotlin/io/sequoiawheel/core/relay/PeerMessage.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/PeerMessage.kt
@@ -8,6 +8,7 @@
 import io.sequoiawheel.core.model.NestingLimit
 import io.sequoiawheel.core.pace.ReportedSpeed
 import io.sequoiawheel.core.quarantine.PartReport
+import io.sequoiawheel.core.rollout.RolloutReport
 import kotlinx.serialization.KSerializer
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
@@ -88,6 +89,7 @@
  * @property limits request limits that replicas named, by replica id
  * @property parts what the sender knows of prompt parts that end replicas
  * @property speeds how long work takes at replicas, by replica id; only what changed notably
+ * @property versions what the instances whose load the message includes know of rollouts
  */
 @Serializable
 sealed interface PeerMessage {
@@ -100,6 +102,7 @@
     val limits: Map<String, ReportedLimit>
     val parts: PartReport
     val speeds: Map<String, ReportedSpeed>
+    val versions: RolloutReport
 
     /** Whether this message is not newer than [other], a message of the same sender. */
     fun isNotNewerThan(other: PeerMessage): Boolean =
@@ -152,6 +155,7 @@
     @SerialName("r") override val limits: Map<String, ReportedLimit> = emptyMap(),
     @SerialName("p") override val parts: PartReport = PartReport.NONE,
     @SerialName("sp") override val speeds: Map<String, ReportedSpeed> = emptyMap(),
+    @SerialName("v") override val versions: RolloutReport = RolloutReport.NONE,
 ) : PeerMessage
 
 /**
@@ -175,6 +179,7 @@
     @SerialName("r") override val limits: Map<String, ReportedLimit> = emptyMap(),
     @SerialName("p") override val parts: PartReport = PartReport.NONE,
     @SerialName("sp") override val speeds: Map<String, ReportedSpeed> = emptyMap(),
+    @SerialName("v") override val versions: RolloutReport = RolloutReport.NONE,
 ) : PeerMessage
 
 /**
@@ -200,4 +205,5 @@
     @SerialName("r") override val limits: Map<String, ReportedLimit> = emptyMap(),
     @SerialName("p") override val parts: PartReport = PartReport.NONE,
     @SerialName("sp") override val speeds: Map<String, ReportedSpeed> = emptyMap(),
+    @SerialName("v") override val versions: RolloutReport = RolloutReport.NONE,
 ) : PeerMessage
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/http/CallerConnection.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/http/CallerConnection.kt
@@ -155,7 +155,7 @@
                 account.isServing -> false
                 readingSinceMillis != null -> idle >= READING_MILLIS
                 isEnding -> true
-                servedRequests == 0 -> idle >= FIRST_REQUEST_MILLIS
+                servedRequests == 0 -> true
                 else -> idle > service.limits.idleTimeoutMillis * REUSE_SHARE
             }
         return idle.takeIf { isClosable }
@@ -308,9 +308,6 @@
          */
         const val READING_MILLIS = 1_000L
 
-        /** A new connection is kept for a few round trips, in which its first request arrives. */
-        const val FIRST_REQUEST_MILLIS = 100L
-
         /** Callers reuse connections that were idle for up to this share of the idle timeout. */
         const val REUSE_SHARE = 0.8
 
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationRun.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationRun.kt
@@ -120,15 +120,16 @@
             is GenerationSignal.NotRun -> if (!discardSuccessor(signal, signal.detail)) handleNotRun(signal)
             is GenerationSignal.ConnectionFailed ->
                 if (!discardSuccessor(signal, signal.detail)) handleConnectionFailed(signal)
-            is GenerationSignal.SourceStopped -> if (!isFinished) goOnAfter(signal.attempt, signal.detail)
+            is GenerationSignal.SourceStopped ->
+                if (!continueFromBackup(signal.attempt)) retryWithoutCopy(signal.detail)
             is GenerationSignal.Events -> deliver(signal)
-            is GenerationSignal.Completed -> if (signal.attempt === current) complete(signal.attempt)
             else -> if (signal.attempt === current || signal.attempt === attemptAwaitingCopy) handleCurrent(signal)
         }
     }
 
     private suspend fun handleCurrent(signal: GenerationSignal) {
         when (signal) {
+            is GenerationSignal.Completed -> if (signal.attempt === current) complete(signal.attempt)
             is GenerationSignal.ReplicaLeaving -> handleReplicaLeaving(signal)
             is GenerationSignal.CopyReady -> if (successor == null) continueFrom(signal.copy)
             is GenerationSignal.CopyFailed -> {
@@ -154,7 +155,7 @@
         source?.let { runsLeft.stopAll(it.replica) }
         when {
             source == null -> retryWithoutCopy(detail)
-            source.replica.isLeaving -> migrate(source)
+            source.replica.isLeaving || source.replica.isVacated -> migrate(source)
         }
         return true
     }
@@ -269,21 +270,13 @@
             successor != null -> Unit
             mayAwaitCopy -> if (!continueFromBackup(attempt)) attemptAwaitingCopy = attempt
             !sourceStop.start(attempt, signal.detail, abandoned, mayRepeat = runs < route.maximumAttempts) ->
-                goOnAfter(attempt, signal.detail)
+                if (!continueFromBackup(attempt)) retryWithoutCopy(signal.detail)
         }
     }
 
-    /** Goes on after [attempt], whose connection failed with [detail] and whose run was stopped if it could be. */
-    private suspend fun goOnAfter(
-        attempt: GenerationAttempt,
-        detail: String,
-    ) {
-        if (!continueFromBackup(attempt)) retryWithoutCopy(detail)
-    }
-
     /** Continues on the replica that holds the backup of [attempt]'s run. Returns false if no backup is usable. */
     private fun continueFromBackup(attempt: GenerationAttempt): Boolean {
-        val backup = attempt.backup?.takeIf(context.directory::mayReceive) ?: return false
+        val backup = attempt.backup?.takeIf { context.mayMove(attempt.replica, it) } ?: return false
         if (context.outcomes.isSuspected(exchange)) return false
         if (!attempt.hasStarted || !usedBackups.add(backup)) return false
         continueFrom(copier.backupCopy(backup, exchange.requestId.orEmpty()))
@@ -365,12 +358,12 @@
         if (delivery.delivered > 0 && delivery.lastId == null) return false
         quarantinedPart = context.refusedPart(exchange)
         if (quarantinedPart != null) return false
-        val usable = context.directory.usable(service.name)
-        val placement = context.placement.forGeneration(usable, excluded, demand, engine, service)
+        val purpose = if (runs == 0 && refusals == 0) SendPurpose.FIRST_ATTEMPT else SendPurpose.RETRY
+        val placement =
+            attempts.place(purpose) { context.placement.forGeneration(it, excluded, demand, engine, service) }
         retryAfterMillis =
             (placement as? Placement.Deferred)?.retryAfterMillis ?: ReplicaPlacement.FULL_GENERATIONS_MILLIS
         val replica = (placement as? Placement.Assigned)?.replica ?: return false
-        val purpose = if (runs == 0 && refusals == 0) SendPurpose.FIRST_ATTEMPT else SendPurpose.RETRY
         current =
             attempts.create(replica, abandoned, purpose).also {
                 it.start(scope)
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/SourceStop.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/SourceStop.kt
@@ -24,8 +24,8 @@
 ) {
     /**
      * Starts to stop the run of [attempt], whose connection failed with [detail], and sends
-     * [GenerationSignal.SourceStopped] when the generation may go on. Returns false if the run cannot be stopped, or the
-     * generation cannot go on.
+     * [GenerationSignal.SourceStopped] when the generation may go on. Returns false if the run cannot be stopped, or
+     * the generation cannot go on.
      *
      * @param abandoned replicas that the run is not moved to
      * @param mayRepeat whether the attempts of a repeatable route are not used up
--- a/relay/src/test/kotlin/io/sequoiawheel/relay/http/CallerMemoryTest.kt
+++ b/relay/src/test/kotlin/io/sequoiawheel/relay/http/CallerMemoryTest.kt
@@ -10,6 +10,7 @@
 import io.sequoiawheel.core.relay.Endpoint
 import io.sequoiawheel.core.relay.ProcessLimits
 import io.sequoiawheel.relay.RelayFixture
+import io.sequoiawheel.relay.backend.ResponseMemory
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.SupervisorJob
@@ -70,7 +71,7 @@
 
     private fun start(connections: Int = 10): Int {
         val limits = CallerLimits.of(ProcessLimits(), HEAP_BYTES, CallerLimitSettings(connections = connections))
-        val open = CallerConnections(clock, limits, budget)
+        val open = CallerConnections(clock, ResponseMemory(clock), limits, budget)
         return runBlocking { CallerServer(group.next(), scope, service, open).start(ANY_PORT, HEADER_BYTES) }
     }
 
