Use plain wording in the log lines and comments of rollouts and callers

Two log lines said that a rollout was heard of; they now say received. Comments and one reason of a verdict are worded in the usual terms. No behaviour changes.

--- a/core/src/main/kotlin/io/sequoiawheel/core/pace/ReplicaPace.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/pace/ReplicaPace.kt
@@ -43,7 +43,7 @@
     var observed: ObservedFactor? = null
         private set
 
-    /** What the streams of the other instances showed, or null if they told nothing. */
+    /** What the streams of the other instances showed, or null if they reported nothing. */
     var reported: ObservedFactor? = null
         private set
 
--- a/core/src/main/kotlin/io/sequoiawheel/core/rollout/RolloutProgress.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/rollout/RolloutProgress.kt
@@ -34,11 +34,11 @@
     fun merge(known: RolloutReport): List<RolloutNews> =
         known.shares.flatMap { share ->
             val news = ArrayList<RolloutNews>()
-            adoptOrder(share)?.let { news += RolloutNews(it, "rollout heard of from another instance") }
+            adoptOrder(share)?.let { news += RolloutNews(it, "rollout received from another instance") }
             val rollout = rolloutOf(share) ?: return@flatMap news
             rollout.observeAge(share.elapsedMillis)
             if (share.isBad && rollout.markBad()) news += RolloutNews(rollout, "version reported bad")
-            if (rollout.advance(share.stage)) news += RolloutNews(rollout, "rollout stage heard of")
+            if (rollout.advance(share.stage)) news += RolloutNews(rollout, "rollout stage received")
             rollout.evidence.recordOverdue(share.evidence)
             news
         }
--- a/core/src/main/kotlin/io/sequoiawheel/core/rollout/RolloutVerdict.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/rollout/RolloutVerdict.kt
@@ -84,7 +84,7 @@
             isDue && answered >= 1 ->
                 RolloutAssessment(
                     RolloutStep.SHIFT,
-                    "$answered responses, none of them convicting",
+                    "$answered responses, none of them conclusive",
                 )
             isLast -> RolloutAssessment(RolloutStep.REVERT, "no response of the new version")
             isClear && share.elapsedMillis >= plan.earliestShiftMillis ->
--- a/core/src/main/kotlin/io/sequoiawheel/core/rollout/ServiceRollout.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/rollout/ServiceRollout.kt
@@ -38,7 +38,7 @@
     val received: Int get() = budget.received
     val admitted: Int get() = budget.admitted
 
-    /** Whether other instances should be told of the order: it is in force, or its verdict is recent. */
+    /** Whether other instances should be notified of the order: it is in force, or its verdict is recent. */
     val isReported: Boolean get() = !stage.isFinal || elapsedMillis < order.durationMillis + REPORTED_MILLIS
 
     /** Moves to [next] unless the order is further already. Returns whether the stage changed. */
@@ -48,7 +48,7 @@
         return true
     }
 
-    /** Adopts the verdict that the store holds, which takes precedence over one that this instance heard of. */
+    /** Adopts the verdict that the store holds, which takes precedence over one that this instance received. */
     fun adoptVerdict(verdict: RolloutStage) {
         if (verdict != stage) replaceStage(verdict)
     }
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/http/CallerConnection.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/http/CallerConnection.kt
@@ -303,7 +303,7 @@
         const val PAUSE_BYTES = 16_384
 
         /**
-         * A request that takes longer to arrive gives way to a new connection when all are taken. An ordinary one
+         * A request that takes longer to arrive is closed for a new connection at the limit. An ordinary one
          * arrives in a few round trips, so that its caller is served beside a crowd of slow ones.
          */
         const val READING_MILLIS = 1_000L
@@ -311,7 +311,7 @@
         /** Callers reuse connections that were idle for up to this share of the idle timeout. */
         const val REUSE_SHARE = 0.8
 
-        /** Another instance has room at once; this one after a stalled body has gone. */
+        /** Another instance has capacity at once; this one after a stalled body was closed. */
         const val RETRY_MILLIS = 1_000L
 
         /** Time that the caller has to close its side after the last response. */
