Record the known versions when replicas are listed, not at the next tick

Callers reached a version that no order allowed: the versions that count as known were recorded at the 100 ms tick of the load reports, so that replicas of a new version that were listed before the first tick counted as known too, and received all 50 calls of RolloutTest 'a version without an order receives nothing'. The gate now sees each change of the directory when it is applied. An instance whose first listing already holds both versions still cannot tell them apart.

--- a/core/src/main/kotlin/io/sequoiawheel/core/rollout/RolloutGate.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/rollout/RolloutGate.kt
@@ -78,7 +78,10 @@
             }
     }
 
-    /** Records the versions of services that were unknown so far. Call it whenever replicas may have been listed. */
+    /**
+     * Records the versions of services that were unknown so far. Call it at each change of the listed [replicas]: a
+     * version that is listed before the first call counts as known.
+     */
     fun observe(replicas: Collection<Replica>) {
         for ((service, members) in replicas.filter { !it.isLeaving }.groupBy { it.entry.service }) {
             if (established[service].isNullOrEmpty()) established[service] = members.map { it.entry.version }.toSet()
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/RelayDaemon.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/RelayDaemon.kt
@@ -107,7 +107,7 @@
     private val notices = ReplicaNotices(log, metrics, outcomes)
     private val pool = BackendPool(connector, notices::onResponseHead, notices::onUnexpectedBytes)
     private val configuration = ConfigurationController(store, freshness, ConfigurationOrder(monotonic), scope, log)
-    private val replicas = ReplicaController(directory, log, metrics)
+    private val replicas = ReplicaController(directory, log, metrics) { rolloutGate?.observe(directory.all()) }
     private val evacuations = EvacuationController(directory, log)
     private val rolloutContact =
         settings.bounds.rollout?.let { RolloutContact(it, loads, freshness, monotonic) }
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/control/ReplicaController.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/control/ReplicaController.kt
@@ -13,11 +13,16 @@
 import io.sequoiawheel.relay.internal.DecisionLog
 import io.sequoiawheel.relay.internal.RelayMetrics
 
-/** Keeps the directory of replicas in sync with the platform's list. Replicas with unreadable entries are not used. */
+/**
+ * Keeps the directory of replicas in sync with the platform's list. Replicas with unreadable entries are not used.
+ *
+ * @param onApplied called after each change of the directory
+ */
 internal class ReplicaController(
     private val directory: ReplicaDirectory,
     private val log: DecisionLog,
     private val metrics: RelayMetrics,
+    private val onApplied: () -> Unit,
 ) : KindListener {
     private val unreadable = HashSet<String>()
 
@@ -30,6 +35,7 @@
     ) {
         unreadable.clear()
         directory.replaceAll(listing.objects.mapNotNull(::decode), reliability)
+        onApplied()
         log.stateChange(
             "replicas listed",
             mapOf("entries" to listing.objects.size, "standing" to reliability.name, "era" to listing.era),
@@ -44,6 +50,7 @@
         val entry = if (event.isDeleted) null else decode(event.target)
         val id = InstanceId(event.target.name)
         if (entry == null) directory.remove(id, afterOutage && event.isDeleted) else directory.put(entry)
+        onApplied()
         log.stateChange(
             if (entry == null) "replica removed" else "replica changed",
             mapOf(
