Hold nothing back under an order for the only version

Between an order for the version in force and its status, all requests to the service were refused: the gate took the only version that it knew for the new one and gave it the budget of a canary. An order for the version that all known replicas have now restricts nothing, since its verdict is due at once.

--- a/core/src/main/kotlin/io/sequoiawheel/core/rollout/RolloutGate.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/rollout/RolloutGate.kt
@@ -107,12 +107,11 @@
     /** Whether [replica] may receive a request now, apart from what limits it otherwise. */
     fun mayReceive(replica: Replica): Boolean {
         val rollout = rollouts[replica.entry.service] ?: return isEstablished(replica)
-        val isNew = replica.entry.version == rollout.order.version
         return when (rollout.stage) {
-            RolloutStage.CANARY -> !isNew || isOpen(rollout) && rollout.budget.mayAdmit
-            RolloutStage.SHIFTING -> !isNew || isOpen(rollout)
-            RolloutStage.COMPLETE -> isNew
-            RolloutStage.REVERTED -> !isNew
+            RolloutStage.CANARY -> !isHeldBack(replica, rollout) || isOpen(rollout) && rollout.budget.mayAdmit
+            RolloutStage.SHIFTING -> !isHeldBack(replica, rollout) || isOpen(rollout)
+            RolloutStage.COMPLETE -> isNew(replica, rollout)
+            RolloutStage.REVERTED -> !isNew(replica, rollout)
         }
     }
 
@@ -120,7 +119,7 @@
     fun tryAdmit(replica: Replica): Boolean {
         if (!mayReceive(replica)) return false
         val rollout = rollouts[replica.entry.service] ?: return true
-        if (replica.entry.version != rollout.order.version) return true
+        if (!isHeldBack(replica, rollout)) return true
         if (rollout.stage == RolloutStage.CANARY) return rollout.budget.tryAdmit()
         rollout.budget.recordUnbudgeted()
         return true
@@ -139,7 +138,9 @@
         isFirst: Boolean,
         running: Replica? = null,
     ): List<List<Replica>> {
-        val rollout = rollouts[service] ?: return listOf(usable.filter(::isEstablished).ifEmpty { usable })
+        val rollout =
+            rollouts[service]?.takeUnless(::isForOnlyVersion)
+                ?: return listOf(usable.filter(::isEstablished).ifEmpty { usable })
         val (new, others) = usable.partition { isNew(it, rollout) }
         // A version that an earlier order held back stays so.
         val old = others.filter(::isEstablished).ifEmpty { others }
@@ -233,6 +234,16 @@
         rollout: ServiceRollout,
     ) = replica.entry.version == rollout.order.version
 
+    /** Whether [replica] is of a version that receives requests only as far as the order allows. */
+    private fun isHeldBack(
+        replica: Replica,
+        rollout: ServiceRollout,
+    ) = isNew(replica, rollout) && !isForOnlyVersion(rollout)
+
+    /** Whether no other version than that of the order received requests before it. Its verdict is due at once. */
+    private fun isForOnlyVersion(rollout: ServiceRollout) =
+        !rollout.stage.isFinal && established[rollout.order.service] == setOf<String?>(rollout.order.version)
+
     private fun isEstablished(replica: Replica): Boolean {
         val known = established[replica.entry.service]
         return known.isNullOrEmpty() || replica.entry.version in known
