Decide in RunStopPlan when a generation goes on without a proof

The loop that stops a run before its generation goes on repeated the loop that stops runs that were left. Both are now one, and the decision to go on without a proof of the end is in core, with a test of its own.

--- a/core/src/main/kotlin/io/sequoiawheel/core/relay/RunStopPlan.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/RunStopPlan.kt
@@ -49,6 +49,20 @@
             StopAnswer.REFUSED, StopAnswer.NO_RESPONSE -> false
         }
 
+    /**
+     * Returns whether a generation that waits for the end of the run goes on without a proof of it: the replica does
+     * not answer, as [answer] null, cannot be reached, knows no such run yet, or has refused for too long.
+     */
+    fun mayGoOn(
+        answer: StopAnswer?,
+        nowMillis: Long,
+    ): Boolean =
+        when (answer) {
+            StopAnswer.STOPPED -> true
+            StopAnswer.REFUSED, StopAnswer.NO_RESPONSE -> nowMillis - startMillis >= REFUSED_MILLIS
+            StopAnswer.NO_SUCH_RUN, StopAnswer.UNREACHABLE, null -> true
+        }
+
     /** Returns the delay before the next request, or null if the run is over by then. */
     fun delayMillis(nowMillis: Long): Long? {
         val elapsedMillis = nowMillis - startMillis
@@ -66,6 +80,9 @@
          */
         const val UNLISTED_MILLIS = 3_000L
 
+        /** A caller waits for the next event for several times its objective; a longer pause would lose it. */
+        const val REFUSED_MILLIS = 3_000L
+
         /** A refusal often ends within milliseconds, when another copy of the run is complete. */
         const val MINIMUM_DELAY_MILLIS = 20L
 
--- a/core/src/test/kotlin/io/sequoiawheel/core/relay/RunStopPlanTest.kt
+++ b/core/src/test/kotlin/io/sequoiawheel/core/relay/RunStopPlanTest.kt
@@ -37,6 +37,18 @@
         assertFalse(plan.isEnd(StopAnswer.REFUSED, isListed = false, START_MILLIS))
     }
 
+    // A caller whose stream broke off waited for a replica that could not be reached, or lost its stream to a refusal.
+    @Test
+    fun `a generation goes on without a proof if the replica is out of reach or refuses for some seconds`() {
+        for (answer in listOf(StopAnswer.UNREACHABLE, StopAnswer.NO_SUCH_RUN, null)) {
+            assertTrue(plan.mayGoOn(answer, START_MILLIS), "$answer")
+        }
+        for (answer in listOf(StopAnswer.REFUSED, StopAnswer.NO_RESPONSE)) {
+            assertFalse(plan.mayGoOn(answer, START_MILLIS + 2_999), "$answer")
+            assertTrue(plan.mayGoOn(answer, START_MILLIS + 3_000), "$answer")
+        }
+    }
+
     @Test
     fun `requests become rarer and end with the run`() {
         assertEquals(20, plan.delayMillis(START_MILLIS))
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/RunStopper.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/RunStopper.kt
@@ -85,7 +85,7 @@
 
     /**
      * Asks for the stop of [run], whose stream broke off, before its generation goes on elsewhere. Returns whether its
-     * end is proven; false if the replica does not answer, cannot be reached, or refuses for [REFUSED_MILLIS].
+     * end is proven; if it is not, the generation goes on all the same, see [RunStopPlan.mayGoOn].
      *
      * @param destination the replica to which the run is moved
      */
@@ -94,20 +94,12 @@
         destination: Replica,
         releasesCopy: Boolean,
     ): Boolean {
-        val startMillis = nowMillis()
-        val plan = RunStopPlan(startMillis, run.deadlineMillis, run.hasStarted)
-        val results = SignalQueue<StopResult>()
-        while (nowMillis() - startMillis < REFUSED_MILLIS) {
-            scope.launch { ask(run, destination, releasesCopy, results.sender) }
-            val answer = results.receiveWithin(ANSWER_MILLIS)?.answer ?: return false
-            if (plan.isEnd(answer, isListed = true, nowMillis())) {
-                context.metrics.count("runs.stopped.first", answer.name.lowercase())
-                return true
+        val outcome =
+            stopRepeatedly(run, destination, releasesCopy, StopTrace(), isInUse = { false }) { plan, answer ->
+                plan.mayGoOn(answer, nowMillis())
             }
-            if (answer == StopAnswer.UNREACHABLE || answer == StopAnswer.NO_SUCH_RUN) return false
-            delay(plan.delayMillis(nowMillis()) ?: return false)
-        }
-        return false
+        if (outcome.isProven) context.metrics.count("runs.stopped.first", outcome.label)
+        return outcome.isProven
     }
 
     /** Waits until the end of each run is proven, for at most [timeoutMillis]. */
@@ -121,6 +113,7 @@
         releasesCopy: Boolean,
         trace: StopTrace,
         isInUse: () -> Boolean,
+        givesUp: (RunStopPlan, StopAnswer?) -> Boolean = { _, _ -> false },
     ): StopOutcome {
         val plan = RunStopPlan(nowMillis(), run.deadlineMillis, run.hasStarted)
         val results = SignalQueue<StopResult>()
@@ -140,6 +133,7 @@
                 val isListed = context.directory.all().any { it === run.replica }
                 if (plan.isEnd(result.answer, isListed, nowMillis())) return outcome(result.answer)
             }
+            if (givesUp(plan, result?.answer)) return StopOutcome.NOT_STOPPED
             delay(plan.delayMillis(nowMillis()) ?: return StopOutcome.NOT_STOPPED)
         }
     }
@@ -244,9 +238,6 @@
         /** Requests for the stop of one run that wait for their responses at a time. */
         const val MAXIMUM_UNANSWERED = 3
 
-        /** A caller waits for the next event for several times its objective; a longer pause would lose it. */
-        const val REFUSED_MILLIS = 3_000L
-
         /** Interval at which the end of all stops is checked. */
         const val POLL_MILLIS = 20L
     }
