Move gauges, rollout wiring and repeated code out of large files

Gauges are now registered by the parts that know them, Rollouts holds what carries out rollouts, and places that computed the same thing twice share one function: the capacity of an engine, the content of load messages, the refusal at shutdown and the choice of a backup. A generation waits for replicas to be vacated only where rollouts can happen.

The stand-in engine of StreamFixture answers the stop of a run.

--- a/core/src/main/kotlin/io/sequoiawheel/core/pace/PacedSelection.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/pace/PacedSelection.kt
@@ -62,17 +62,17 @@
     ): Double {
         val zoneCost = if (replica.entry.zone == ownZone) 0.0 else ZONE_COST
         val coldCost = if (replica.isCold) COLD_COST else 0.0
-        return firstEventCost(replica, demand, engine) + pauseCost(replica, demand, engine) +
+        val firstEventMillis = estimator.firstEventMillis(replica, demand, engine)
+        return firstEventCost(firstEventMillis, demand) + pauseCost(replica, demand, engine, firstEventMillis) +
             memoryCost(memoryShare(replica, demand, engine)) + replica.load.failureShare + zoneCost + coldCost
     }
 
     private fun firstEventCost(
-        replica: Replica,
+        firstEventMillis: Double,
         demand: GenerationDemand,
-        engine: EngineProfile,
     ): Double {
         val objectiveMillis = demand.firstEventObjectiveMillis.takeIf { it > 0 } ?: DEFAULT_OBJECTIVE_MILLIS
-        val share = estimator.firstEventMillis(replica, demand, engine) / objectiveMillis
+        val share = firstEventMillis / objectiveMillis
         val timeCost = share.coerceAtMost(MAXIMUM_SHARE) * TIME_COST
         return exceedance(share / TYPICAL_SHARE, FIRST_EVENT_UNCERTAINTY) + timeCost
     }
@@ -82,13 +82,13 @@
         replica: Replica,
         demand: GenerationDemand,
         engine: EngineProfile,
+        firstEventMillis: Double,
     ): Double {
         val limitMillis = demand.eventGapMillis.takeIf { it > 0 } ?: DEFAULT_GAP_MILLIS
         val pauseMillis = estimator.readingGapMillis(replica, engine)
         val inSpell = exceedance(pauseMillis * SPELL_FACTOR / limitMillis, PAUSE_UNCERTAINTY)
         val now = exceedance(pauseMillis * replica.pace.speed() / limitMillis, PAUSE_UNCERTAINTY)
-        val readMillis = estimator.firstEventMillis(replica, demand, engine)
-        val meetsSpell = (SPELL_SHARE + readMillis / SPELL_INTERVAL_MILLIS).coerceAtMost(1.0)
+        val meetsSpell = (SPELL_SHARE + firstEventMillis / SPELL_INTERVAL_MILLIS).coerceAtMost(1.0)
         val streams = replica.load.totalRunning.coerceAtMost(engine.slots) * LONG_SHARE
         val isLong = demand.outputTokens >= LONG_EVENTS * engine.tokensPerEvent
         val own = if (isLong) inSpell * OWN_PAUSE_SHARE else 0.0
--- a/core/src/main/kotlin/io/sequoiawheel/core/relay/Delivery.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/Delivery.kt
@@ -23,6 +23,9 @@
     var delivered = 0
         private set
 
+    /** Whether a new run can go on after what was delivered: nothing was, or the last event has an id. */
+    val canBeResumed: Boolean get() = delivered == 0 || lastId != null
+
     /** Decides how to handle the event with [id]; events without an id are always delivered. */
     fun decide(id: Long?): DeliveryDecision {
         val last = lastId
--- a/core/src/main/kotlin/io/sequoiawheel/core/relay/LoadExchange.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/LoadExchange.kt
@@ -117,7 +117,7 @@
         val outgoing = ArrayList<OutgoingMessage>()
         val hasNewNotices =
             leaving != this.leaving || limits.rates() != this.limits.rates() || hasOtherNotices || speeds.hasNews
-        val hasChanged = hasNewNotices || generationTokens(work) != generationTokens(sentReports.latestWork)
+        val hasChanged = hasNewNotices || work.generationTokens() != sentReports.latestWork.generationTokens()
         this.leaving = leaving
         this.limits = limits
         if (hasChanged || isElapsed(reportSentMillis, heartbeatMillis())) outgoing += newReport(work, isLeaving = false)
@@ -234,14 +234,8 @@
         val totals = (received.work() + listOf(work)).sumByReplica()
         val allLimits = listOf(limits, received.reportedLimits()).latestByReplica()
         val versions = RolloutReport.sum(received.versions() + ownVersions)
-        val content =
-            SentContent(
-                generationTokens(totals),
-                leaving + received.reportedLeaving(),
-                allLimits.rates(),
-                quarantine.version,
-                versions.withoutAges(),
-            )
+        val allLeaving = leaving + received.reportedLeaving()
+        val content = SentContent.of(totals, allLeaving, allLimits, quarantine.version, versions)
         val isUnchanged = content == lastTotals && !speeds.hasFleetNews
         if (isUnchanged && !isElapsed(totalsSentMillis, TOTALS_INTERVAL_LIMIT_MILLIS)) return null
         lastTotals = content
@@ -277,14 +271,7 @@
         val zoneLimits = listOf(limits, received.localLimits()).latestByReplica()
         val zoneLeaving = reports.fold(leaving) { known, member -> known + member.leaving }
         val versions = RolloutReport.sum(received.localVersions() + ownVersions)
-        val content =
-            SentContent(
-                generationTokens(sums),
-                zoneLeaving,
-                zoneLimits.rates(),
-                quarantine.version,
-                versions.withoutAges(),
-            )
+        val content = SentContent.of(sums, zoneLeaving, zoneLimits, quarantine.version, versions)
         if (content == lastSums && !speeds.hasZoneNews && !isElapsed(sumsSentMillis, HEARTBEAT_MILLIS)) return null
         lastSums = content
         sumsSentMillis = clock.nowMillis()
@@ -351,10 +338,6 @@
         (totalsBytes * MILLIS_PER_SECOND / TOTALS_BYTES_PER_SECOND)
             .coerceIn(TOTALS_INTERVAL_MILLIS, TOTALS_INTERVAL_LIMIT_MILLIS)
 
-    /** Returns the memory and queued prompts of generations in tokens; plain calls are too short for a report. */
-    private fun generationTokens(work: WorkByReplica): Map<String, Pair<Long, Long>> =
-        work.mapValues { it.value.tokens to it.value.promptTokens }.filterValues { it.first > 0 }
-
     companion object {
         /** Returns the load of this instance on [replicas]; idle replicas are omitted. */
         fun work(replicas: Collection<Replica>): WorkByReplica =
--- a/core/src/main/kotlin/io/sequoiawheel/core/relay/ReplicaLoad.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/ReplicaLoad.kt
@@ -42,6 +42,12 @@
     val totalTokens: Long get() = tokens + remoteTokens
     val totalPromptTokens: Long get() = promptTokens + remotePromptTokens
 
+    /** Whether [engine] can start a generation of [demand] at once, beside this load. */
+    fun hasRoomFor(
+        demand: GenerationDemand,
+        engine: EngineProfile,
+    ): Boolean = totalRunning < engine.slots && totalTokens + demand.tokens <= engine.memoryTokens
+
     /** Adds a request that will use [tokens] of memory. */
     fun begin(tokens: Long) {
         running++
--- a/core/src/main/kotlin/io/sequoiawheel/core/relay/ReplicaPlacement.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/ReplicaPlacement.kt
@@ -65,7 +65,7 @@
         engine: EngineProfile,
         service: RelayService,
     ): Placement {
-        val candidates = candidates(usable, excluded, mayReuseTried = true) { it.hasRoomFor(demand, engine) }
+        val candidates = candidates(usable, excluded, mayReuseTried = true) { it.load.hasRoomFor(demand, engine) }
         val ready = candidates.filter { tryAdmit(it, service) }
         return place(selection.forGeneration(ready, demand, engine), usable, FULL_GENERATIONS_MILLIS)
     }
@@ -126,11 +126,6 @@
     private fun hasRoomForCall(replica: Replica) =
         replica.load.totalRunning < replica.callCapacity && (isRestricted(replica) || overflow.mayAdmit(replica))
 
-    private fun Replica.hasRoomFor(
-        demand: GenerationDemand,
-        engine: EngineProfile,
-    ) = load.totalRunning < engine.slots && load.totalTokens + demand.tokens <= engine.memoryTokens
-
     companion object {
         /** Time within which the calls that currently fill the replicas' queues have finished. */
         const val FULL_CALLS_MILLIS = 150L
--- a/core/src/main/kotlin/io/sequoiawheel/core/rollout/RolloutEvidence.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/rollout/RolloutEvidence.kt
@@ -26,7 +26,7 @@
     }
 
     private val cells = LinkedHashMap<String, Cells>()
-    private val waiting = LinkedHashSet<RolloutObservation>()
+    private val waiting = LinkedHashSet<Observation>()
 
     /** Returns the responses recorded so far. */
     fun snapshot(): EvidenceByRoute =
@@ -39,14 +39,13 @@
     ): RolloutObservation {
         val key = if (route in cells || cells.size < RolloutShare.MAXIMUM_ROUTES - 1) route else OTHER_ROUTES
         val parts = cells.getOrPut(key) { Cells() }
-        return Observation(key, if (isNew) parts.new else parts.old, isNew).also { waiting += it }
+        return Observation(key, if (isNew) parts.new else parts.old).also { waiting += it }
     }
 
     /** Records the requests to the new version that are unanswered for longer than what counts as slow by [all]. */
     fun recordOverdue(all: EvidenceByRoute) {
         val now = clock.nowMillis()
-        for (observation in waiting.toList()) {
-            val pending = observation as Observation
+        for (pending in waiting.toList()) {
             val limitMillis = all[pending.route]?.old?.let(SlowLimits::firstEventMillis) ?: continue
             if (now - pending.startedMillis > limitMillis * OVERDUE_FACTOR) pending.recordFirstEvent()
         }
@@ -55,7 +54,6 @@
     private inner class Observation(
         val route: String,
         private val cell: Cell,
-        private val isNew: Boolean,
     ) : RolloutObservation {
         val startedMillis = clock.nowMillis()
         private var firstEventMillis: Long? = null
@@ -92,8 +90,6 @@
             isEnded = true
             waiting -= this
         }
-
-        override fun toString() = "$route new=$isNew"
     }
 
     private companion object {
--- a/core/src/main/kotlin/io/sequoiawheel/core/rollout/RolloutProgress.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/rollout/RolloutProgress.kt
@@ -43,12 +43,18 @@
             news
         }
 
+    /** Returns what [known] says of the order of [rollout], or null if it says nothing. */
+    fun shareOf(
+        rollout: ServiceRollout,
+        known: RolloutReport,
+    ): RolloutShare? = known.shares.firstOrNull { rolloutOf(it) === rollout }
+
     /** Returns what the evidence in [known] calls for in [rollout]; a version that it finds bad once stays bad. */
     fun assess(
         rollout: ServiceRollout,
         known: RolloutReport,
     ): RolloutAssessment {
-        val share = known.shares.firstOrNull { rolloutOf(it) === rollout } ?: rollout.share(oldRuns = 0)
+        val share = shareOf(rollout, known) ?: rollout.share(oldRuns = 0)
         val assessment =
             RolloutVerdict.assess(
                 share.copy(
--- a/core/src/main/kotlin/io/sequoiawheel/core/scheduling/AdmissionPolicy.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/scheduling/AdmissionPolicy.kt
@@ -26,8 +26,10 @@
         if (candidates.isEmpty() || request.demand.tokens > engine.memoryTokens) {
             return AdmissionDecision.Admit(AdmissionReason.NO_CHOICE, AdmissionInputs(waitedMillis))
         }
-        val best = candidates.minBy { estimator.firstEventMillis(it, request.demand, engine) }
-        val firstEventMillis = estimator.firstEventMillis(best, request.demand, engine)
+        val (best, firstEventMillis) =
+            candidates
+                .map { it to estimator.firstEventMillis(it, request.demand, engine) }
+                .minBy { (_, millis) -> millis }
         val canMeetObjective = firstEventMillis <= request.objectiveMillis - waitedMillis
         val isDeferrable = request.isInExcess || !canMeetObjective && request.isMetByIdleEngine
         val progress = (waitedMillis.toDouble() / request.longestWaitMillis).coerceIn(0.0, 1.0)
--- a/core/src/main/kotlin/io/sequoiawheel/core/scheduling/PriorityClasses.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/scheduling/PriorityClasses.kt
@@ -48,14 +48,8 @@
         isDeferrable: Boolean = false,
     ): Int {
         if (isDeferrable) return if (GenerationSize.isShort(demand)) WITHOUT_MEMORY else DEFERRABLE
-        if (!fits(demand, load, engine)) return WITHOUT_MEMORY
+        if (!load.hasRoomFor(demand, engine)) return WITHOUT_MEMORY
         val (short, long) = BY_RANK[rank.coerceIn(BY_RANK.indices)]
         return if (GenerationSize.isShort(demand)) short else long
     }
-
-    private fun fits(
-        demand: GenerationDemand,
-        load: ReplicaLoad,
-        engine: EngineProfile,
-    ) = load.totalRunning < engine.slots && load.totalTokens + demand.tokens <= engine.memoryTokens
 }
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/RelayDaemon.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/RelayDaemon.kt
@@ -24,12 +24,10 @@
 import io.sequoiawheel.core.relay.RequestKind
 import io.sequoiawheel.core.relay.StoreContact
 import io.sequoiawheel.core.relay.StoreEras
-import io.sequoiawheel.core.rollout.RolloutGate
 import io.sequoiawheel.platform.StoreKind
 import io.sequoiawheel.relay.backend.BackendPool
 import io.sequoiawheel.relay.backend.Connector
 import io.sequoiawheel.relay.backend.ResponseMemory
-import io.sequoiawheel.relay.backend.SlowReaderReason
 import io.sequoiawheel.relay.control.ChangeFeed
 import io.sequoiawheel.relay.control.ChangeHub
 import io.sequoiawheel.relay.control.ChangeSources
@@ -40,9 +38,7 @@
 import io.sequoiawheel.relay.control.LoopSupervisor
 import io.sequoiawheel.relay.control.PeerController
 import io.sequoiawheel.relay.control.ReplicaController
-import io.sequoiawheel.relay.control.RolloutContact
-import io.sequoiawheel.relay.control.RolloutController
-import io.sequoiawheel.relay.control.RolloutStatusWriter
+import io.sequoiawheel.relay.control.Rollouts
 import io.sequoiawheel.relay.control.StoreClient
 import io.sequoiawheel.relay.filter.ConfigurationFilter
 import io.sequoiawheel.relay.filter.DeadlineFilter
@@ -61,11 +57,12 @@
 import io.sequoiawheel.relay.http.StatusServer
 import io.sequoiawheel.relay.internal.DecisionLog
 import io.sequoiawheel.relay.internal.RelayMetrics
+import io.sequoiawheel.relay.internal.SlowReaderLog
 import io.sequoiawheel.relay.serving.CallRelay
 import io.sequoiawheel.relay.serving.GenerationRelay
-import io.sequoiawheel.relay.serving.PaceGauges
 import io.sequoiawheel.relay.serving.QuarantineLog
 import io.sequoiawheel.relay.serving.RelayContext
+import io.sequoiawheel.relay.serving.ReplicaGauges
 import io.sequoiawheel.relay.serving.ReplicaNotices
 import io.sequoiawheel.relay.serving.RunOutcomes
 import kotlinx.coroutines.CoroutineScope
@@ -107,18 +104,11 @@
     private val notices = ReplicaNotices(log, metrics, outcomes)
     private val pool = BackendPool(connector, notices::onResponseHead, notices::onUnexpectedBytes)
     private val configuration = ConfigurationController(store, freshness, ConfigurationOrder(monotonic), scope, log)
-    private val replicas = ReplicaController(directory, log, metrics) { rolloutGate?.observe(directory.all()) }
+    private val replicas = ReplicaController(directory, log, metrics) { rollouts?.gate?.observe(directory.all()) }
     private val evacuations = EvacuationController(directory, log)
-    private val rolloutContact =
-        settings.bounds.rollout?.let { RolloutContact(it, loads, freshness, monotonic) }
-    private val rolloutGate =
-        settings.bounds.rollout?.let { bounds ->
-            RolloutGate(bounds, monotonic, random, { loads.instanceCount }) { rolloutContact?.isPresent ?: false }
-        }
     private val rollouts =
-        rolloutGate?.let { gate ->
-            val writer = RolloutStatusWriter(store, scope, monotonic) { rolloutContact?.peerAgeMillis }
-            RolloutController(gate, directory, loads, writer, monotonic, wall, log, metrics)
+        settings.bounds.rollout?.let {
+            Rollouts(it, directory, loads, freshness, store, scope, random, monotonic, wall, log, metrics)
         }
     private val context =
         RelayContext(
@@ -133,9 +123,9 @@
             fleet = loads,
             quarantine,
             outcomes,
-            rolloutGate,
+            rollouts?.gate,
         )
-    private val peers = PeerController(self, directory, loads, store, random, log, metrics, rollouts)
+    private val peers = PeerController(self, directory, loads, store, random, log, metrics, rollouts?.controller)
     private val hubSelection = HubSelection(settings.name, settings.zone, monotonic, random, loads::live)
     private val sources = ChangeSources(store, connector, hubSelection, eras, log)
     private val feeds =
@@ -145,7 +135,7 @@
         listOfNotNull(
             watcher(StoreKind.REPLICAS, LONG_WAIT_MILLIS, replicas) {},
             watcher(StoreKind.EVACUATIONS, LONG_WAIT_MILLIS, evacuations) {},
-            rollouts?.let { watcher(StoreKind.ROLLOUTS, LONG_WAIT_MILLIS, it) {} },
+            rollouts?.let { watcher(StoreKind.ROLLOUTS, LONG_WAIT_MILLIS, it.controller) {} },
         )
     private val configurationWatcher =
         watcher(StoreKind.CONFIGURATION, configurationWaitMillis(), configuration) {
@@ -171,7 +161,11 @@
     private var registration: Job? = null
     private val requests = RequestService(monotonic, filters, shutdown, log, metrics) { configuration.current }
     private val responseMemory =
-        ResponseMemory(monotonic, ResponseMemory.totalBytes(settings.limits.memoryBytes), ::onSlowReader)
+        ResponseMemory(
+            monotonic,
+            ResponseMemory.totalBytes(settings.limits.memoryBytes),
+            SlowReaderLog(log, metrics)::record,
+        )
     private val callerConnections =
         CallerConnections(
             monotonic,
@@ -294,7 +288,7 @@
             return
         }
         exchange.logFields["service"] = service.name.value
-        rolloutGate?.recordRequest(service.name)
+        rollouts?.gate?.recordRequest(service.name)
         if (route.kind == RequestKind.STREAM) generations.relay(exchange, service) else calls.relay(exchange, service)
     }
 
@@ -311,45 +305,23 @@
 
     private fun graceMillis(): Long = (settings.bounds.graceSeconds * MILLIS_PER_SECOND).toLong() - GRACE_MARGIN_MILLIS
 
-    private fun onSlowReader(
-        reason: SlowReaderReason,
-        writeBufferBytes: Long,
-    ) {
-        metrics.count("slow.readers.closed", reason.label)
-        val fields =
-            mapOf("reason" to reason.label, "unread" to writeBufferBytes, "heldForAll" to responseMemory.heldBytes)
-        log.request("slow reader closed", fields)
-    }
-
     private fun publishGauges() {
-        metrics.gauge("response.memory.bytes") { responseMemory.heldBytes }
-        metrics.gauge("response.memory.limit.bytes") { responseMemory.totalBytes }
-        metrics.gauge("response.memory.accounts") { responseMemory.accountCount }
-        metrics.gauge("replicas.unread.request.bytes") { directory.all().sumOf { it.unreadRequests.bytes } }
-        metrics.gauge("replicas.not.reading") { directory.all().count { it.unreadRequests.isStalled } }
+        callerConnections.publishGauges(metrics)
         metrics.gauge("requests.in.progress") { requests.inProgress }
-        metrics.gauge("caller.connections") { server.connectionCount }
-        metrics.gauge("caller.memory.bytes") { callerConnections.memory.heldBytes }
-        metrics.gauge("caller.memory.peak.bytes") { callerConnections.memory.peakBytes }
-        metrics.gauge("caller.memory.limit.bytes") { callerConnections.memory.totalBytes }
-        metrics.gauge("caller.connections.limit") { callerConnections.limits.connections }
         metrics.gauge("store.calls") { store.calls.values.sum() }
         metrics.gauge("connections.opened") { pool.opened }
         metrics.gauge("connections.passed.over") { pool.passedOver }
         metrics.gauge("configuration.version") { configuration.current?.version ?: 0 }
         metrics.gauge("configuration.age.milliseconds") { freshness.ageMillis() }
         metrics.gauge("store.history.bytes") { feeds.values.sumOf { it.sizeBytes } }
-        metrics.gauge("replicas.quiet") { directory.all().count { it.isPaused } }
-        metrics.gauge("replicas.limited") { directory.all().count { it.requestLimit.perSecond != null } }
-        PaceGauges.publish(metrics, directory::all)
-        metrics.gauge("replicas.leaving.by.answer") { directory.announcedLeaving().size }
+        ReplicaGauges.publish(metrics, directory)
         metrics.gauge("parts.quarantined") { quarantine.quarantined.size }
         metrics.gauge("replicas.unreadable") { replicas.unreadableCount }
         metrics.gauge("store.kinds.unfollowed") { watchers.count { !it.isFollowed } }
         metrics.gauge("objects.failed") { watchers.sumOf { it.failedObjects } }
         metrics.gauge("store.era") { eras.current ?: 0 }
         metrics.gauge("instances.live") { liveInstances }
-        rollouts?.publishGauges()
+        rollouts?.controller?.publishGauges()
         metrics.gauge("peer.datagrams.sent") { peers.datagramsSent }
         metrics.gauge("peer.bytes.sent") { peers.bytesSent }
     }
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/backend/InboundQueue.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/backend/InboundQueue.kt
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
 import io.sequoiawheel.core.memory.MemoryAccount
+import io.sequoiawheel.core.memory.MemoryCost
 import kotlinx.coroutines.CompletableDeferred
 import java.io.IOException
 import java.util.concurrent.TimeUnit
@@ -228,8 +229,7 @@
         /** Reading from the socket pauses above this memory of the queued messages, and resumes at half of it. */
         private const val PAUSE_BYTES = 65_536
 
-        /** Memory of a message and its buffer without the content. */
-        private const val MESSAGE_BYTES = 256
+        private const val MESSAGE_BYTES = MemoryCost.MESSAGE_BYTES.toInt()
 
         /** Memory of the status line and the headers of an ordinary head. */
         private const val HEAD_BYTES = 1_024
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/backend/ResponseMemory.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/backend/ResponseMemory.kt
@@ -3,6 +3,7 @@
 import io.sequoiawheel.core.memory.MemoryAccount
 import io.sequoiawheel.core.memory.MemoryBudget
 import io.sequoiawheel.core.model.Clock
+import io.sequoiawheel.relay.internal.RelayMetrics
 
 /** Why the connection of a caller that reads too slowly was closed; the labels are those of the metric. */
 internal enum class SlowReaderReason(
@@ -44,13 +45,13 @@
  * callers that read least for their bytes are closed first. Confined to the event loop.
  *
  * @param totalBytes bound on the buffers, and on the bodies, of all callers together
- *
- * @param onClosed called for each connection that is closed, with the reason and the bytes of its write buffer
+ * @param onClosed called for each connection that is closed, with the reason, the bytes of its write buffer and those
+ *   that are held for all callers
  */
 internal class ResponseMemory(
     clock: Clock,
     totalBytes: Long = totalBytes(grantedBytes = null),
-    private val onClosed: (SlowReaderReason, Long) -> Unit = { _, _ -> },
+    private val onClosed: (SlowReaderReason, Long, Long) -> Unit = { _, _, _ -> },
 ) {
     private val buffers = MemoryBudget(totalBytes, NEWCOMER_BYTES, clock)
     private val bodies = MemoryBudget(totalBytes, NEWCOMER_BYTES, clock)
@@ -71,7 +72,14 @@
     fun recordClosed(
         reason: SlowReaderReason,
         writeBufferBytes: Long,
-    ) = onClosed(reason, writeBufferBytes)
+    ) = onClosed(reason, writeBufferBytes, heldBytes)
+
+    /** Registers the gauges of what is held. */
+    fun publishGauges(metrics: RelayMetrics) {
+        metrics.gauge("response.memory.bytes") { heldBytes }
+        metrics.gauge("response.memory.limit.bytes") { totalBytes }
+        metrics.gauge("response.memory.accounts") { accountCount }
+    }
 
     companion object {
         /** A caller that holds less is closed only if it is slow; an ordinary stream or response is smaller. */
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/control/RolloutController.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/control/RolloutController.kt
@@ -39,6 +39,7 @@
     private val gate: RolloutGate,
     private val directory: ReplicaDirectory,
     private val loads: LoadExchange,
+    private val contact: RolloutContact,
     private val writer: RolloutStatusWriter,
     private val clock: Clock,
     private val wallClock: Clock,
@@ -115,7 +116,7 @@
         known: RolloutReport,
     ) {
         val service = rollout.order.service
-        val share = known.shares.firstOrNull { it.service == service.value && it.revision == rollout.order.revision }
+        val share = progress.shareOf(rollout, known)
         logEvidence(rollout, share)
         val wasBad = rollout.isBad
         val assessment = progress.assess(rollout, known)
@@ -329,7 +330,7 @@
             "allAdmitted" to share.admitted,
             "oldRuns" to share.oldRuns,
             "instances" to share.instances,
-            "inputAgeMilliseconds" to writer.inputAgeMillis(),
+            "inputAgeMilliseconds" to contact.peerAgeMillis,
             "routes" to
                 routes.joinToString("; ") { (route, parts) ->
                     "$route new ${counts(parts.new)} old ${counts(parts.old)}"
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/control/RolloutStatusWriter.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/control/RolloutStatusWriter.kt
@@ -22,14 +22,11 @@
 /**
  * Writes the status of rollouts, one write for each object at a time and not more often than [RETRY_MILLIS], since each
  * call has a price. Confined to the event loop.
- *
- * @param inputAgeMillis returns the age of the last message from another instance, or null if there was none
  */
 internal class RolloutStatusWriter(
     private val store: StoreClient,
     private val scope: CoroutineScope,
     private val clock: Clock,
-    val inputAgeMillis: () -> Long?,
 ) {
     private class Attempt(
         val status: JsonObject,
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/filter/ConfigurationFilters.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/filter/ConfigurationFilters.kt
@@ -140,13 +140,7 @@
     ) {
         val remaining = remainingMillis()
         if (remaining != null && !mayFinish(exchange, remaining)) {
-            exchange.response.closeWhenComplete()
-            exchange.refuse(
-                NotRunProof.NOTHING_SENT,
-                ResultCode.LEAVING,
-                "this instance is shutting down",
-                OTHER_INSTANCE_RETRY_MILLIS,
-            )
+            exchange.refuseForShutdown()
             return
         }
         if (remaining != null) {
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/filter/Exchange.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/filter/Exchange.kt
@@ -122,6 +122,17 @@
             PartQuarantine.RETRY_AFTER_MILLIS,
         )
 
+    /** Refuses a request that has not been sent because the instance is shutting down, and closes the connection. */
+    suspend fun refuseForShutdown() {
+        response.closeWhenComplete()
+        refuse(
+            NotRunProof.NOTHING_SENT,
+            ResultCode.LEAVING,
+            "this instance is shutting down",
+            OTHER_INSTANCE_RETRY_MILLIS,
+        )
+    }
+
     /** Rejects a request that the configuration does not allow. */
     suspend fun reject(
         code: ResultCode,
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/http/CallerConnections.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/http/CallerConnections.kt
@@ -4,6 +4,7 @@
 import io.sequoiawheel.core.model.Clock
 import io.sequoiawheel.core.relay.ProcessLimits
 import io.sequoiawheel.relay.backend.ResponseMemory
+import io.sequoiawheel.relay.internal.RelayMetrics
 
 /**
  * The open connections of callers, and the memory that they hold. Confined to the event loop.
@@ -45,6 +46,16 @@
         open -= connection
     }
 
+    /** Registers the gauges of the connections and their memory. */
+    fun publishGauges(metrics: RelayMetrics) {
+        responseMemory.publishGauges(metrics)
+        metrics.gauge("caller.connections") { count }
+        metrics.gauge("caller.connections.limit") { limits.connections }
+        metrics.gauge("caller.memory.bytes") { memory.heldBytes }
+        metrics.gauge("caller.memory.peak.bytes") { memory.peakBytes }
+        metrics.gauge("caller.memory.limit.bytes") { memory.totalBytes }
+    }
+
     /** Lets all connections end, including those that are added later. */
     fun close() {
         isClosing = true
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationAdmission.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationAdmission.kt
@@ -18,7 +18,6 @@
 import io.sequoiawheel.core.scheduling.WaitingRequest
 import io.sequoiawheel.core.scheduling.WorkspaceUsage
 import io.sequoiawheel.relay.filter.Exchange
-import io.sequoiawheel.relay.filter.OTHER_INSTANCE_RETRY_MILLIS
 import kotlinx.coroutines.delay
 
 /**
@@ -112,13 +111,7 @@
         decision: AdmissionDecision.Wait,
     ): Boolean {
         record(exchange, waiter, decision, decision)
-        exchange.response.closeWhenComplete()
-        exchange.refuse(
-            NotRunProof.NOTHING_SENT,
-            ResultCode.LEAVING,
-            "this instance is shutting down",
-            OTHER_INSTANCE_RETRY_MILLIS,
-        )
+        exchange.refuseForShutdown()
         return false
     }
 
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationAttempts.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationAttempts.kt
@@ -25,6 +25,7 @@
     private val signals: SendChannel<GenerationSignal>,
 ) {
     private var lastReplica: Replica? = null
+    private val usedBackups = HashSet<Replica>()
 
     /** Places an attempt with [place] among the replicas of the versions that rollouts allow. */
     fun place(
@@ -46,6 +47,15 @@
         return create(replica, headers, abandoned, purpose)
     }
 
+    /** Returns the replica on whose backup of [attempt]'s run the generation may go on now, or null. */
+    fun usableBackup(attempt: GenerationAttempt): Replica? =
+        attempt.backup?.takeIf {
+            attempt.hasStarted && it !in usedBackups && context.mayMove(attempt.replica, it)
+        }
+
+    /** Returns the [usableBackup] of [attempt], which is used up by that. */
+    fun takeBackup(attempt: GenerationAttempt): Replica? = usableBackup(attempt)?.also(usedBackups::add)
+
     /** Creates an attempt that continues from [copy]. */
     fun continuation(
         copy: PlacedRunCopy,
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationRun.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationRun.kt
@@ -58,7 +58,7 @@
     /** The attempt that replaces [current] once its response stream starts. */
     private var successor: GenerationAttempt? = null
     private var copyJob: Job? = null
-    private val leavingWatch = LeavingWatch(scope, signals.sender)
+    private val leavingWatch = LeavingWatch(scope, signals.sender, mayVacate = context.rollouts != null)
 
     /** Runs that nothing reads any more; without migration there is no request that stops a run. */
     private val runsLeft =
@@ -66,14 +66,14 @@
             current?.replica === replica || successor?.replica === replica
         }
 
-    private val sourceStop = SourceStop(context, copier, runsLeft, exchange, service, scope, signals.sender)
+    private val sourceStop =
+        SourceStop(context, attempts, copier, runsLeft, exchange, service, scope, signals.sender)
 
     /**
      * Replicas that did not run the request, lost its connection or were replaced by a successor; the request returns
      * to them only if there is no other.
      */
     private val abandoned = LinkedHashSet<Replica>()
-    private val usedBackups = HashSet<Replica>()
 
     /** Number of attempts that a replica may have executed, without those that continued from a copy. */
     private var runs = 0
@@ -269,16 +269,20 @@
         when {
             successor != null -> Unit
             mayAwaitCopy -> if (!continueFromBackup(attempt)) attemptAwaitingCopy = attempt
-            !sourceStop.start(attempt, signal.detail, abandoned, mayRepeat = runs < route.maximumAttempts) ->
+            !sourceStop.start(
+                attempt,
+                signal.detail,
+                abandoned,
+                delivery.canBeResumed && runs < route.maximumAttempts,
+            ) ->
                 if (!continueFromBackup(attempt)) retryWithoutCopy(signal.detail)
         }
     }
 
     /** Continues on the replica that holds the backup of [attempt]'s run. Returns false if no backup is usable. */
     private fun continueFromBackup(attempt: GenerationAttempt): Boolean {
-        val backup = attempt.backup?.takeIf { context.mayMove(attempt.replica, it) } ?: return false
         if (context.outcomes.isSuspected(exchange)) return false
-        if (!attempt.hasStarted || !usedBackups.add(backup)) return false
+        val backup = attempts.takeBackup(attempt) ?: return false
         continueFrom(copier.backupCopy(backup, exchange.requestId.orEmpty()))
         return true
     }
@@ -311,13 +315,8 @@
         if (context.outcomes.isSuspected(exchange)) return
         copyJob =
             scope.launch {
-                val signal =
-                    when (val result = copier.migrate(exchange.requestId, attempt, abandoned, service, demand)) {
-                        is CopyResult.Copied -> GenerationSignal.CopyReady(attempt, result.copy)
-                        is CopyResult.NoSuchRun -> GenerationSignal.CopyFailed(attempt, result.detail)
-                        is CopyResult.Refused -> GenerationSignal.CopyFailed(attempt, result.detail)
-                    }
-                signals.sender.trySend(signal)
+                val result = copier.migrate(exchange.requestId, attempt, abandoned, service, demand)
+                signals.sender.trySend(result.signalFor(attempt))
             }
     }
 
@@ -355,7 +354,7 @@
      * events have no ids to continue from.
      */
     private fun startAttempt(excluded: Set<Replica>): Boolean {
-        if (delivery.delivered > 0 && delivery.lastId == null) return false
+        if (!delivery.canBeResumed) return false
         quarantinedPart = context.refusedPart(exchange)
         if (quarantinedPart != null) return false
         val purpose = if (runs == 0 && refusals == 0) SendPurpose.FIRST_ATTEMPT else SendPurpose.RETRY
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/LeavingWatch.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/LeavingWatch.kt
@@ -6,10 +6,15 @@
 import kotlinx.coroutines.channels.SendChannel
 import kotlinx.coroutines.launch
 
-/** Reports when the replica of one attempt leaves, or when runs are to move off it. */
+/**
+ * Reports when the replica of one attempt leaves, or when runs are to move off it.
+ *
+ * @param mayVacate whether a rollout can move runs off replicas that do not leave
+ */
 internal class LeavingWatch(
     private val scope: CoroutineScope,
     private val signals: SendChannel<GenerationSignal>,
+    private val mayVacate: Boolean,
 ) {
     private var job: Job? = null
     private var vacationJob: Job? = null
@@ -22,6 +27,7 @@
                 val reason = attempt.replica.awaitLeaving()
                 signals.trySend(GenerationSignal.ReplicaLeaving(attempt, reason))
             }
+        if (!mayVacate) return
         vacationJob =
             scope.launch {
                 attempt.replica.awaitVacated()
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/RelayContext.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/RelayContext.kt
@@ -93,8 +93,8 @@
 
     /**
      * Returns the replicas of [service] that may currently receive a copy of a run on [source], except those in
-     * [excluded]. A run
-     * may have to continue on its copy, so replicas that name a request limit are returned only if there are no others.
+     * [excluded]. A run may have to continue on its copy, so replicas that name a request limit are returned only if
+     * there are no others.
      */
     fun copyCandidates(
         service: RelayService,
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/RunCopier.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/RunCopier.kt
@@ -17,6 +17,14 @@
 
 /** The result of a request to copy a run. The class names are written to the log. */
 internal sealed interface CopyResult {
+    /** Returns the notification of the result to the generation of [attempt]. */
+    fun signalFor(attempt: GenerationAttempt): GenerationSignal =
+        when (this) {
+            is Copied -> GenerationSignal.CopyReady(attempt, copy)
+            is NoSuchRun -> GenerationSignal.CopyFailed(attempt, detail)
+            is Refused -> GenerationSignal.CopyFailed(attempt, detail)
+        }
+
     class Copied(
         val copy: PlacedRunCopy,
     ) : CopyResult
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/SourceStop.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/SourceStop.kt
@@ -15,6 +15,7 @@
  */
 internal class SourceStop(
     private val context: RelayContext,
+    private val attempts: GenerationAttempts,
     private val copier: RunCopier,
     private val runsLeft: RunsLeft,
     private val exchange: Exchange,
@@ -28,7 +29,7 @@
      * the generation cannot go on.
      *
      * @param abandoned replicas that the run is not moved to
-     * @param mayRepeat whether the attempts of a repeatable route are not used up
+     * @param mayRepeat whether a repeatable route allows another attempt after what was delivered
      */
     fun start(
         attempt: GenerationAttempt,
@@ -37,7 +38,7 @@
         mayRepeat: Boolean,
     ): Boolean {
         val isRepeatable = checkNotNull(exchange.route).isRepeatable
-        val backup = attempt.backup?.takeIf { attempt.hasStarted && context.directory.mayReceive(it) }
+        val backup = attempts.usableBackup(attempt)
         if (if (isRepeatable) !mayRepeat else backup == null) return false
         if (attempt.replica !in runsLeft || context.outcomes.isSuspected(exchange)) return false
         val destination =
--- a/relay/src/test/kotlin/io/sequoiawheel/relay/StreamFixture.kt
+++ b/relay/src/test/kotlin/io/sequoiawheel/relay/StreamFixture.kt
@@ -77,6 +77,8 @@
                     if (request.target == "/v1/kv-move") {
                         onCopy()
                         answer.sendComplete(request, """{"session":"h-1","created":1}""")
+                    } else if (request.method == "DELETE") {
+                        answer.sendComplete(request, "")
                     } else {
                         if (request.header("Kv-From") != null) continued += id
                         scripts[minOf(nextAttempt(id), scripts.lastIndex)](request, answer)
