--- a/relay/src/test/kotlin/io/sequoiawheel/relay/CallerCrowdTest.kt
+++ b/relay/src/test/kotlin/io/sequoiawheel/relay/CallerCrowdTest.kt
@@ -25,8 +25,7 @@
 
     @TempDir
     private lateinit var directory: Path
-    private lateinit var process: Process
-    private val callers = FreePorts.allocate()
+    private val instance = InstanceProcess(fixture)
 
     @Volatile
     private var isOver = false
@@ -34,22 +33,15 @@
     @AfterEach
     fun close() {
         isOver = true
-        if (::process.isInitialized) process.destroyForcibly().waitFor()
+        instance.close()
         fixture.close()
     }
 
     private fun start() {
         replica = fixture.replica("b-1") { request, answer -> serve(request, answer) }
         fixture.configure(bodyBytes = CrowdLimits.BODY_BYTES, timeoutMillis = 20_000)
-        val readiness = FreePorts.allocate()
         val limits = """"memory_mb":$MEMORY_MEGABYTES,"max_fds":$MAXIMUM_DESCRIPTORS"""
-        process =
-            RelayChildProcess.start(
-                directory,
-                RelayChildProcess.settings(fixture, "entry-1", callers, readiness, limits),
-                RelayChildProcess.DEPLOYED_OPTIONS.drop(2) + OPTIONS,
-            )
-        RelayFixture.awaitTrue("the instance is ready") { RelayChildProcess.readiness(readiness) == 200 }
+        instance.start(directory, RelayChildProcess.DEPLOYED_OPTIONS.drop(2) + OPTIONS, limits)
     }
 
     private fun serve(
@@ -66,7 +58,7 @@
         headers: String,
         body: ByteArray,
     ): Pair<String, String> =
-        Socket("127.0.0.1", callers).use { socket ->
+        Socket("127.0.0.1", instance.callers).use { socket ->
             socket.soTimeout = ANSWER_MILLIS
             val head =
                 "POST /unsafe/a HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: ordinary\r\nX-Deadline-Ms: 20000\r\n" +
@@ -81,9 +73,9 @@
     @EnumSource
     fun `an instance stays within its memory and descriptors and answers after a crowd`(member: CrowdMember) {
         start()
-        val usage = ProcessUsage(process.pid(), callers)
+        val usage = ProcessUsage(instance.pid, instance.callers)
         val sockets = ConcurrentLinkedQueue<Socket>()
-        val crowd = List(member.connections) { thread { member.run(callers, { isOver }, sockets) } }
+        val crowd = List(member.connections) { thread { member.run(instance.callers, { isOver }, sockets) } }
         val end = System.nanoTime() + CROWD_MILLIS * NANOS_PER_MILLI
         while (System.nanoTime() < end) {
             usage.sample()
@@ -94,7 +86,7 @@
         val descriptors = usage.descriptors
         sockets.forEach { it.close() }
         crowd.forEach { it.join(JOIN_MILLIS) }
-        val isAlive = process.isAlive
+        val isAlive = instance.isAlive
         val answer = runCatching { call("Content-Length: 5", "hello".toByteArray()) }
         usage.sample()
         val errors =
--- a/relay/src/test/kotlin/io/sequoiawheel/relay/EndlessLoadTest.kt
+++ b/relay/src/test/kotlin/io/sequoiawheel/relay/EndlessLoadTest.kt
@@ -68,8 +68,7 @@
 
     @TempDir
     private lateinit var directory: Path
-    private lateinit var process: Process
-    private val callers = FreePorts.allocate()
+    private val instance = InstanceProcess(fixture)
 
     @Volatile
     private var isOver = false
@@ -77,7 +76,7 @@
     @AfterEach
     fun close() {
         isOver = true
-        if (::process.isInitialized) process.destroyForcibly().waitFor()
+        instance.close()
         fixture.close()
     }
 
@@ -133,7 +132,7 @@
         timeoutMillis: Int,
     ): String =
         try {
-            Socket("127.0.0.1", callers).use { socket ->
+            Socket("127.0.0.1", instance.callers).use { socket ->
                 socket.soTimeout = timeoutMillis
                 socket.getOutputStream().write(fixture.request(path, id).toByteArray())
                 String(socket.getInputStream().readNBytes(STATUS_BYTES)).split(' ').getOrElse(1) { "cut" }
@@ -148,7 +147,7 @@
                 while (!isOver) {
                     if (index % 2 == 0) {
                         runCatching {
-                            Socket("127.0.0.1", callers).use { socket ->
+                            Socket("127.0.0.1", instance.callers).use { socket ->
                                 socket.getOutputStream().write(
                                     fixture.request(endless.path, "bad-$index").toByteArray(),
                                 )
@@ -157,7 +156,7 @@
                         }
                     } else {
                         runCatching {
-                            Socket("127.0.0.1", callers).use { socket ->
+                            Socket("127.0.0.1", instance.callers).use { socket ->
                                 socket.soTimeout = CALL_MILLIS
                                 socket.getOutputStream().write(
                                     fixture.request(endless.path, "bad-$index").toByteArray(),
@@ -183,14 +182,7 @@
         }
         fixture.replica("sound", SOUND) { request, answer -> answer.sendComplete(request, "sound") }
         fixture.configureSound(SOUND)
-        val readiness = FreePorts.allocate()
-        process =
-            RelayChildProcess.start(
-                directory,
-                RelayChildProcess.settings(fixture, "entry-1", callers, readiness),
-                RelayChildProcess.DEPLOYED_OPTIONS,
-            )
-        RelayFixture.awaitTrue("the instance is ready") { RelayChildProcess.readiness(readiness) == 200 }
+        instance.start(directory)
         repeat(WARM_UP_CALLS) { call("/sound/a", "warm-$it", CALL_MILLIS) }
         val bad = startCallers(endless)
         val sound = Sound()
@@ -211,7 +203,7 @@
         threads.forEach { it.join() }
         isOver = true
         println("$endless: ${sound.statuses}, longest ${sound.millis.max()} ms, endless responses begun: ${sent.get()}")
-        assertTrue(process.isAlive)
+        assertTrue(instance.isAlive)
         assertEquals(setOf("200"), sound.statuses.keys.toSet())
         assertTrue(sound.millis.max() <= LONGEST_MILLIS, "a call took ${sound.millis.max()} ms")
         assertEquals("", Files.readString(directory.resolve("err")))
--- a/relay/src/test/kotlin/io/sequoiawheel/relay/RelayChildProcess.kt
+++ b/relay/src/test/kotlin/io/sequoiawheel/relay/RelayChildProcess.kt
@@ -25,7 +25,7 @@
         name: String,
         callers: Int,
         readiness: Int,
-        limits: String = """"memory_mb":280""",
+        limits: String = LIMITS,
     ) = """{"node":"$name","ip":"127.0.0.1","zone":"a","listen":{"http":"127.0.0.1:$callers",
         "ready":"127.0.0.1:$readiness"},"port_range":[${FreePorts.allocate()},0],"limits":{"cpu_share":1.0,$limits},
         "bounds":{"contact_ms":3000,"drain_ms":2000,"grace_s":8,"revoke_ms":5000,"retry_ratio":0.2,"retry_extra":54,
@@ -68,5 +68,7 @@
             connection.responseCode
         }.getOrDefault(0)
 
+    /** The limits of an instance whose test does not set any. */
+    const val LIMITS = """"memory_mb":280"""
     private const val TIMEOUT_MILLIS = 2_000
 }
--- a/relay/src/test/kotlin/io/sequoiawheel/relay/RelayFixture.kt
+++ b/relay/src/test/kotlin/io/sequoiawheel/relay/RelayFixture.kt
@@ -206,6 +206,16 @@
         "slo_ms":$objectiveMillis,"prio":1,"svc":"$service","attempts":$attempts,"public":false,
         "resumable":$isResumable,"itl_target_ms":180}"""
 
+    /** Returns the value of the gauge that is scraped as [name]. */
+    fun gauge(name: String): Long =
+        daemon.metrics
+            .scrape()
+            .lineSequence()
+            .first { it.startsWith("sequoiawheel_$name ") }
+            .substringAfter(' ')
+            .toDouble()
+            .toLong()
+
     companion object {
         const val PLAIN = "desk"
         const val ENGINE = "writers"
--- a/relay/src/test/kotlin/io/sequoiawheel/relay/ResponseMemoryTest.kt
+++ b/relay/src/test/kotlin/io/sequoiawheel/relay/ResponseMemoryTest.kt
@@ -35,15 +35,6 @@
     @AfterEach
     fun close() = fixture.close()
 
-    private fun gauge(name: String): Long =
-        fixture.daemon.metrics
-            .scrape()
-            .lineSequence()
-            .first { it.startsWith("sequoiawheel_$name ") }
-            .substringAfter(' ')
-            .toDouble()
-            .toLong()
-
     private fun open(path: String): Socket {
         val socket = Socket()
         socket.receiveBufferSize = RECEIVE_BYTES
@@ -53,8 +44,8 @@
     }
 
     private fun assertNothingHeld() {
-        RelayFixture.awaitTrue("no account is left") { gauge("response_memory_accounts") == 0L }
-        RelayFixture.awaitTrue("no memory is held") { gauge("response_memory_bytes") == 0L }
+        RelayFixture.awaitTrue("no account is left") { fixture.gauge("response_memory_accounts") == 0L }
+        RelayFixture.awaitTrue("no memory is held") { fixture.gauge("response_memory_bytes") == 0L }
         RelayFixture.awaitTrue("no run goes on") { running.get() == 0 }
     }
 
@@ -63,7 +54,7 @@
     fun `a connection releases its memory when its caller resets it`() {
         for (path in PATHS) {
             val socket = open(path)
-            RelayFixture.awaitTrue("$path is held") { gauge("response_memory_bytes") > HELD_BYTES }
+            RelayFixture.awaitTrue("$path is held") { fixture.gauge("response_memory_bytes") > HELD_BYTES }
             socket.setSoLinger(true, 0)
             socket.close()
             assertNothingHeld()
@@ -75,7 +66,7 @@
     fun `a connection releases its memory when its caller closes it`() {
         for (path in PATHS) {
             val socket = open(path)
-            RelayFixture.awaitTrue("$path is held") { gauge("response_memory_bytes") > HELD_BYTES }
+            RelayFixture.awaitTrue("$path is held") { fixture.gauge("response_memory_bytes") > HELD_BYTES }
             socket.close()
             assertNothingHeld()
         }
@@ -88,7 +79,7 @@
             repeat(3) {
                 caller.send("id-$it", "/unsafe/a")
                 caller.receive()
-                RelayFixture.awaitTrue("no memory is held") { gauge("response_memory_bytes") == 0L }
+                RelayFixture.awaitTrue("no memory is held") { fixture.gauge("response_memory_bytes") == 0L }
             }
         }
         assertNothingHeld()
--- a/relay/src/test/kotlin/io/sequoiawheel/relay/SlowReaderTest.kt
+++ b/relay/src/test/kotlin/io/sequoiawheel/relay/SlowReaderTest.kt
@@ -23,11 +23,10 @@
 class SlowReaderTest {
     private val fixture = RelayFixture()
     private val crowd = ArrayList<Socket>()
-    private val callers = FreePorts.allocate()
+    private val instance = InstanceProcess(fixture)
 
     @TempDir
     private lateinit var directory: Path
-    private lateinit var process: Process
     private lateinit var engine: ReplicaStandIn
 
     @Volatile
@@ -37,7 +36,7 @@
     fun close() {
         isOver = true
         crowd.forEach { it.close() }
-        if (::process.isInitialized) process.destroyForcibly().waitFor()
+        instance.close()
         fixture.close()
     }
 
@@ -46,14 +45,7 @@
         engine = fixture.replica("e-1", RelayFixture.ENGINE, behaviour = ::streamWithoutEnd)
         fixture.replica("sound", SOUND) { request, answer -> answer.sendComplete(request, ORDINARY_BODY) }
         fixture.configureSound(SOUND)
-        val readiness = FreePorts.allocate()
-        process =
-            RelayChildProcess.start(
-                directory,
-                RelayChildProcess.settings(fixture, "entry-1", callers, readiness),
-                RelayChildProcess.DEPLOYED_OPTIONS + "-Xmx${HEAP_MEGABYTES}m",
-            )
-        RelayFixture.awaitTrue("the instance is ready") { RelayChildProcess.readiness(readiness) == 200 }
+        instance.start(directory, RelayChildProcess.DEPLOYED_OPTIONS + "-Xmx${HEAP_MEGABYTES}m")
     }
 
     private fun streamWithoutEnd(
@@ -76,7 +68,7 @@
     ): Socket {
         val socket = Socket()
         socket.receiveBufferSize = RECEIVE_BYTES
-        socket.connect(InetSocketAddress("127.0.0.1", callers))
+        socket.connect(InetSocketAddress("127.0.0.1", instance.callers))
         socket.getOutputStream().write(fixture.request(path, id, extra = extra).toByteArray())
         return socket
     }
@@ -93,7 +85,7 @@
     /** Checks the process [CHECKS] times while the crowd is connected, and the answer to one ordinary request. */
     private fun assertSound() {
         repeat(CHECKS) {
-            assertTrue(process.isAlive, "the process ended")
+            assertTrue(instance.isAlive, "the process ended")
             val bytes = residentBytes() + unreadBytes()
             assertTrue(bytes < GRANTED_BYTES, "the process holds $bytes bytes")
             val descriptors = checkNotNull(directoryOfProcess().resolve("fd").toFile().list()).size
@@ -101,7 +93,7 @@
             Thread.sleep(CHECK_INTERVAL_MILLIS)
         }
         val answer =
-            Socket("127.0.0.1", callers).use { socket ->
+            Socket("127.0.0.1", instance.callers).use { socket ->
                 socket.soTimeout = READ_TIMEOUT_MILLIS
                 socket.getOutputStream().write(fixture.request("/sound/a", "ordinary").toByteArray())
                 String(socket.getInputStream().readBytes())
@@ -111,7 +103,7 @@
         assertEquals("", Files.readString(directory.resolve("err")))
     }
 
-    private fun directoryOfProcess() = Path.of("/proc", process.pid().toString())
+    private fun directoryOfProcess() = Path.of("/proc", instance.pid.toString())
 
     private fun residentBytes(): Long {
         val line = Files.readAllLines(directoryOfProcess().resolve("status")).first { it.startsWith("VmRSS:") }
--- a/relay/src/test/kotlin/io/sequoiawheel/relay/UnreadRequestTest.kt
+++ b/relay/src/test/kotlin/io/sequoiawheel/relay/UnreadRequestTest.kt
@@ -60,8 +60,8 @@
     fun `calls pass over a replica that does not read them`() {
         start()
         val first = thread { call("id-1") }
-        RelayFixture.awaitTrue("the replica does not read") { gauge("replicas_not_reading") == 1L }
-        assertTrue(gauge("replicas_unread_request_bytes") <= BODY_BYTES + HEAD_BYTES)
+        RelayFixture.awaitTrue("the replica does not read") { fixture.gauge("replicas_not_reading") == 1L }
+        assertTrue(fixture.gauge("replicas_unread_request_bytes") <= BODY_BYTES + HEAD_BYTES)
         fixture.replica("p-1", RelayFixture.PLAIN) { request, answer -> answer.sendComplete(request, "worked") }
         RelayFixture.awaitTrue("a call is answered") { call("id-2").endsWith("200 OK") }
         repeat(CALLS) { assertEquals("HTTP/1.1 200 OK", call("id-3-$it")) }
@@ -70,16 +70,7 @@
     }
 
     private fun assertNothingUnread() =
-        RelayFixture.awaitTrue("nothing is left to be read") { gauge("replicas_unread_request_bytes") == 0L }
-
-    private fun gauge(name: String): Long =
-        fixture.daemon.metrics
-            .scrape()
-            .lineSequence()
-            .first { it.startsWith("sequoiawheel_$name ") }
-            .substringAfter(' ')
-            .toDouble()
-            .toLong()
+        RelayFixture.awaitTrue("nothing is left to be read") { fixture.gauge("replicas_unread_request_bytes") == 0L }
 
     private companion object {
         const val BODY_BYTES = 4_194_304
