Let callers wait in the backlog at the limit of connections

An instance that does not read a connection learns of its end only with the next response.

At the limit, while no open connection may be closed for another one, the instance now stops accepting, and new callers wait in the backlog. Connections are accepted one by one, since a batch exceeded the limit. A new connection has 500 ms for its first request before it may give way; otherwise the waiting ones replaced each other before any of them was read. A connection that has answered its last request no longer counts as refused when it gives way.

Crowd and bounds are unchanged.

--- a/relay/src/main/kotlin/io/sequoiawheel/relay/http/CallerConnection.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/http/CallerConnection.kt
@@ -100,12 +100,7 @@
     override fun handlerRemoved(context: ChannelHandlerContext) = account.close()
 
     override fun channelActive(context: ChannelHandlerContext) {
-        if (!connections.add(this)) {
-            service.onRefused(RefusalReason.CONNECTIONS)
-            account.close()
-            context.close()
-            return
-        }
+        connections.add(this)
         job = scope.launch { serveAll() }
     }
 
@@ -155,15 +150,15 @@
                 account.isServing -> false
                 readingSinceMillis != null -> idle >= READING_MILLIS
                 isEnding -> true
-                servedRequests == 0 -> true
+                servedRequests == 0 -> idle >= FIRST_REQUEST_MILLIS
                 else -> idle > service.limits.idleTimeoutMillis * REUSE_SHARE
             }
         return idle.takeIf { isClosable }
     }
 
-    /** Closes the connection, which is idle, for the benefit of a new one. */
+    /** Closes the connection, which is idle or has answered its last request, for the benefit of a new one. */
     fun closeForNewcomer() {
-        service.onRefused(RefusalReason.CONNECTIONS)
+        if (!isEnding) service.onRefused(RefusalReason.CONNECTIONS)
         channel.close()
     }
 
@@ -308,6 +303,12 @@
          */
         const val READING_MILLIS = 1_000L
 
+        /**
+         * Time for the first request of a new connection to arrive, which allows for one lost packet. Connections that
+         * wait in the backlog would otherwise replace each other before any of them is read.
+         */
+        const val FIRST_REQUEST_MILLIS = 500L
+
         /** Callers reuse connections that were idle for up to this share of the idle timeout. */
         const val REUSE_SHARE = 0.8
 
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/http/CallerConnections.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/http/CallerConnections.kt
@@ -1,5 +1,6 @@
 package io.sequoiawheel.relay.http
 
+import io.netty.channel.Channel
 import io.sequoiawheel.core.memory.MemoryBudget
 import io.sequoiawheel.core.model.Clock
 import io.sequoiawheel.core.relay.ProcessLimits
@@ -24,26 +25,40 @@
     var isClosing = false
         private set
 
+    private var acceptPause: AcceptPause? = null
+
     val count: Int get() = open.size
 
-    /**
-     * Adds [connection], in place of the one that has been idle the longest if there are too many. Returns false if
-     * none of them is idle.
-     */
-    fun add(connection: CallerConnection): Boolean {
+    /** Stops accepting on [listener] while no further connection may be added. */
+    fun limitAccepting(listener: Channel) {
+        acceptPause = AcceptPause(listener, this)
+    }
+
+    /** Whether another connection may be accepted: the limit is not reached, or one of the open ones may be closed. */
+    fun mayAdd(): Boolean = open.size < limits.connections || idlest() != null
+
+    /** Adds [connection] after [mayAdd], and closes the one that has been idle the longest if there are too many. */
+    fun add(connection: CallerConnection) {
         if (open.size >= limits.connections) {
-            val nowMillis = clock.nowMillis()
-            val idlest = open.maxByOrNull { it.idleMillis(nowMillis) ?: -1 }
-            if (idlest?.idleMillis(nowMillis) == null) return false
-            open -= idlest
-            idlest.closeForNewcomer()
+            idlest()?.let {
+                open -= it
+                it.closeForNewcomer()
+            }
         }
         open += connection
-        return true
+        acceptPause?.update()
     }
 
     fun remove(connection: CallerConnection) {
-        open -= connection
+        if (open.remove(connection)) acceptPause?.update()
+    }
+
+    private fun idlest(): CallerConnection? {
+        val nowMillis = clock.nowMillis()
+        return open
+            .mapNotNull { connection -> connection.idleMillis(nowMillis)?.let { connection to it } }
+            .maxByOrNull { (_, idleMillis) -> idleMillis }
+            ?.first
     }
 
     /** Registers the gauges of the connections and their memory. */
@@ -51,6 +66,8 @@
         responseMemory.publishGauges(metrics)
         metrics.gauge("caller.connections") { count }
         metrics.gauge("caller.connections.limit") { limits.connections }
+        metrics.gauge("caller.accepting") { if (acceptPause?.isPaused == true) 0 else 1 }
+        metrics.gauge("caller.accept.pauses") { acceptPause?.count ?: 0 }
         metrics.gauge("caller.memory.bytes") { memory.heldBytes }
         metrics.gauge("caller.memory.peak.bytes") { memory.peakBytes }
         metrics.gauge("caller.memory.limit.bytes") { memory.totalBytes }
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/http/CallerServer.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/http/CallerServer.kt
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
 import io.netty.channel.EventLoop
+import io.netty.channel.ServerChannelRecvByteBufAllocator
 import io.netty.channel.WriteBufferWaterMark
 import io.netty.channel.socket.nio.NioChannelOption
 import io.netty.channel.socket.nio.NioServerSocketChannel
@@ -51,6 +52,7 @@
                 .channel(NioServerSocketChannel::class.java)
                 .option(ChannelOption.SO_BACKLOG, BACKLOG)
                 .option(ChannelOption.SO_REUSEADDR, true)
+                .option(ChannelOption.RECVBUF_ALLOCATOR, ServerChannelRecvByteBufAllocator().maxMessagesPerRead(1))
                 .option(ChannelOption.SO_RCVBUF, connections.limits.receiveBytes)
                 .childOption(ChannelOption.RECVBUF_ALLOCATOR, receiveBuffers)
                 .childOption(ChannelOption.TCP_NODELAY, true)
@@ -74,6 +76,7 @@
         val bound = bootstrap.bind(endpoint.host, endpoint.port)
         bound.awaitDone()
         listener = bound.channel()
+        connections.limitAccepting(bound.channel())
         return (bound.channel().localAddress() as java.net.InetSocketAddress).port
     }
 
--- a/relay/src/test/kotlin/io/sequoiawheel/relay/http/CallerMemoryTest.kt
+++ b/relay/src/test/kotlin/io/sequoiawheel/relay/http/CallerMemoryTest.kt
@@ -25,6 +25,7 @@
 import org.junit.jupiter.api.Test
 import java.net.Socket
 import java.util.concurrent.CopyOnWriteArrayList
+import java.util.concurrent.atomic.AtomicInteger
 
 /** Callers whose requests are refused while they are read, and the memory that is held for them. */
 class CallerMemoryTest {
@@ -34,6 +35,7 @@
     private val budget = MemoryBudget(BUDGET_BYTES, NEWCOMER_BYTES, clock)
     private val refused = CopyOnWriteArrayList<RefusalReason>()
     private val mayAnswer = CompletableDeferred<Unit>()
+    private val waiting = AtomicInteger()
     private val service =
         object : CallerService {
             override val clock = this@CallerMemoryTest.clock
@@ -44,7 +46,10 @@
                 request: CallerRequest,
                 response: CallerResponse,
             ) {
-                if (request.path == "/wait") mayAnswer.await()
+                if (request.path == "/wait") {
+                    waiting.incrementAndGet()
+                    mayAnswer.await()
+                }
                 response.sendComplete(HttpResponseStatus.OK, null, "${request.body.size}".toByteArray())
             }
 
@@ -154,6 +159,22 @@
         idle.forEach { it.close() }
     }
 
+    // The first ordinary caller after a crowd was cut, since connections that the crowd had just left still counted.
+    @Test
+    fun `a new connection is served once one of those at the limit has ended`() {
+        val port = start(connections = 1)
+        val served = connect(port, head("Content-Length: 0\r\nConnection: close", "/wait"))
+        RelayFixture.awaitTrue("the request is served") { waiting.get() == 1 }
+        val newcomers = List(2) { connect(port, head("Content-Length: 0\r\nConnection: close")) }
+        Thread.sleep(SETTLE_MILLIS)
+        mayAnswer.complete(Unit)
+        for (socket in newcomers + served) {
+            val answer = socket.answer()
+            assertTrue(answer.startsWith("HTTP/1.1 200"), answer)
+        }
+        assertEquals(emptyList<RefusalReason>(), refused)
+    }
+
     @Test
     fun `a body is gathered without memory far beyond its size`() {
         var held = 0L
