Try more replicas when connections are refused at once

An attempt without a connection costs the replicas nothing, so up to eight follow within 250 ms of the first; connections that fail slowly allow two as before.

--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationRun.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationRun.kt
@@ -21,6 +21,7 @@
 import io.sequoiawheel.core.relay.Replica
 import io.sequoiawheel.core.relay.ReplicaPlacement
 import io.sequoiawheel.core.relay.SignalQueue
+import io.sequoiawheel.core.relay.UnsentAttempts
 import io.sequoiawheel.relay.filter.Exchange
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
@@ -78,6 +79,7 @@
     /** Number of attempts that a replica may have executed, without those that continued from a copy. */
     private var runs = 0
     private var refusals = 0
+    private val unsentAttempts = UnsentAttempts(context.clock)
 
     /** Number of sends that continue from a copy and were not refused; each may have been executed. */
     private var continuations = 0
@@ -252,9 +254,11 @@
     }
 
     private fun mayRetryElsewhere(signal: GenerationSignal.NotRun): Boolean =
-        signal.isUnavailable ||
-            refusals++ < MAXIMUM_REFUSED_RETRIES &&
-            (signal.proof == NotRunProof.NOTHING_SENT || context.retryBudget(service.name).tryRetry())
+        when {
+            signal.isUnavailable -> true
+            signal.proof == NotRunProof.NOTHING_SENT -> unsentAttempts.mayRetry()
+            else -> refusals++ < MAXIMUM_REFUSED_RETRIES && context.retryBudget(service.name).tryRetry()
+        }
 
     private suspend fun handleConnectionFailed(signal: GenerationSignal.ConnectionFailed) {
         if (signal.attempt !== current) return
--- a/relay/src/test/kotlin/io/sequoiawheel/relay/GenerationRelayTest.kt
+++ b/relay/src/test/kotlin/io/sequoiawheel/relay/GenerationRelayTest.kt
@@ -60,6 +60,18 @@
 
     private fun sourceId() = engines.keys.single { id -> generations(id).any { it.header("Kv-From") == null } }
 
+    // Callers got 503 after three replicas that had ended, and were still listed, refused the connection.
+    @Test
+    fun `a stream passes over replicas that have ended while the store still lists them`() {
+        val ended = List(5) { fixture.replica("e-$it", RelayFixture.ENGINE) { _, _ -> } }
+        engine("e-5")
+        fixture.register("e-5", RelayFixture.ENGINE, engines.getValue("e-5"), state = "ready", zone = "b")
+        fixture.configure()
+        fixture.start()
+        ended.forEach { it.close() }
+        assertComplete(send())
+    }
+
     @Test
     fun `a stream is delivered completely`() {
         engine("e-1")
