Announce the starts of generations in the zone, and assume unknown ones

Where replicas report their speed, instances of a zone now tell each other of each start, within a limit on bytes; where they do not, they place the starts that they expect from others together with their own.

--- a/core/src/main/kotlin/io/sequoiawheel/core/pace/PacedSelection.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/pace/PacedSelection.kt
@@ -12,34 +12,76 @@
 import io.sequoiawheel.core.relay.Replica
 import org.apache.commons.rng.UniformRandomProvider
 import kotlin.math.exp
+import kotlin.math.roundToInt
 
-/** Selects among replicas by expected time to the first event and expected pauses. Confined to one thread. */
+/**
+ * Selects among replicas by expected time to the first event and expected pauses. Confined to one thread.
+ *
+ * @param areStartsKnown whether the other instances of the zone announce the generations that they start
+ */
 internal class PacedSelection(
     private val ownZone: ZoneName,
     private val random: UniformRandomProvider,
     private val estimator: BatchServiceTimeEstimator,
+    private val areStartsKnown: () -> Boolean = { false },
 ) {
-    /** Returns the replica for a generation of [demand], or null if [candidates] is empty. */
+    /**
+     * Returns the replica for a generation of [demand], or null if [candidates] is empty.
+     *
+     * Other instances decide on the same loads at the same time. The generations that they are expected to send before
+     * these loads change are placed together with this one, and one of the places is taken at random.
+     */
     fun forGeneration(
         candidates: List<Replica>,
         demand: GenerationDemand,
         engine: EngineProfile,
     ): Replica? {
         if (candidates.size < 2) return candidates.firstOrNull()
-        val costs = candidates.map { cost(it, demand, engine) }
+        val loads = candidates.mapTo(ArrayList(), EngineLoad::of)
+        val costs = candidates.indices.mapTo(ArrayList()) { cost(candidates[it], demand, engine, loads[it]) }
+        val explored = candidates.map { mayExplore(it, demand, engine) }
+        val places = ArrayList<Int>()
+        repeat(unknownRequests(candidates, demand) + 1) {
+            val index = choose(costs, explored)
+            places += index
+            loads[index] += demand
+            costs[index] = cost(candidates[index], demand, engine, loads[index])
+        }
+        return candidates[places[random.nextInt(places.size)]]
+    }
+
+    /**
+     * Returns the number of generations that are expected to be sent to this zone while a message about the load is on
+     * its way: a share of those whose prompts are not read yet, since reading one takes a few times as long.
+     */
+    private fun unknownRequests(
+        candidates: List<Replica>,
+        demand: GenerationDemand,
+    ): Int {
+        if (areStartsKnown()) return 0
+        val promptTokens = candidates.sumOf { if (it.entry.zone == ownZone) it.load.remotePromptTokens else 0L }
+        val prompts = promptTokens.toDouble() / demand.promptTokens.coerceAtLeast(MINIMUM_PROMPT_TOKENS)
+        return (prompts * UNKNOWN_SHARE).roundToInt().coerceAtMost(candidates.size)
+    }
+
+    /** Returns the index of one of the lowest [costs], chosen at random, lower ones more often. */
+    private fun choose(
+        costs: List<Double>,
+        explored: List<Boolean>,
+    ): Int {
         val lowest = costs.min()
         val weights =
-            candidates.mapIndexed { index, replica ->
-                val excess = costs[index] - lowest
+            costs.mapIndexed { index, cost ->
+                val excess = cost - lowest
                 val weight = if (excess < MAXIMUM_EXCESS) exp(-excess / SPREAD) else 0.0
-                if (mayExplore(replica, demand, engine)) maxOf(weight, EXPLORED_WEIGHT) else weight
+                if (explored[index]) maxOf(weight, EXPLORED_WEIGHT) else weight
             }
         var remaining = random.nextDouble() * weights.sum()
         for ((index, weight) in weights.withIndex()) {
             remaining -= weight
-            if (remaining < 0) return candidates[index]
+            if (remaining < 0) return index
         }
-        return candidates[costs.indexOf(lowest)]
+        return costs.indexOf(lowest)
     }
 
     /** Whether [replica] gets an occasional request at any cost, so that a wrong estimate is corrected. */
@@ -47,24 +89,26 @@
         replica: Replica,
         demand: GenerationDemand,
         engine: EngineProfile,
-    ) = replica.entry.zone == ownZone && memoryShare(replica, demand, engine) <= FULL_MEMORY_SHARE
+    ) = replica.entry.zone == ownZone &&
+        memoryShare(EngineLoad.of(replica), demand, engine) <= FULL_MEMORY_SHARE
 
     private fun memoryShare(
-        replica: Replica,
+        load: EngineLoad,
         demand: GenerationDemand,
         engine: EngineProfile,
-    ) = (replica.load.totalTokens + demand.tokens).toDouble() / engine.memoryTokens
+    ) = (load.tokens + demand.tokens).toDouble() / engine.memoryTokens
 
     private fun cost(
         replica: Replica,
         demand: GenerationDemand,
         engine: EngineProfile,
+        load: EngineLoad,
     ): Double {
         val zoneCost = if (replica.entry.zone == ownZone) 0.0 else ZONE_COST
         val coldCost = if (replica.isCold) COLD_COST else 0.0
-        val firstEventMillis = estimator.firstEventMillis(replica, demand, engine)
-        return firstEventCost(firstEventMillis, demand) + pauseCost(replica, demand, engine, firstEventMillis) +
-            memoryCost(memoryShare(replica, demand, engine)) + replica.load.failureShare + zoneCost + coldCost
+        val firstEventMillis = estimator.firstEventMillis(replica, demand, engine, load)
+        return firstEventCost(firstEventMillis, demand) + pauseCost(replica, demand, engine, load, firstEventMillis) +
+            memoryCost(memoryShare(load, demand, engine)) + replica.load.failureShare + zoneCost + coldCost
     }
 
     private fun firstEventCost(
@@ -82,14 +126,15 @@
         replica: Replica,
         demand: GenerationDemand,
         engine: EngineProfile,
+        load: EngineLoad,
         firstEventMillis: Double,
     ): Double {
         val limitMillis = demand.eventGapMillis.takeIf { it > 0 } ?: DEFAULT_GAP_MILLIS
-        val pauseMillis = estimator.readingGapMillis(replica, engine)
+        val pauseMillis = estimator.readingGapMillis(replica, engine, load)
         val inSpell = exceedance(pauseMillis * SPELL_FACTOR / limitMillis, PAUSE_UNCERTAINTY)
         val now = exceedance(pauseMillis * replica.pace.speed() / limitMillis, PAUSE_UNCERTAINTY)
         val meetsSpell = (SPELL_SHARE + firstEventMillis / SPELL_INTERVAL_MILLIS).coerceAtMost(1.0)
-        val streams = replica.load.totalRunning.coerceAtMost(engine.slots) * LONG_SHARE
+        val streams = load.running.coerceAtMost(engine.slots) * LONG_SHARE
         val isLong = demand.outputTokens >= LONG_EVENTS * engine.tokensPerEvent
         val own = if (isLong) inSpell * OWN_PAUSE_SHARE else 0.0
         return ((maxOf(now, inSpell * meetsSpell) * streams + own) * LATE_COST).coerceAtMost(MAXIMUM_PAUSE_COST)
@@ -117,6 +162,10 @@
         /** A few in a thousand requests go to any replica of the zone that has the memory. */
         const val EXPLORED_WEIGHT = 0.003
 
+        /** Loads are known after 100 to 200 ms; reading a prompt takes 300 to 500 ms with others ahead of it. */
+        const val UNKNOWN_SHARE = 0.4
+        const val MINIMUM_PROMPT_TOKENS = 100
+
         /** Part of the value of a response that a local zone may cost more before traffic crosses zones. */
         const val ZONE_COST = 0.25
         const val COLD_COST = 0.25
--- a/core/src/main/kotlin/io/sequoiawheel/core/pace/ServiceTimeEstimator.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/pace/ServiceTimeEstimator.kt
@@ -9,13 +9,36 @@
 import io.sequoiawheel.core.relay.Replica
 import kotlin.math.ceil
 
-/** Estimates how long a replica takes for generations, given its known load and pace. */
+/**
+ * The load on an engine.
+ *
+ * @property running generations in progress
+ * @property tokens memory that they will hold when they end
+ * @property promptTokens prompts that are not read yet
+ */
+data class EngineLoad(
+    val running: Int,
+    val tokens: Long,
+    val promptTokens: Long,
+) {
+    /** Returns this load with a further generation of [demand]. */
+    operator fun plus(demand: GenerationDemand) =
+        EngineLoad(running + 1, tokens + demand.tokens, promptTokens + demand.promptTokens)
+
+    companion object {
+        /** Returns the known load on [replica]. */
+        fun of(replica: Replica) = with(replica.load) { EngineLoad(totalRunning, totalTokens, totalPromptTokens) }
+    }
+}
+
+/** Estimates how long a replica takes for generations, given its load and pace. */
 interface ServiceTimeEstimator {
     /** Returns the expected time until the first event of a generation of [demand] that is sent to [replica] now. */
     fun firstEventMillis(
         replica: Replica,
         demand: GenerationDemand,
         engine: EngineProfile,
+        load: EngineLoad = EngineLoad.of(replica),
     ): Double
 
     /** Returns the expected time between the events of a stream on [replica] with its present load. */
@@ -31,14 +54,14 @@
         replica: Replica,
         demand: GenerationDemand,
         engine: EngineProfile,
+        load: EngineLoad,
     ): Double {
-        val load = replica.load
-        val chunks = ceil((load.totalPromptTokens + demand.promptTokens) / CHUNK_TOKENS)
-        val running = load.totalRunning.coerceAtMost(engine.slots)
+        val chunks = ceil((load.promptTokens + demand.promptTokens) / CHUNK_TOKENS)
+        val running = load.running.coerceAtMost(engine.slots)
         val stepMillis = stepMillis(running + 1)
         val reading = chunks * (CHUNK_MILLIS + if (running > 0) stepMillis else 0.0)
         val firstSteps = engine.tokensPerEvent * stepMillis
-        return (reading + firstSteps) * replica.pace.factor() + memoryWaitMillis(replica, demand, engine)
+        return (reading + firstSteps) * replica.pace.factor() + memoryWaitMillis(replica, demand, engine, load)
     }
 
     override fun eventGapMillis(
@@ -60,8 +83,9 @@
     fun readingGapMillis(
         replica: Replica,
         engine: EngineProfile,
+        load: EngineLoad,
     ): Double {
-        val running = (replica.load.totalRunning + 1).coerceAtMost(engine.slots)
+        val running = (load.running + 1).coerceAtMost(engine.slots)
         return engine.tokensPerEvent * (stepMillis(running) + CHUNK_MILLIS) * replica.pace.usual()
     }
 
@@ -70,13 +94,13 @@
         replica: Replica,
         demand: GenerationDemand,
         engine: EngineProfile,
+        load: EngineLoad,
     ): Double {
-        val load = replica.load
-        val missing = load.totalTokens + demand.tokens - engine.memoryTokens
-        if (missing <= 0 || load.totalTokens <= 0) return 0.0
+        val missing = load.tokens + demand.tokens - engine.memoryTokens
+        if (missing <= 0 || load.tokens <= 0) return 0.0
         val events = demand.outputTokens.toDouble() / engine.tokensPerEvent.coerceAtLeast(1)
         val runMillis = events.coerceAtLeast(MINIMUM_EVENTS) * eventGapMillis(replica, engine)
-        return runMillis * missing / load.totalTokens
+        return runMillis * missing / load.tokens
     }
 
     private fun stepMillis(running: Int) = STEP_MILLIS + running * STEP_MILLIS_PER_RUN
--- a/core/src/main/kotlin/io/sequoiawheel/core/pace/SpeedExchange.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/pace/SpeedExchange.kt
@@ -34,6 +34,9 @@
     private val sentByZone = SentSpeeds(clock)
     private val sentByFleet = SentSpeeds(clock)
 
+    /** Whether a replica has reported its speed, to this instance or to another one. */
+    val isInUse: Boolean get() = typicalFigures.isNotEmpty()
+
     /** Whether this instance knows of a change that the others should know soon. */
     val hasNews: Boolean get() = sentByInstance.hasNews(own, typicalFigures)
 
--- a/core/src/main/kotlin/io/sequoiawheel/core/relay/LoadExchange.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/LoadExchange.kt
@@ -38,6 +38,7 @@
     private val sentReports = SentReports()
     private val received = ReceivedLoads(self.zone, clock)
     private val speeds = SpeedExchange(self.zone.value, clock)
+    private val notices = StartNotices(self, start, clock)
     private val fleetSize = FleetSizeEstimate(clock)
     private var sequence = 0L
     private var meshRounds = 0L
@@ -55,7 +56,7 @@
     private var reportSentMillis: Long? = null
     private var totalsSentMillis: Long? = null
     private var sumsSentMillis: Long? = null
-    private var totalsBytes = 0
+    private var totalsEntries = 0
     private var lastTotals: SentContent = SentContent()
     private var lastSums: SentContent = SentContent()
     private var leaving: StartsByReplica = emptyMap()
@@ -122,7 +123,7 @@
         this.limits = limits
         if (hasChanged || isElapsed(reportSentMillis, heartbeatMillis())) outgoing += newReport(work, isLeaving = false)
         if (!aggregators.isRequested && !isAggregator()) return outgoing
-        if (isElapsed(totalsSentMillis, totalsIntervalMillis())) newTotals(work)?.let { outgoing += it }
+        if (isElapsed(totalsSentMillis, TotalsInterval.millis(totalsEntries))) newTotals(work)?.let { outgoing += it }
         if (!isMesh() && isElapsed(sumsSentMillis, SUMS_INTERVAL_MILLIS)) newSums(work)?.let { outgoing += it }
         return outgoing
     }
@@ -130,6 +131,26 @@
     /** Returns the final message of an instance that is shutting down. */
     fun leave(): OutgoingMessage = newReport(emptyMap(), isLeaving = true)
 
+    /** Whether the instances of this zone tell each other at once of the generations that they start. */
+    val announcesStarts: Boolean get() = speeds.isInUse && noticeRecipients().isNotEmpty()
+
+    /** Returns the notice that this instance starts a generation of [work] at [replica], or null if none is sent. */
+    fun noticeOfStart(
+        replica: String,
+        work: PeerWork,
+    ): OutgoingMessage? {
+        if (!announcesStarts) return null
+        val included = totals()?.members?.get(self.name) ?: 0
+        return notices.create(noticeRecipients(), mapOf(replica to work), sequence + 1, included)
+    }
+
+    /** Returns the other instances of the zone, or none where the fleet or the zone is too small or too large. */
+    private fun noticeRecipients(): List<Peer> {
+        if (isMesh() || isAggregator()) return emptyList()
+        val members = roster.activeWithin(LIVE_MILLIS).filter { it.zone == self.zone }
+        return if (members.size < StartNotices.MAXIMUM_ZONE_INSTANCES) members else emptyList()
+    }
+
     /** Processes a message. Returns the messages to forward immediately. */
     fun receive(message: PeerMessage): List<OutgoingMessage> {
         val endpoint = Endpoint.parseOrNull(message.endpoint) ?: return emptyList()
@@ -149,6 +170,11 @@
     /** Sets the load of the other instances on each of [replicas]. */
     fun apply(replicas: Collection<Replica>) {
         speeds.apply(replicas)
+        applyWork(replicas)
+    }
+
+    /** Sets the load of the other instances on each of [replicas], apart from the speeds, after a message. */
+    fun applyWork(replicas: Collection<Replica>) {
         val work = othersWork()
         for (replica in replicas) {
             val part = work[replica.entry.id.value]
@@ -162,6 +188,11 @@
         report: PeerReport,
         sender: Peer,
     ) {
+        if (report.starts.isNotEmpty()) {
+            roster.recordContact(sender)
+            if (sender.zone == self.zone) notices.receive(report)
+            return
+        }
         val isNewIncarnation = received.isNewIncarnation(report)
         if (!received.accept(report)) return
         if (isNewIncarnation) hasNewIncarnation = true
@@ -237,7 +268,7 @@
         val allLeaving = leaving + received.reportedLeaving()
         val content = SentContent.of(totals, allLeaving, allLimits, quarantine.version, versions)
         val isUnchanged = content == lastTotals && !speeds.hasFleetNews
-        if (isUnchanged && !isElapsed(totalsSentMillis, TOTALS_INTERVAL_LIMIT_MILLIS)) return null
+        if (isUnchanged && !isElapsed(totalsSentMillis, TotalsInterval.LIMIT_MILLIS)) return null
         lastTotals = content
         totalsSentMillis = clock.nowMillis()
         val hasAddresses = totalsRounds++ % ADDRESS_ROUNDS == 0L
@@ -258,13 +289,13 @@
                 speeds.ofFleet(),
                 versions,
             )
-        totalsBytes = (report.work.size + report.members.size) * BYTES_PER_ENTRY
+        totalsEntries = report.work.size + report.members.size
         return OutgoingMessage(requesters, report)
     }
 
     /** Returns the sums of the local zone for the other zones, or null if there are none or nothing changed. */
     private fun newSums(work: WorkByReplica): OutgoingMessage? {
-        val targets = otherZones()
+        val targets = roster.recipientsOfSums(self.zone, received::senderOfSums)
         if (targets.isEmpty()) return null
         val reports = received.localReports
         val sums = (reports.map { it.work } + listOf(work)).sumByReplica()
@@ -293,21 +324,15 @@
         return OutgoingMessage(targets.map { it.endpoint }, report)
     }
 
-    /**
-     * Returns the recipients of this zone's sums: per zone the sender of its sums, or its instances in turn until one
-     * sends.
-     */
-    private fun otherZones(): List<Peer> {
-        val turn = clock.nowMillis() / ZONE_PROBE_MILLIS
-        return roster.all().filter { it.zone != self.zone }.groupBy { it.zone }.map { (zone, peers) ->
-            received.senderOfSums(zone)?.let { roster[it] } ?: peers[(turn % peers.size).toInt()]
-        }
-    }
-
     private fun othersWork(): WorkByReplica {
-        val fleetTotals = totals() ?: return received.work().sumByReplica()
+        val fleetTotals = totals()
+        if (fleetTotals == null) {
+            val starts = notices.notIncluded(received.localReports.associate { it.sender to it.sequence })
+            return (received.work() + starts).sumByReplica()
+        }
         val own = fleetTotals.members[self.name]?.let(sentReports::get).orEmpty()
-        return fleetTotals.work.mapValues { (replica, sum) -> own[replica]?.let { sum - it } ?: sum }
+        val others = fleetTotals.work.mapValues { (replica, sum) -> own[replica]?.let { sum - it } ?: sum }
+        return (notices.notIncluded(fleetTotals.members) + others).sumByReplica()
     }
 
     /** Returns the totals received from an aggregator, or null if this instance aggregates itself. */
@@ -334,10 +359,6 @@
         millis: Long,
     ) = sinceMillis == null || clock.nowMillis() - sinceMillis >= millis
 
-    private fun totalsIntervalMillis(): Long =
-        (totalsBytes * MILLIS_PER_SECOND / TOTALS_BYTES_PER_SECOND)
-            .coerceIn(TOTALS_INTERVAL_MILLIS, TOTALS_INTERVAL_LIMIT_MILLIS)
-
     companion object {
         /** Returns the load of this instance on [replicas]; idle replicas are omitted. */
         fun work(replicas: Collection<Replica>): WorkByReplica =
@@ -345,8 +366,6 @@
                 .filter { it.load.running > 0 || it.load.tokens > 0 }
                 .associate { it.entry.id.value to PeerWork(it.load.running, it.load.tokens, it.load.promptTokens) }
 
-        private const val MILLIS_PER_SECOND = 1_000L
-
         /**
          * Up to this fleet size, a full mesh (16 x 1.5 messages per second) costs less than the delay of aggregation.
          */
@@ -367,24 +386,9 @@
         /** One in this many reports is also sent to silent addresses. */
         private const val SILENT_ROUNDS = 20L
 
-        /** Half the time of one prompt prefill; with older totals, instances would select the same replica. */
-        private const val TOTALS_INTERVAL_MILLIS = 100L
-
-        /** Shorter than the time after which an aggregator counts as silent. */
-        private const val TOTALS_INTERVAL_LIMIT_MILLIS = 700L
-
-        /** Limit on the totals that an instance receives: five per second for 95 instances and 33 replicas. */
-        private const val TOTALS_BYTES_PER_SECOND = 8_000L
-
-        /** Size of an id and its values in a message. */
-        private const val BYTES_PER_ENTRY = 30
-
         /** Sums between zones may be staler, since generations are placed in the local zone first. */
         private const val SUMS_INTERVAL_MILLIS = 200L
 
-        /** How long one instance of a zone with unknown sums receives this zone's sums before the next one is tried. */
-        private const val ZONE_PROBE_MILLIS = 800L
-
         /** One total in this many contains the members' addresses, about one every two seconds. */
         private const val ADDRESS_ROUNDS = 8L
     }
--- a/core/src/main/kotlin/io/sequoiawheel/core/relay/PeerMessage.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/PeerMessage.kt
@@ -139,6 +139,9 @@
  * The load of one instance.
  *
  * @property wantsTotals whether the receiver should aggregate the load and send the totals to the sender
+ * @property starts generations that have just started; a message with such is a notice and says nothing else. Its
+ *   sequence is 0, so that instances that do not know notices take it for an old report
+ * @property startsSequence the first report of the sender that includes them
  */
 @Serializable
 @SerialName("i")
@@ -156,6 +159,8 @@
     @SerialName("p") override val parts: PartReport = PartReport.NONE,
     @SerialName("sp") override val speeds: Map<String, ReportedSpeed> = emptyMap(),
     @SerialName("v") override val versions: RolloutReport = RolloutReport.NONE,
+    @SerialName("k") val starts: WorkByReplica = emptyMap(),
+    @SerialName("ks") val startsSequence: Long = 0,
 ) : PeerMessage
 
 /**
--- a/core/src/main/kotlin/io/sequoiawheel/core/relay/PeerRoster.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/PeerRoster.kt
@@ -1,6 +1,7 @@
 package io.sequoiawheel.core.relay
 
 import io.sequoiawheel.core.model.Clock
+import io.sequoiawheel.core.model.ZoneName
 import java.util.TreeMap
 
 /**
@@ -45,7 +46,24 @@
     fun activeWithin(millis: Long): List<Peer> =
         entries.values.filter { clock.nowMillis() - it.lastContactMillis <= millis }.map { it.peer }
 
+    /**
+     * Returns the recipients of the sums of [ownZone]: per other zone the instance that [senderOfSums] returns, or its
+     * instances in turn until one sends.
+     */
+    fun recipientsOfSums(
+        ownZone: ZoneName,
+        senderOfSums: (ZoneName) -> String?,
+    ): List<Peer> {
+        val turn = clock.nowMillis() / ZONE_PROBE_MILLIS
+        return all().filter { it.zone != ownZone }.groupBy { it.zone }.map { (zone, peers) ->
+            senderOfSums(zone)?.let { this[it] } ?: peers[(turn % peers.size).toInt()]
+        }
+    }
+
     companion object {
+        /** How long one instance of a zone with unknown sums receives this zone's sums before the next one is tried. */
+        private const val ZONE_PROBE_MILLIS = 800L
+
         /** An address that is silent this long belongs to a machine that no longer exists. */
         const val FORGET_MILLIS = 120_000L
     }
--- a/core/src/main/kotlin/io/sequoiawheel/core/relay/ReplicaSelection.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/ReplicaSelection.kt
@@ -26,12 +26,17 @@
     val tokens: Long get() = promptTokens.toLong() + outputTokens
 }
 
-/** Selects among usable replicas by lowest cost. Confined to one thread. */
+/**
+ * Selects among usable replicas by lowest cost. Confined to one thread.
+ *
+ * @param areStartsKnown whether the other instances of the zone announce the generations that they start
+ */
 class ReplicaSelection(
     private val ownZone: ZoneName,
     private val random: UniformRandomProvider,
+    areStartsKnown: () -> Boolean = { false },
 ) {
-    private val paced = PacedSelection(ownZone, random, BatchServiceTimeEstimator())
+    private val paced = PacedSelection(ownZone, random, BatchServiceTimeEstimator(), areStartsKnown)
 
     /** Returns the replica for a plain call, or null if [candidates] is empty. */
     fun forCall(candidates: List<Replica>): Replica? = reachable(candidates).minByOrNull { callCost(it) }
@@ -94,9 +99,20 @@
                 isUrgent -> URGENT_COPY_ZONE_COST_SHARE
                 else -> COPY_ZONE_COST_SHARE
             }
-        return replica.load.totalTokens.toDouble() / engine.memoryTokens + zonePenalty + jitter() * JITTER_SHARE
+        return replica.load.totalTokens.toDouble() / engine.memoryTokens + zonePenalty +
+            speedPenalty(
+                replica,
+                isUrgent,
+            ) +
+            jitter() * JITTER_SHARE
     }
 
+    /** Memory of fast replicas is left to generations, which finish sooner there; a copy only lies in memory. */
+    private fun speedPenalty(
+        replica: Replica,
+        isUrgent: Boolean,
+    ) = if (isUrgent || !replica.pace.isKnown) 0.0 else BACKUP_SPEED_COST_SHARE / replica.pace.usual()
+
     /** Returns the cost in milliseconds. */
     private fun callCost(replica: Replica): Double {
         val load = replica.load
--- a/core/src/test/kotlin/io/sequoiawheel/core/pace/PaceFleet.kt
+++ b/core/src/test/kotlin/io/sequoiawheel/core/pace/PaceFleet.kt
@@ -13,10 +13,11 @@
 /** Engines as the instances see them, with a clock that the test sets. */
 internal class PaceFleet(
     seed: Long = 7L,
+    areStartsKnown: Boolean = true,
 ) {
     var nowMillis = 0L
     private val random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed)
-    val selection = ReplicaSelection(ZoneName("a"), random)
+    val selection = ReplicaSelection(ZoneName("a"), random) { areStartsKnown }
 
     fun engine(
         id: String,
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/RelayDaemon.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/RelayDaemon.kt
@@ -114,7 +114,7 @@
         RelayContext(
             monotonic,
             directory,
-            ReplicaSelection(settings.zone, random),
+            ReplicaSelection(settings.zone, random) { loads.announcesStarts },
             pool,
             log,
             metrics,
@@ -125,7 +125,9 @@
             outcomes,
             rollouts?.gate,
         )
-    private val peers = PeerController(self, directory, loads, store, random, log, metrics, rollouts?.controller)
+    private val peers =
+        PeerController(self, directory, loads, store, random, log, metrics, rollouts?.controller)
+            .also { context.onGenerationStart = it::announceStart }
     private val hubSelection = HubSelection(settings.name, settings.zone, monotonic, random, loads::live)
     private val sources = ChangeSources(store, connector, hubSelection, eras, log)
     private val feeds =
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/control/PeerController.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/control/PeerController.kt
@@ -16,6 +16,7 @@
 import io.sequoiawheel.core.relay.OutgoingMessage
 import io.sequoiawheel.core.relay.Peer
 import io.sequoiawheel.core.relay.PeerMessage
+import io.sequoiawheel.core.relay.PeerWork
 import io.sequoiawheel.core.relay.Replica
 import io.sequoiawheel.core.relay.ReplicaDirectory
 import io.sequoiawheel.core.routing.Backoff
@@ -111,6 +112,17 @@
             ),
         )
 
+    /** Tells the instances of the zone that this one sends a generation of [work] to [replica]. */
+    fun announceStart(
+        replica: Replica,
+        work: PeerWork,
+    ) {
+        if (!exchange.announcesStarts) return
+        val notice = exchange.noticeOfStart(replica.entry.id.value, work)
+        metrics.count("generation.starts", if (notice == null) "not announced" else "announced")
+        notice?.let { send(listOf(it)) }
+    }
+
     /** Announces to the other instances that this one is leaving, and removes its entry from the store. */
     suspend fun deregister() {
         send(listOf(exchange.leave()))
@@ -149,6 +161,7 @@
             val invalid = addresses.firstOrNull { Endpoint.parseOrNull(it)?.isReachable != true }
             if (invalid != null) return logUnreadable("no address with a port: ${invalid.take(SHOWN_CHARACTERS)}")
             send(exchange.receive(message))
+            if (exchange.announcesStarts) exchange.applyWork(directory.all())
         }
 
         private fun logUnreadable(detail: String?) {
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationAttempt.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationAttempt.kt
@@ -6,6 +6,7 @@
 import io.sequoiawheel.core.relay.GenerationDemand
 import io.sequoiawheel.core.relay.LeaveReason
 import io.sequoiawheel.core.relay.NotRunProof
+import io.sequoiawheel.core.relay.PeerWork
 import io.sequoiawheel.core.relay.Replica
 import io.sequoiawheel.core.relay.ReplicaStream
 import io.sequoiawheel.core.relay.StreamEvent
@@ -182,7 +183,9 @@
 
     fun start(scope: CoroutineScope) {
         replica.load.begin(demand.tokens)
-        if (needsPrefill) replica.load.beginPrompt(demand.promptTokens.toLong())
+        val promptTokens = if (needsPrefill) demand.promptTokens.toLong() else 0
+        replica.load.beginPrompt(promptTokens)
+        context.onGenerationStart(replica, PeerWork(1, demand.tokens, promptTokens))
         backup?.load?.reserve(demand.tokens)
         job =
             scope.launch {
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/RelayContext.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/RelayContext.kt
@@ -9,6 +9,7 @@
 import io.sequoiawheel.core.relay.FleetMembership
 import io.sequoiawheel.core.relay.InstanceSettings
 import io.sequoiawheel.core.relay.OverflowLimiter
+import io.sequoiawheel.core.relay.PeerWork
 import io.sequoiawheel.core.relay.Placement
 import io.sequoiawheel.core.relay.RelayConfiguration
 import io.sequoiawheel.core.relay.RelayService
@@ -44,6 +45,9 @@
 ) {
     val pace: PaceObserver get() = outcomes.pace
 
+    /** Called with the replica and the load of each generation that is sent to it. */
+    var onGenerationStart: (Replica, PeerWork) -> Unit = { _, _ -> }
+
     private val bounds = settings.bounds
     private val retryBudgets = HashMap<ServiceName, SlidingWindowRetryBudget>()
 
