Place backups of runs on slow engines first

Backups took the memory of fast engines, where generations finish in about half the time. Where speeds are known, a fast engine now receives a backup only if the slow ones are much fuller.

--- a/core/src/main/kotlin/io/sequoiawheel/core/relay/ReplicaSelection.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/ReplicaSelection.kt
@@ -202,6 +202,9 @@
          */
         const val COPY_ZONE_COST_SHARE = 0.5
 
+        /** A replica of twice the speed receives backups only if the others are fuller by half of the memory. */
+        const val BACKUP_SPEED_COST_SHARE = 0.5
+
         /** Randomizes the choice among instances that see the same loads. */
         const val JITTER_SHARE = 0.03
     }
--- a/core/src/test/kotlin/io/sequoiawheel/core/relay/ReplicaSelectionTest.kt
+++ b/core/src/test/kotlin/io/sequoiawheel/core/relay/ReplicaSelectionTest.kt
@@ -100,6 +100,23 @@
         )
     }
 
+    // Backups filled the memory of the fast engines, where generations finish in half the time.
+    @Test
+    fun `a backup is placed on a slow engine unless the fast one has much more memory free`() {
+        val fast = replica("fast", zone = "b")
+        val slow = replica("slow", zone = "b")
+        repeat(5) {
+            nowMillis += 700
+            fast.pace.recordFigure(55)
+            slow.pace.recordFigure(120)
+        }
+        val backup = { selection.forCopy(listOf(fast, slow), longPrompt, engine, ZoneName("a"), isUrgent = false) }
+        slow.load.begin(10_000)
+        assertEquals(slow, backup())
+        slow.load.begin(9_000)
+        assertEquals(fast, backup())
+    }
+
     @Test
     fun `generations and calls stay in the local zone unless it is much fuller`() {
         val local = replica("local", zone = "a").also { it.load.begin(6_000) }
