Ask other instances at the start whether the store was restored

Callers saw that a revoked key was accepted 5.0 to 6.5 s after the revocation was acknowledged (the bound is 5,000 ms), by an instance that started after the store had been restored from an older copy.

Cause: ConfigurationOrder.confirmsCurrent waits for the settling time only after a change of the era that the process itself has seen. A process that starts after the change has seen none, so its first listing confirmed the configuration in the copy.

--- a/core/src/main/kotlin/io/sequoiawheel/core/relay/LoadExchange.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/LoadExchange.kt
@@ -24,12 +24,14 @@
  * @param start start time in Unix milliseconds, which identifies this incarnation; larger than that of earlier
  *   incarnations of the same name
  * @property quarantine what the instances tell each other about prompt parts that end replicas
+ * @param order what the instances tell each other about a restored store; null if nothing
  */
 class LoadExchange(
     private val self: Peer,
     private val start: Long,
     private val clock: Clock,
     val quarantine: PartQuarantine,
+    private val order: ConfigurationOrder? = null,
 ) : FleetMembership {
     constructor(self: Peer, start: Long, clock: Clock) : this(self, start, clock, PartQuarantine(self.name, clock))
 
@@ -55,7 +57,7 @@
     private var reportSentMillis: Long? = null
     private var totalsSentMillis: Long? = null
     private var sumsSentMillis: Long? = null
-    private var totalsBytes = 0
+    private var totalsEntries = 0
     private var lastTotals: SentContent = SentContent()
     private var lastSums: SentContent = SentContent()
     private var leaving: StartsByReplica = emptyMap()
@@ -94,6 +96,7 @@
     fun addListedPeers(peers: List<Peer>) {
         isListed = true
         peers.filter { it.name != self.name }.forEach(roster::add)
+        order?.recordInstances(hasOthers = roster.size > 0)
     }
 
     /** The replicas that announced to other instances that they are leaving. */
@@ -121,8 +124,9 @@
         this.leaving = leaving
         this.limits = limits
         if (hasChanged || isElapsed(reportSentMillis, heartbeatMillis())) outgoing += newReport(work, isLeaving = false)
+        outgoing += questions()
         if (!aggregators.isRequested && !isAggregator()) return outgoing
-        if (isElapsed(totalsSentMillis, totalsIntervalMillis())) newTotals(work)?.let { outgoing += it }
+        if (isElapsed(totalsSentMillis, TotalsInterval.millis(totalsEntries))) newTotals(work)?.let { outgoing += it }
         if (!isMesh() && isElapsed(sumsSentMillis, SUMS_INTERVAL_MILLIS)) newSums(work)?.let { outgoing += it }
         return outgoing
     }
@@ -139,7 +143,7 @@
         speeds.receive(message)
         val sender = Peer(message.sender, ZoneName(message.zone), endpoint)
         when (message) {
-            is PeerReport -> receive(message, sender)
+            is PeerReport -> return receive(message, sender)
             is FleetReport -> if (sender.zone == self.zone) receive(message, sender)
             is ZoneReport -> if (sender.zone != self.zone) return receive(message, sender)
         }
@@ -161,13 +165,29 @@
     private fun receive(
         report: PeerReport,
         sender: Peer,
-    ) {
+    ): List<OutgoingMessage> {
         val isNewIncarnation = received.isNewIncarnation(report)
-        if (!received.accept(report)) return
-        if (isNewIncarnation) hasNewIncarnation = true
-        if (report.isLeaving) return roster.remove(report.sender)
-        roster.recordContact(sender)
-        if (report.wantsTotals && sender.zone == self.zone) aggregators.recordRequest()
+        if (received.accept(report)) {
+            if (isNewIncarnation) hasNewIncarnation = true
+            if (report.isLeaving) roster.remove(report.sender) else roster.recordContact(sender)
+            val isRequest = report.wantsTotals && !report.isLeaving && sender.zone == self.zone
+            if (isRequest) aggregators.recordRequest()
+        }
+        val answer = report.storeEra?.let { order?.receive(it) } ?: return emptyList()
+        return repeatReport(answer, listOf(sender.endpoint))
+    }
+
+    private fun questions(): List<OutgoingMessage> =
+        order?.question()?.let { repeatReport(it, StartInquiry.recipients(roster.all())) }.orEmpty()
+
+    /** Returns the latest report once more for [destinations] only, with a question or an answer about the store. */
+    private fun repeatReport(
+        eraReport: EraReport,
+        destinations: List<Endpoint>,
+    ): List<OutgoingMessage> {
+        val report = sentReports.repeatLatest(sequence + 1, eraReport) ?: return emptyList()
+        sequence = report.sequence
+        return listOf(OutgoingMessage(destinations, report))
     }
 
     private fun receive(
@@ -237,7 +257,7 @@
         val allLeaving = leaving + received.reportedLeaving()
         val content = SentContent.of(totals, allLeaving, allLimits, quarantine.version, versions)
         val isUnchanged = content == lastTotals && !speeds.hasFleetNews
-        if (isUnchanged && !isElapsed(totalsSentMillis, TOTALS_INTERVAL_LIMIT_MILLIS)) return null
+        if (isUnchanged && !isElapsed(totalsSentMillis, TotalsInterval.MAXIMUM_MILLIS)) return null
         lastTotals = content
         totalsSentMillis = clock.nowMillis()
         val hasAddresses = totalsRounds++ % ADDRESS_ROUNDS == 0L
@@ -258,7 +278,7 @@
                 speeds.ofFleet(),
                 versions,
             )
-        totalsBytes = (report.work.size + report.members.size) * BYTES_PER_ENTRY
+        totalsEntries = report.work.size + report.members.size
         return OutgoingMessage(requesters, report)
     }
 
@@ -334,10 +354,6 @@
         millis: Long,
     ) = sinceMillis == null || clock.nowMillis() - sinceMillis >= millis
 
-    private fun totalsIntervalMillis(): Long =
-        (totalsBytes * MILLIS_PER_SECOND / TOTALS_BYTES_PER_SECOND)
-            .coerceIn(TOTALS_INTERVAL_MILLIS, TOTALS_INTERVAL_LIMIT_MILLIS)
-
     companion object {
         /** Returns the load of this instance on [replicas]; idle replicas are omitted. */
         fun work(replicas: Collection<Replica>): WorkByReplica =
@@ -345,8 +361,6 @@
                 .filter { it.load.running > 0 || it.load.tokens > 0 }
                 .associate { it.entry.id.value to PeerWork(it.load.running, it.load.tokens, it.load.promptTokens) }
 
-        private const val MILLIS_PER_SECOND = 1_000L
-
         /**
          * Up to this fleet size, a full mesh (16 x 1.5 messages per second) costs less than the delay of aggregation.
          */
@@ -367,18 +381,6 @@
         /** One in this many reports is also sent to silent addresses. */
         private const val SILENT_ROUNDS = 20L
 
-        /** Half the time of one prompt prefill; with older totals, instances would select the same replica. */
-        private const val TOTALS_INTERVAL_MILLIS = 100L
-
-        /** Shorter than the time after which an aggregator counts as silent. */
-        private const val TOTALS_INTERVAL_LIMIT_MILLIS = 700L
-
-        /** Limit on the totals that an instance receives: five per second for 95 instances and 33 replicas. */
-        private const val TOTALS_BYTES_PER_SECOND = 8_000L
-
-        /** Size of an id and its values in a message. */
-        private const val BYTES_PER_ENTRY = 30
-
         /** Sums between zones may be staler, since generations are placed in the local zone first. */
         private const val SUMS_INTERVAL_MILLIS = 200L
 
--- a/core/src/main/kotlin/io/sequoiawheel/core/relay/PeerMessage.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/PeerMessage.kt
@@ -139,6 +139,7 @@
  * The load of one instance.
  *
  * @property wantsTotals whether the receiver should aggregate the load and send the totals to the sender
+ * @property storeEra a question about the era of the store, or the answer to one; omitted from all other reports
  */
 @Serializable
 @SerialName("i")
@@ -156,6 +157,7 @@
     @SerialName("p") override val parts: PartReport = PartReport.NONE,
     @SerialName("sp") override val speeds: Map<String, ReportedSpeed> = emptyMap(),
     @SerialName("v") override val versions: RolloutReport = RolloutReport.NONE,
+    @SerialName("er") val storeEra: EraReport? = null,
 ) : PeerMessage
 
 /**
--- a/core/src/main/kotlin/io/sequoiawheel/core/relay/SentReports.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/SentReports.kt
@@ -17,6 +17,16 @@
         if (reports.size > MAXIMUM_KEPT) reports.removeFirst()
     }
 
+    /** Returns the latest report again with a new [sequence] and [eraReport], or null before the first report. */
+    fun repeatLatest(
+        sequence: Long,
+        eraReport: EraReport,
+    ): PeerReport? =
+        reports
+            .lastOrNull()
+            ?.copy(sequence = sequence, wantsTotals = false, storeEra = eraReport)
+            ?.also(::add)
+
     /** Returns the work in the report with [sequence], or null if it is no longer retained. */
     operator fun get(sequence: Long): WorkByReplica? = reports.find { it.sequence == sequence }?.work
 
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/RelayDaemon.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/RelayDaemon.kt
@@ -22,6 +22,7 @@
 import io.sequoiawheel.core.relay.ReplicaDirectory
 import io.sequoiawheel.core.relay.ReplicaSelection
 import io.sequoiawheel.core.relay.RequestKind
+import io.sequoiawheel.core.relay.StartInquiry
 import io.sequoiawheel.core.relay.StoreContact
 import io.sequoiawheel.core.relay.StoreEras
 import io.sequoiawheel.platform.StoreKind
@@ -99,11 +100,12 @@
     private val directory = ReplicaDirectory(monotonic, coldPhase = random.nextDouble())
     private val self = Peer(settings.name, settings.zone, Endpoint(settings.host, settings.peerPorts.first))
     private val quarantine = PartQuarantine(settings.name, monotonic, QuarantineLog(log, metrics))
-    private val loads = LoadExchange(self, start = wall.nowMillis(), monotonic, quarantine)
+    private val order = ConfigurationOrder(monotonic, StartInquiry(monotonic))
+    private val loads = LoadExchange(self, start = wall.nowMillis(), monotonic, quarantine, order)
     private val outcomes = RunOutcomes(monotonic, quarantine, log, metrics)
     private val notices = ReplicaNotices(log, metrics, outcomes)
     private val pool = BackendPool(connector, notices::onResponseHead, notices::onUnexpectedBytes)
-    private val configuration = ConfigurationController(store, freshness, ConfigurationOrder(monotonic), scope, log)
+    private val configuration = ConfigurationController(store, freshness, order, scope, log)
     private val replicas = ReplicaController(directory, log, metrics) { rollouts?.gate?.observe(directory.all()) }
     private val evacuations = EvacuationController(directory, log)
     private val rollouts =
@@ -191,9 +193,9 @@
      */
     internal val knowsInstances: Boolean get() = onEventLoop { loads.isKnown }
 
-    /** Whether the configuration, the replicas and the evacuated zones were read from the store at least once. */
+    /** Whether all kinds were read from the store, and the configuration is not known to be outdated. */
     private val isInitialized: Boolean
-        get() = configuration.current != null && longWatchers.all { it.isListed }
+        get() = configuration.current != null && !configuration.isOutdated && longWatchers.all { it.isListed }
 
     /** Starts the listeners and the watches of the platform's store. */
     suspend fun start() =
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/control/ConfigurationController.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/control/ConfigurationController.kt
@@ -15,6 +15,7 @@
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 
@@ -33,8 +34,13 @@
     var current: RelayConfiguration? = null
         private set
 
+    /** Whether a newer configuration than the one in force is known to have been in force at another instance. */
+    val isOutdated: Boolean get() = order.isOutdated
+
     private var era: Long? = null
     private var isReadable = true
+    private var hasConfirmed = false
+    private var startCheck: Job? = null
     private var refresh: Job? = null
     private var freshnessConfirmed = CompletableDeferred<Unit>()
 
@@ -60,11 +66,37 @@
     }
 
     override fun onConfirmed(asOf: ClockReading) {
-        if (!isReadable || !order.confirmsCurrent(asOf.monotonicMillis)) return
+        if (!isReadable) return
+        if (!order.confirmsCurrent(asOf.monotonicMillis)) {
+            if (!hasConfirmed && startCheck == null) startCheck = scope.launch { confirmStart(asOf) }
+            return
+        }
+        hasConfirmed = true
         freshness.confirm(asOf)
         if (freshness.isFresh()) freshnessConfirmed.complete(Unit)
     }
 
+    /**
+     * Confirms the first configuration, read at [asOf], once the other instances were asked and the store has settled.
+     * The next response to a watch may arrive seconds later, and until then the instance is not ready.
+     */
+    private suspend fun confirmStart(asOf: ClockReading) {
+        var isLogged = false
+        while (!hasConfirmed) {
+            delay(START_CHECK_MILLIS)
+            if (order.isOutdated && !isLogged) {
+                isLogged = true
+                log.stateChange(
+                    "store returned an older configuration than another instance had in force, waiting",
+                    mapOf("shown" to order.version, "newest" to order.newestVersion, "era" to era),
+                )
+            }
+            if (order.confirmsCurrent(asOf.monotonicMillis)) return onConfirmed(asOf)
+            // After a failed read, the next response to a watch confirms the configuration.
+            if (order.confirmsCurrent(freshness.now().monotonicMillis)) return readFromStore()
+        }
+    }
+
     /**
      * Returns whether the configuration is fresh. If it is not, for example because a clock step invalidated its last
      * confirmation, reads the store and waits up to [CONFIRMATION_WAIT_MILLIS] for a new confirmation.
@@ -121,6 +153,9 @@
     }
 
     private companion object {
+        /** Short compared with the time for the answers of other instances. */
+        const val START_CHECK_MILLIS = 10L
+
         /** The store responds within 4 ms, and within 300 ms when it is slow. */
         const val CONFIRMATION_WAIT_MILLIS = 350L
     }
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/filter/ConfigurationFilters.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/filter/ConfigurationFilters.kt
@@ -12,7 +12,7 @@
 import io.sequoiawheel.core.relay.ShutdownAdmission
 import io.sequoiawheel.platform.Headers
 
-/** Refuses requests while no configuration is loaded. */
+/** Refuses requests while no configuration is loaded, or only one that is known to be outdated. */
 internal class ConfigurationFilter(
     private val current: () -> RelayConfiguration?,
 ) : RequestFilter {
@@ -25,7 +25,7 @@
             exchange.refuse(
                 NotRunProof.NOTHING_SENT,
                 ResultCode.NO_CONFIGURATION,
-                "no configuration has been loaded yet",
+                "no configuration that may be current has been loaded yet",
                 OTHER_INSTANCE_RETRY_MILLIS,
             )
             return
--- a/relay/src/test/kotlin/io/sequoiawheel/relay/RelayFixture.kt
+++ b/relay/src/test/kotlin/io/sequoiawheel/relay/RelayFixture.kt
@@ -122,12 +122,17 @@
         name: String,
         peerPort: Int,
     ): RelayDaemon {
-        val instance = RelayDaemon(settings(name, peerPort))
-        runBlocking { instance.start() }
+        val instance = launchInstance(name, peerPort)
         awaitTrue("$name is ready") { instance.isReady }
         return instance
     }
 
+    /** Starts another instance without waiting until it is ready. The caller must close it. */
+    fun launchInstance(
+        name: String,
+        peerPort: Int,
+    ): RelayDaemon = RelayDaemon(settings(name, peerPort)).also { runBlocking { it.start() } }
+
     /** Sends [request] on a new connection and returns everything received until the connection is closed. */
     fun send(
         request: String,
