--- a/core/src/main/kotlin/io/sequoiawheel/core/relay/AggregatorSelection.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/AggregatorSelection.kt
@@ -49,6 +49,13 @@
         return if (totalsReceivedMillis == null) preceding.take(PROBED_CANDIDATES) else preceding.take(1)
     }
 
+    /**
+     * Returns the interval of reports without news. A newly selected aggregator receives them more often, so that one
+     * lost datagram does not make it appear failed.
+     */
+    fun heartbeatMillis(isMesh: Boolean): Long =
+        if (!isMesh && current().isNotEmpty() && isUnanswered) UNANSWERED_HEARTBEAT_MILLIS else HEARTBEAT_MILLIS
+
     private fun select(
         peer: Peer?,
         now: Long,
@@ -65,20 +72,26 @@
         select(null, now)
     }
 
-    private companion object {
+    companion object {
+        /** An instance that misses several of these counts as terminated. */
+        const val HEARTBEAT_MILLIS = 1_000L
+
+        /** Short enough for several requests before an aggregator counts as silent. */
+        private const val UNANSWERED_HEARTBEAT_MILLIS = 300L
+
         /** How long a request counts: three heartbeats of the instances that use this one as their aggregator. */
-        const val REQUEST_LIFE_MILLIS = 3_000L
+        private const val REQUEST_LIFE_MILLIS = 3_000L
 
         /** How long after its start an instance may aggregate without being requested. */
-        const val UNREQUESTED_MILLIS = 4_000L
+        private const val UNREQUESTED_MILLIS = 4_000L
 
         /** An aggregator counts as silent after two consecutive lost totals, which are at most 700 ms apart. */
-        const val SILENT_MILLIS = 1_500L
+        private const val SILENT_MILLIS = 1_500L
 
         /** Network outages of an instance usually last several seconds. */
-        const val AVOIDED_MILLIS = 12_000L
+        private const val AVOIDED_MILLIS = 12_000L
 
         /** Number of candidates asked in parallel until the selected one responds, since it may have terminated. */
-        const val PROBED_CANDIDATES = 2
+        private const val PROBED_CANDIDATES = 2
     }
 }
--- a/core/src/main/kotlin/io/sequoiawheel/core/relay/LoadExchange.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/LoadExchange.kt
@@ -24,12 +24,14 @@
  * @param start start time in Unix milliseconds, which identifies this incarnation; larger than that of earlier
  *   incarnations of the same name
  * @property quarantine what the instances tell each other about prompt parts that end replicas
+ * @param order what the instances tell each other about a restored store; null if nothing
  */
 class LoadExchange(
     private val self: Peer,
     private val start: Long,
     private val clock: Clock,
     val quarantine: PartQuarantine,
+    private val order: ConfigurationOrder? = null,
 ) : FleetMembership {
     constructor(self: Peer, start: Long, clock: Clock) : this(self, start, clock, PartQuarantine(self.name, clock))
 
@@ -41,7 +43,6 @@
     private val notices = StartNotices(self, start, clock)
     private val fleetSize = FleetSizeEstimate(clock)
     private var sequence = 0L
-    private var meshRounds = 0L
     private var totalsRounds = 0L
     private var isListed = false
     private var sentPartsVersion = 0
@@ -95,6 +96,7 @@
     fun addListedPeers(peers: List<Peer>) {
         isListed = true
         peers.filter { it.name != self.name }.forEach(roster::add)
+        order?.recordInstances(hasOthers = roster.size > 0)
     }
 
     /** The replicas that announced to other instances that they are leaving. */
@@ -121,7 +123,8 @@
         val hasChanged = hasNewNotices || work.generationTokens() != sentReports.latestWork.generationTokens()
         this.leaving = leaving
         this.limits = limits
-        if (hasChanged || isElapsed(reportSentMillis, heartbeatMillis())) outgoing += newReport(work, isLeaving = false)
+        if (hasChanged || isElapsed(reportSentMillis, aggregators.heartbeatMillis(isMesh()))) outgoing += newReport(work, isLeaving = false)
+        outgoing += questions()
         if (!aggregators.isRequested && !isAggregator()) return outgoing
         if (isElapsed(totalsSentMillis, TotalsInterval.millis(totalsEntries))) newTotals(work)?.let { outgoing += it }
         if (!isMesh() && isElapsed(sumsSentMillis, SUMS_INTERVAL_MILLIS)) newSums(work)?.let { outgoing += it }
@@ -160,7 +163,7 @@
         speeds.receive(message)
         val sender = Peer(message.sender, ZoneName(message.zone), endpoint)
         when (message) {
-            is PeerReport -> receive(message, sender)
+            is PeerReport -> return receive(message, sender)
             is FleetReport -> if (sender.zone == self.zone) receive(message, sender)
             is ZoneReport -> if (sender.zone != self.zone) return receive(message, sender)
         }
@@ -187,18 +190,34 @@
     private fun receive(
         report: PeerReport,
         sender: Peer,
-    ) {
+    ): List<OutgoingMessage> {
         if (report.starts.isNotEmpty()) {
             roster.recordContact(sender)
             if (sender.zone == self.zone) notices.receive(report)
-            return
+            return emptyList()
         }
         val isNewIncarnation = received.isNewIncarnation(report)
-        if (!received.accept(report)) return
-        if (isNewIncarnation) hasNewIncarnation = true
-        if (report.isLeaving) return roster.remove(report.sender)
-        roster.recordContact(sender)
-        if (report.wantsTotals && sender.zone == self.zone) aggregators.recordRequest()
+        if (received.accept(report)) {
+            if (isNewIncarnation) hasNewIncarnation = true
+            if (report.isLeaving) roster.remove(report.sender) else roster.recordContact(sender)
+            val isRequest = report.wantsTotals && !report.isLeaving && sender.zone == self.zone
+            if (isRequest) aggregators.recordRequest()
+        }
+        val answer = report.storeEra?.let { order?.receive(it) } ?: return emptyList()
+        return repeatReport(answer, listOf(sender.endpoint))
+    }
+
+    private fun questions(): List<OutgoingMessage> =
+        order?.question()?.let { repeatReport(it, StartInquiry.recipients(roster.all())) }.orEmpty()
+
+    /** Returns the latest report once more for [destinations] only, with a question or an answer about the store. */
+    private fun repeatReport(
+        eraReport: EraReport,
+        destinations: List<Endpoint>,
+    ): List<OutgoingMessage> {
+        val report = sentReports.repeatLatest(sequence + 1, eraReport) ?: return emptyList()
+        sequence = report.sequence
+        return listOf(OutgoingMessage(destinations, report))
     }
 
     private fun receive(
@@ -250,7 +269,7 @@
         hasNewIncarnation = false
         sentReports.add(report)
         reportSentMillis = clock.nowMillis()
-        return OutgoingMessage((if (isMesh()) meshPeers() else aggregators.current()).map { it.endpoint }, report)
+        return OutgoingMessage((if (isMesh()) roster.meshRecipients(quarantine.isActive) else aggregators.current()).map { it.endpoint }, report)
     }
 
     /**
@@ -303,7 +322,7 @@
         val zoneLeaving = reports.fold(leaving) { known, member -> known + member.leaving }
         val versions = RolloutReport.sum(received.localVersions() + ownVersions)
         val content = SentContent.of(sums, zoneLeaving, zoneLimits, quarantine.version, versions)
-        if (content == lastSums && !speeds.hasZoneNews && !isElapsed(sumsSentMillis, HEARTBEAT_MILLIS)) return null
+        if (content == lastSums && !speeds.hasZoneNews && !isElapsed(sumsSentMillis, AggregatorSelection.HEARTBEAT_MILLIS)) return null
         lastSums = content
         sumsSentMillis = clock.nowMillis()
         val report =
@@ -342,18 +361,6 @@
 
     private fun isMesh() = roster.size < MESH_INSTANCES
 
-    /** Instances that were cut off must learn of parts that end replicas before they serve again. */
-    private fun meshPeers(): List<Peer> {
-        val silentRounds = if (quarantine.isActive) 1L else SILENT_ROUNDS
-        return if (meshRounds++ % silentRounds == 0L) roster.all() else roster.activeWithin(SILENT_MILLIS)
-    }
-
-    /** Reports more often to a newly selected aggregator, so that one lost datagram does not make it appear failed. */
-    private fun heartbeatMillis(): Long {
-        val isUnanswered = !isMesh() && aggregators.current().isNotEmpty() && aggregators.isUnanswered
-        return if (isUnanswered) UNANSWERED_HEARTBEAT_MILLIS else HEARTBEAT_MILLIS
-    }
-
     private fun isElapsed(
         sinceMillis: Long?,
         millis: Long,
@@ -371,21 +378,9 @@
          */
         private const val MESH_INSTANCES = 16
 
-        /** An instance that misses several of these counts as terminated. */
-        private const val HEARTBEAT_MILLIS = 1_000L
-
-        /** Short enough for several requests before an aggregator counts as silent. */
-        private const val UNANSWERED_HEARTBEAT_MILLIS = 300L
-
         /** Three heartbeats; in a large fleet addresses are announced every one or two seconds. */
         private const val LIVE_MILLIS = 3_500L
 
-        /** After this time without a report, an address receives only occasional reports. */
-        private const val SILENT_MILLIS = 6_000L
-
-        /** One in this many reports is also sent to silent addresses. */
-        private const val SILENT_ROUNDS = 20L
-
         /** Sums between zones may be staler, since generations are placed in the local zone first. */
         private const val SUMS_INTERVAL_MILLIS = 200L
 
--- a/core/src/main/kotlin/io/sequoiawheel/core/relay/PeerMessage.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/PeerMessage.kt
@@ -142,6 +142,7 @@
  * @property starts generations that have just started; a message with such is a notice and says nothing else. Its
  *   sequence is 0, so that instances that do not know notices take it for an old report
  * @property startsSequence the first report of the sender that includes them
+ * @property storeEra a question about the era of the store, or the answer to one; omitted from all other reports
  */
 @Serializable
 @SerialName("i")
@@ -161,6 +162,7 @@
     @SerialName("v") override val versions: RolloutReport = RolloutReport.NONE,
     @SerialName("k") val starts: WorkByReplica = emptyMap(),
     @SerialName("ks") val startsSequence: Long = 0,
+    @SerialName("er") val storeEra: EraReport? = null,
 ) : PeerMessage
 
 /**
--- a/core/src/main/kotlin/io/sequoiawheel/core/relay/PeerRoster.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/PeerRoster.kt
@@ -16,6 +16,7 @@
     )
 
     private val entries = TreeMap<String, Entry>()
+    private var meshRounds = 0L
 
     val size: Int get() = entries.size
 
@@ -46,6 +47,15 @@
     fun activeWithin(millis: Long): List<Peer> =
         entries.values.filter { clock.nowMillis() - it.lastContactMillis <= millis }.map { it.peer }
 
+    /**
+     * Returns the recipients of a report in a full mesh: instances that are silent receive only some reports, unless
+     * prompt parts are in quarantine, of which instances that were cut off must learn before they serve again.
+     */
+    fun meshRecipients(hasQuarantine: Boolean): List<Peer> {
+        val silentRounds = if (hasQuarantine) 1L else SILENT_ROUNDS
+        return if (meshRounds++ % silentRounds == 0L) all() else activeWithin(SILENT_MILLIS)
+    }
+
     /**
      * Returns the recipients of the sums of [ownZone]: per other zone the instance that [senderOfSums] returns, or its
      * instances in turn until one sends.
@@ -61,6 +71,12 @@
     }
 
     companion object {
+        /** After this time without a report, an address receives only occasional reports. */
+        private const val SILENT_MILLIS = 6_000L
+
+        /** One in this many reports is also sent to silent addresses. */
+        private const val SILENT_ROUNDS = 20L
+
         /** How long one instance of a zone with unknown sums receives this zone's sums before the next one is tried. */
         private const val ZONE_PROBE_MILLIS = 800L
 
