Bound what all instances have in flight to one engine

Fault: each instance placed generations by cost alone, also on an engine that already held all that it runs and queues; an engine crashes if the requests that it holds exceed its memory.

ReplicaPlacement passes over an engine at the bound, and defers the request if all are; copies observe the same bound. Copies are exchanged in a field of their own, `cp`, which earlier instances ignore. Without load messages the instance's own count decides. Plain replicas are not bounded: what they queue is not stated, and reports of calls are too old.

--- a/core/src/main/kotlin/io/sequoiawheel/core/relay/LoadExchange.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/LoadExchange.kt
@@ -123,7 +123,12 @@
         val hasChanged = hasNewNotices || work.generationTokens() != sentReports.latestWork.generationTokens()
         this.leaving = leaving
         this.limits = limits
-        if (hasChanged || isElapsed(reportSentMillis, aggregators.heartbeatMillis(isMesh()))) outgoing += newReport(work, isLeaving = false)
+        if (hasChanged ||
+            isElapsed(reportSentMillis, aggregators.heartbeatMillis(isMesh()))
+        ) {
+            outgoing +=
+                newReport(work, isLeaving = false)
+        }
         outgoing += questions()
         if (!aggregators.isRequested && !isAggregator()) return outgoing
         if (isElapsed(totalsSentMillis, TotalsInterval.millis(totalsEntries))) newTotals(work)?.let { outgoing += it }
@@ -184,6 +189,7 @@
             replica.load.remoteRunning = part?.running ?: 0
             replica.load.remoteTokens = part?.tokens ?: 0
             replica.load.remotePromptTokens = part?.promptTokens ?: 0
+            replica.load.remoteCopies = part?.copies ?: 0
         }
     }
 
@@ -264,12 +270,26 @@
                 quarantine.report(),
                 speeds.ofInstance(),
                 ownVersions,
+                work.copies(),
             )
         sentPartsVersion = quarantine.version
         hasNewIncarnation = false
         sentReports.add(report)
         reportSentMillis = clock.nowMillis()
-        return OutgoingMessage((if (isMesh()) roster.meshRecipients(quarantine.isActive) else aggregators.current()).map { it.endpoint }, report)
+        return OutgoingMessage(
+            (
+                if (isMesh()) {
+                    roster.meshRecipients(
+                        quarantine.isActive,
+                    )
+                } else {
+                    aggregators.current()
+                }
+            ).map {
+                it.endpoint
+            },
+            report,
+        )
     }
 
     /**
@@ -307,6 +327,7 @@
                 quarantine.report(),
                 speeds.ofFleet(),
                 versions,
+                totals.copies(),
             )
         totalsEntries = report.work.size + report.members.size
         return OutgoingMessage(requesters, report)
@@ -322,7 +343,12 @@
         val zoneLeaving = reports.fold(leaving) { known, member -> known + member.leaving }
         val versions = RolloutReport.sum(received.localVersions() + ownVersions)
         val content = SentContent.of(sums, zoneLeaving, zoneLimits, quarantine.version, versions)
-        if (content == lastSums && !speeds.hasZoneNews && !isElapsed(sumsSentMillis, AggregatorSelection.HEARTBEAT_MILLIS)) return null
+        if (content == lastSums &&
+            !speeds.hasZoneNews &&
+            !isElapsed(sumsSentMillis, AggregatorSelection.HEARTBEAT_MILLIS)
+        ) {
+            return null
+        }
         lastSums = content
         sumsSentMillis = clock.nowMillis()
         val report =
@@ -339,6 +365,7 @@
                 parts = quarantine.report(),
                 speeds = speeds.ofZone(),
                 versions = versions,
+                copies = sums.copies(),
             )
         return OutgoingMessage(targets.map { it.endpoint }, report)
     }
@@ -370,8 +397,9 @@
         /** Returns the load of this instance on [replicas]; idle replicas are omitted. */
         fun work(replicas: Collection<Replica>): WorkByReplica =
             replicas
-                .filter { it.load.running > 0 || it.load.tokens > 0 }
-                .associate { it.entry.id.value to PeerWork(it.load.running, it.load.tokens, it.load.promptTokens) }
+                .map { it.entry.id.value to it.load.own }
+                .filter { (_, work) -> work.running > 0 || work.tokens > 0 || work.copies > 0 }
+                .toMap()
 
         /**
          * Up to this fleet size, a full mesh (16 x 1.5 messages per second) costs less than the delay of aggregation.
--- a/core/src/main/kotlin/io/sequoiawheel/core/relay/PeerMessage.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/PeerMessage.kt
@@ -19,27 +19,54 @@
 import kotlinx.serialization.encoding.Encoder
 import kotlinx.serialization.json.Json
 
-/** The load of one or more instances on a replica: requests, memory in tokens, and unprocessed prompts in tokens. */
+/**
+ * The load of one or more instances on a replica: requests, memory in tokens, and unprocessed prompts in tokens.
+ *
+ * @property copies copies of runs that are made or kept there; a message has them in a field of its own, since
+ *   instances of earlier versions accept only three values
+ */
 @Serializable(with = PeerWorkSerializer::class)
 data class PeerWork(
     val running: Int,
     val tokens: Long,
     val promptTokens: Long = 0,
+    val copies: Int = 0,
 ) {
     operator fun plus(other: PeerWork) =
-        PeerWork(running + other.running, tokens + other.tokens, promptTokens + other.promptTokens)
+        PeerWork(
+            running + other.running,
+            tokens + other.tokens,
+            promptTokens + other.promptTokens,
+            copies + other.copies,
+        )
 
     operator fun minus(other: PeerWork) =
         PeerWork(
             (running - other.running).coerceAtLeast(0),
             (tokens - other.tokens).coerceAtLeast(0),
             (promptTokens - other.promptTokens).coerceAtLeast(0),
+            (copies - other.copies).coerceAtLeast(0),
         )
 }
 
 /** Load by replica id. */
 typealias WorkByReplica = Map<String, PeerWork>
 
+/** Copies of runs by replica id. */
+typealias CopiesByReplica = Map<String, Int>
+
+/** Returns the copies of each replica that has any. */
+internal fun WorkByReplica.copies(): CopiesByReplica = mapValues { it.value.copies }.filterValues { it > 0 }
+
+/** Returns this work with [copies] added to it. */
+private fun WorkByReplica.withCopies(copies: CopiesByReplica): WorkByReplica {
+    if (copies.values.any { it !in 0..MAXIMUM_COPIES }) throw SerializationException("copies are out of range: $copies")
+    return listOf(this, copies.mapValues { PeerWork(0, 0, copies = it.value) }).sumByReplica()
+}
+
+/** Far above what any replica holds; sums of a large fleet's values do not overflow. */
+private const val MAXIMUM_COPIES = 100_000
+
 /** Start times, in Unix milliseconds, of replicas that announced that they are leaving, by replica id. */
 typealias StartsByReplica = Map<String, Long>
 
@@ -90,6 +117,7 @@
  * @property parts what the sender knows of prompt parts that end replicas
  * @property speeds how long work takes at replicas, by replica id; only what changed notably
  * @property versions what the instances whose load the message includes know of rollouts
+ * @property copies copies of runs that are made or kept at replicas; a decoded message has them in its work too
  */
 @Serializable
 sealed interface PeerMessage {
@@ -103,6 +131,7 @@
     val parts: PartReport
     val speeds: Map<String, ReportedSpeed>
     val versions: RolloutReport
+    val copies: CopiesByReplica
 
     /** Whether this message is not newer than [other], a message of the same sender. */
     fun isNotNewerThan(other: PeerMessage): Boolean =
@@ -119,7 +148,7 @@
             if (NestingLimit.isExceededBy(text)) {
                 throw SerializationException("nested more than ${NestingLimit.MAXIMUM_DEPTH} deep")
             }
-            val message = json.decodeFromString(serializer(), text)
+            val message = withCopies(json.decodeFromString(serializer(), text))
             val instances =
                 when (message) {
                     is PeerReport -> 1
@@ -130,6 +159,15 @@
             return message
         }
 
+        private fun withCopies(message: PeerMessage): PeerMessage {
+            if (message.copies.isEmpty()) return message
+            return when (message) {
+                is PeerReport -> message.copy(work = message.work.withCopies(message.copies))
+                is ZoneReport -> message.copy(work = message.work.withCopies(message.copies))
+                is FleetReport -> message.copy(work = message.work.withCopies(message.copies))
+            }
+        }
+
         /** Far above the size of any fleet. */
         private const val MAXIMUM_INSTANCES = 100_000
     }
@@ -160,6 +198,7 @@
     @SerialName("p") override val parts: PartReport = PartReport.NONE,
     @SerialName("sp") override val speeds: Map<String, ReportedSpeed> = emptyMap(),
     @SerialName("v") override val versions: RolloutReport = RolloutReport.NONE,
+    @SerialName("cp") override val copies: CopiesByReplica = emptyMap(),
     @SerialName("k") val starts: WorkByReplica = emptyMap(),
     @SerialName("ks") val startsSequence: Long = 0,
     @SerialName("er") val storeEra: EraReport? = null,
@@ -187,6 +226,7 @@
     @SerialName("p") override val parts: PartReport = PartReport.NONE,
     @SerialName("sp") override val speeds: Map<String, ReportedSpeed> = emptyMap(),
     @SerialName("v") override val versions: RolloutReport = RolloutReport.NONE,
+    @SerialName("cp") override val copies: CopiesByReplica = emptyMap(),
 ) : PeerMessage
 
 /**
@@ -213,4 +253,5 @@
     @SerialName("p") override val parts: PartReport = PartReport.NONE,
     @SerialName("sp") override val speeds: Map<String, ReportedSpeed> = emptyMap(),
     @SerialName("v") override val versions: RolloutReport = RolloutReport.NONE,
+    @SerialName("cp") override val copies: CopiesByReplica = emptyMap(),
 ) : PeerMessage
--- a/core/src/main/kotlin/io/sequoiawheel/core/relay/ReplicaLoad.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/ReplicaLoad.kt
@@ -18,6 +18,10 @@
     var promptTokens = 0L
         private set
 
+    /** Copies of this instance's runs that are made or kept at the replica. */
+    var copies = 0
+        private set
+
     /** Requests of the other instances in progress. */
     var remoteRunning = 0
 
@@ -27,6 +31,9 @@
     /** Prompt tokens of the other instances' generations that have not started to generate. */
     var remotePromptTokens = 0L
 
+    /** Copies of the other instances' runs. */
+    var remoteCopies = 0
+
     /** Smoothed share of responses that failed, from 0 to 1. */
     var failureShare = 0.0
         private set
@@ -41,6 +48,10 @@
     val totalRunning: Int get() = running + remoteRunning
     val totalTokens: Long get() = tokens + remoteTokens
     val totalPromptTokens: Long get() = promptTokens + remotePromptTokens
+    val totalCopies: Int get() = copies + remoteCopies
+
+    /** The load of this instance. */
+    internal val own: PeerWork get() = PeerWork(running, tokens, promptTokens, copies)
 
     /** Whether [engine] can start a generation of [demand] at once, beside this load. */
     fun hasRoomFor(
@@ -72,14 +83,26 @@
 
     /** Reserves memory for a copy of a generation that runs elsewhere. */
     fun reserve(tokens: Long) {
+        beginCopy()
         this.tokens += tokens
     }
 
     /** Releases [tokens] of memory reserved by [reserve]. */
     fun release(tokens: Long) {
+        endCopy()
         this.tokens -= tokens
     }
 
+    /** Adds a copy, for which no memory is reserved yet. */
+    fun beginCopy() {
+        copies++
+    }
+
+    /** Removes a copy that was added by [beginCopy]. */
+    fun endCopy() {
+        copies--
+    }
+
     /** Records whether a response was a failure of the replica. */
     fun recordOutcome(failed: Boolean) {
         failureShare += ((if (failed) 1.0 else 0.0) - failureShare) * OUTCOME_WEIGHT
--- a/core/src/main/kotlin/io/sequoiawheel/core/relay/ReplicaPlacement.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/ReplicaPlacement.kt
@@ -28,6 +28,7 @@
  *
  * @param limiter the request limits that replicas name; consulted, not consumed
  * @param overflow the limits on calls to replicas that take those of a restricted one
+ * @param bound the bound on what all instances have in flight to an engine
  * @param tryAdmit consumes one request of the rate limit of a cold replica, or returns false if it is exhausted; always
  *   returns true for warm replicas
  */
@@ -36,6 +37,7 @@
     private val random: UniformRandomProvider,
     private val limiter: RequestLimiter,
     private val overflow: OverflowLimiter,
+    private val bound: InFlightBound,
     private val tryAdmit: (Replica, RelayService) -> Boolean,
 ) {
     /**
@@ -50,11 +52,12 @@
         mayReuseTried: Boolean,
         service: RelayService,
     ): Placement {
-        val candidates = candidates(usable, tried, mayReuseTried, ::hasRoomForCall)
+        val candidates =
+            candidates(usable.filter(::isOpen), tried, mayReuseTried, restrictedRoom(usable, ::hasRoomForCall))
         val ready = candidates.filter { tryAdmit(it, service) }
         val chosen = selection.forCall(ready.ifEmpty { candidates.filter { !it.isCold } })
         if (chosen != null && !isRestricted(chosen) && usable.any(::isRestricted)) overflow.admit(chosen)
-        return place(chosen, usable, FULL_CALLS_MILLIS)
+        return place(chosen, usable, FULL_CALLS_MILLIS, ::isOpen)
     }
 
     /** Places a generation of [demand]; replicas in [excluded] are used only if there is no other. */
@@ -65,33 +68,49 @@
         engine: EngineProfile,
         service: RelayService,
     ): Placement {
-        val candidates = candidates(usable, excluded, mayReuseTried = true) { it.load.hasRoomFor(demand, engine) }
+        val accepts = { replica: Replica -> isOpen(replica) && bound.hasRoom(replica, engine) }
+        val hasRoom = restrictedRoom(usable) { it.load.hasRoomFor(demand, engine) }
+        val candidates = candidates(usable.filter(accepts), excluded, mayReuseTried = true, hasRoom)
         val ready = candidates.filter { tryAdmit(it, service) }
-        return place(selection.forGeneration(ready, demand, engine), usable, FULL_GENERATIONS_MILLIS)
+        return place(selection.forGeneration(ready, demand, engine), usable, FULL_GENERATIONS_MILLIS, accepts)
     }
 
-    private fun candidates(
+    /** Whether [replica] of [service] may hold a copy beside what all instances have in flight to it. */
+    fun hasRoomForCopy(
+        replica: Replica,
+        service: RelayService,
+    ): Boolean = service.engine == null || bound.hasRoom(replica, service.engine)
+
+    /** Returns the condition on candidates among [usable]: [hasRoom], if some are restricted. */
+    private fun restrictedRoom(
         usable: List<Replica>,
+        hasRoom: (Replica) -> Boolean,
+    ): (Replica) -> Boolean = if (usable.any(::isRestricted)) hasRoom else { _ -> true }
+
+    private fun candidates(
+        open: List<Replica>,
         excluded: Set<Replica>,
         mayReuseTried: Boolean,
         hasRoom: (Replica) -> Boolean,
     ): List<Replica> {
-        val open = usable.filter(::isOpen).let { all -> all.filter { !it.unreadRequests.isStalled }.ifEmpty { all } }
-        val untried = open.filter { it !in excluded }
-        val candidates = if (untried.isEmpty() && mayReuseTried) open else untried
-        return if (usable.any(::isRestricted)) candidates.filter(hasRoom) else candidates
+        val reading = open.filter { !it.unreadRequests.isStalled }.ifEmpty { open }
+        val untried = reading.filter { it !in excluded }
+        val candidates = if (untried.isEmpty() && mayReuseTried) reading else untried
+        return candidates.filter(hasRoom)
     }
 
     /**
      * @param fullMillis time after which a replica that is full now is expected to accept a request
+     * @param accepts whether a replica accepts a request of this kind now
      */
     private fun place(
         chosen: Replica?,
         usable: List<Replica>,
         fullMillis: Long,
+        accepts: (Replica) -> Boolean,
     ): Placement {
         if (chosen != null) return Placement.Assigned(chosen)
-        if (usable.all(::isOpen)) return Placement.Unavailable
+        if (usable.all(accepts)) return Placement.Unavailable
         val waits = usable.map { if (isOpen(it) || it.unreadRequests.isFull) fullMillis else waitMillis(it) }
         return Placement.Deferred(earliest(waits))
     }
--- a/core/src/test/kotlin/io/sequoiawheel/core/relay/LoadExchangeTest.kt
+++ b/core/src/test/kotlin/io/sequoiawheel/core/relay/LoadExchangeTest.kt
@@ -5,7 +5,9 @@
 import io.sequoiawheel.core.model.ZoneName
 import kotlinx.serialization.SerializationException
 import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertFalse
 import org.junit.jupiter.api.Assertions.assertThrows
+import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
 
 class LoadExchangeTest {
@@ -131,6 +133,40 @@
         assertEquals(messages, messages.map { PeerMessage.decode(it.encode()) })
     }
 
+    // Copies that other instances keep at a replica fill it as much as generations do.
+    @Test
+    fun `the copies of other instances are known`() {
+        val other = LoadExchange(Peer("b", ZoneName("east"), Endpoint("10.0.0.2", 1)), start = 1) { nowMillis }
+        other.addListedPeers(listOf(self))
+        val work = mapOf("engine" to PeerWork(1, 300, copies = 2), "idle" to PeerWork(0, 0, copies = 1))
+        val text =
+            other
+                .tick(work)
+                .single()
+                .message
+                .encode()
+        loads.receive(PeerMessage.decode(text))
+        loads.apply(listOf(replica))
+        assertEquals(2, replica.load.remoteCopies)
+        assertEquals(1, replica.load.remoteRunning)
+        assertTrue(text.contains(""""cp":{"engine":2,"idle":1}"""), text)
+    }
+
+    @Test
+    fun `copies are decoded with the work of all messages, and instances without copies send none`() {
+        val work = mapOf("engine" to PeerWork(2, 300, 70, copies = 3))
+        val messages =
+            listOf(
+                PeerReport("a", 1, 2, "10.0.0.1:1", work, copies = work.copies()),
+                ZoneReport("a", 1, 2, "10.0.0.1:1", "east", 19, work, copies = work.copies()),
+                FleetReport("a", 1, 2, "10.0.0.1:1", "east", 95, work, mapOf("b" to 7), copies = work.copies()),
+            )
+        assertEquals(messages, messages.map { PeerMessage.decode(it.encode()) })
+        assertFalse(report("b", 1, 300).encode().contains("cp"))
+        val wrong = messages.first().encode().replace(""""cp":{"engine":3}""", """"cp":{"engine":-3}""")
+        assertThrows(SerializationException::class.java) { PeerMessage.decode(wrong) }
+    }
+
     @Test
     fun `decoding load with too few values fails`() {
         val text = report("b", 1, 300).encode().replace("[1,300,0]", "[1,300]")
--- a/core/src/test/kotlin/io/sequoiawheel/core/relay/ReplicaPlacementTest.kt
+++ b/core/src/test/kotlin/io/sequoiawheel/core/relay/ReplicaPlacementTest.kt
@@ -15,9 +15,13 @@
     private val fleet = FixedFleet(instanceCount = 1)
     private val overflow = OverflowLimiter(fleet)
     private val placement =
-        ReplicaPlacement(ReplicaSelection(ZoneName("a"), random), random, RequestLimiter(fleet), overflow) { _, _ ->
-            true
-        }
+        ReplicaPlacement(
+            ReplicaSelection(ZoneName("a"), random),
+            random,
+            RequestLimiter(fleet),
+            overflow,
+            InFlightBound(fleet),
+        ) { _, _ -> true }
     private val engine = EngineProfile(24, 34_000, 163_840, 4, supportsMigration = true, supportsBackup = true)
     private val longPrompt = GenerationDemand(promptTokens = 3_000, outputTokens = 940)
     private val service = RelayService(ServiceName("desk"), "/healthz", 100, 0.0, 0.0, engine)
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/RelayContext.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/RelayContext.kt
@@ -7,6 +7,7 @@
 import io.sequoiawheel.core.relay.ColdShare
 import io.sequoiawheel.core.relay.DeploymentFeature
 import io.sequoiawheel.core.relay.FleetMembership
+import io.sequoiawheel.core.relay.InFlightBound
 import io.sequoiawheel.core.relay.InstanceSettings
 import io.sequoiawheel.core.relay.OverflowLimiter
 import io.sequoiawheel.core.relay.PeerWork
@@ -57,7 +58,7 @@
     val overflow = OverflowLimiter(fleet)
 
     /** Selects the replica for each request. */
-    val placement = ReplicaPlacement(selection, random, limiter, overflow, ::tryAdmitCold)
+    val placement = ReplicaPlacement(selection, random, limiter, overflow, InFlightBound(fleet), ::tryAdmitCold)
 
     /** Whether callers of [service] compete for its capacity, so that generations are ordered before they are sent. */
     fun sharesCapacity(service: RelayService): Boolean =
@@ -107,7 +108,10 @@
     ): List<Replica> {
         val open =
             directory.usable(service.name).filter {
-                it !in excluded && waitMillis(it) == 0L && isVersionOpen(source, it)
+                it !in excluded &&
+                    waitMillis(it) == 0L &&
+                    isVersionOpen(source, it) &&
+                    placement.hasRoomForCopy(it, service)
             }
         return open.filter { it.requestLimit.perSecond == null }.ifEmpty { open }
     }
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/RunCopier.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/RunCopier.kt
@@ -117,6 +117,19 @@
         destination: Replica,
     ): CopyResult {
         if (context.waitMillis(source) > 0) return CopyResult.Refused("$source accepts no requests now")
+        destination.load.beginCopy()
+        try {
+            return copyTwice(requestId, source, destination)
+        } finally {
+            destination.load.endCopy()
+        }
+    }
+
+    private suspend fun copyTwice(
+        requestId: String,
+        source: Replica,
+        destination: Replica,
+    ): CopyResult {
         val startedMillis = context.clock.nowMillis()
         val first = copy(requestId, source, destination)
         val firstMillis = context.clock.nowMillis() - startedMillis
--- a/relay/src/test/kotlin/io/sequoiawheel/relay/LimitedFleet.kt
+++ b/relay/src/test/kotlin/io/sequoiawheel/relay/LimitedFleet.kt
@@ -10,6 +10,7 @@
 import io.sequoiawheel.core.model.ServiceName
 import io.sequoiawheel.core.model.ZoneName
 import io.sequoiawheel.core.relay.Endpoint
+import io.sequoiawheel.core.relay.InFlightBound
 import io.sequoiawheel.core.relay.LoadExchange
 import io.sequoiawheel.core.relay.OverflowLimiter
 import io.sequoiawheel.core.relay.Peer
@@ -125,7 +126,16 @@
             replicas.forEach { directory.put(it.entry) }
             limiter = RequestLimiter(exchange)
             overflow = OverflowLimiter(exchange)
-            placement = ReplicaPlacement(ReplicaSelection(zone, random), random, limiter, overflow) { _, _ -> true }
+            placement =
+                ReplicaPlacement(
+                    ReplicaSelection(zone, random),
+                    random,
+                    limiter,
+                    overflow,
+                    InFlightBound(exchange),
+                ) { _, _ ->
+                    true
+                }
             exchange.addListedPeers(all.map { it.peer })
         }
 
