Keep the rollout evidence of instances that ended until the verdict

Callers could be left with a bad version because the instance that had seen its failures ended: counts were summed over the instances that reported within the last 3.5 s, so those of an instance that left, expired or restarted were lost, and for two seconds after each such loss recent responses were not compared.

The instances of its zone now keep what an ended instance reported last, without its runs, for as long as one of them reports the order as in force.

LoadExchangeTest 'what an instance that ended knew of a rollout still counts': expected 19, was 14 on the code before; passes now. Maps of evidence are no longer copied to add an empty one.

--- a/core/src/main/kotlin/io/sequoiawheel/core/relay/LoadExchange.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/LoadExchange.kt
@@ -100,7 +100,7 @@
     val leavingReportedByPeers: StartsByReplica get() = received.leaving()
 
     /** What all instances together know of rollouts, this one included. */
-    fun knownVersions(): RolloutReport = totals()?.versions ?: RolloutReport.sum(received.versions() + ownVersions)
+    fun knownVersions(): RolloutReport = totals()?.versions ?: RolloutReport.sum(received.versions(ownVersions))
 
     /** The request limits that other instances observed. */
     val limitsReportedByPeers: LimitsByReplica get() = received.limits()
@@ -233,7 +233,7 @@
         if (requesters.isEmpty()) return null
         val totals = (received.work() + listOf(work)).sumByReplica()
         val allLimits = listOf(limits, received.reportedLimits()).latestByReplica()
-        val versions = RolloutReport.sum(received.versions() + ownVersions)
+        val versions = RolloutReport.sum(received.versions(ownVersions))
         val allLeaving = leaving + received.reportedLeaving()
         val content = SentContent.of(totals, allLeaving, allLimits, quarantine.version, versions)
         val isUnchanged = content == lastTotals && !speeds.hasFleetNews
@@ -270,7 +270,7 @@
         val sums = (reports.map { it.work } + listOf(work)).sumByReplica()
         val zoneLimits = listOf(limits, received.localLimits()).latestByReplica()
         val zoneLeaving = reports.fold(leaving) { known, member -> known + member.leaving }
-        val versions = RolloutReport.sum(received.localVersions() + ownVersions)
+        val versions = RolloutReport.sum(received.localVersions(ownVersions))
         val content = SentContent.of(sums, zoneLeaving, zoneLimits, quarantine.version, versions)
         if (content == lastSums && !speeds.hasZoneNews && !isElapsed(sumsSentMillis, HEARTBEAT_MILLIS)) return null
         lastSums = content
--- a/core/src/main/kotlin/io/sequoiawheel/core/relay/ReceivedLoads.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/ReceivedLoads.kt
@@ -20,6 +20,9 @@
     private val zones = HashMap<String, Received<ZoneReport>>()
     private var fleet: Received<FleetReport>? = null
 
+    /** What instances of the local zone that ended said of rollouts, by name and time of start. */
+    private val endedVersions = HashMap<Pair<String, Long>, RolloutReport>()
+
     /** Whether no reports or totals of other instances are stored. */
     val isEmpty: Boolean get() = reports.isEmpty() && fleet == null
 
@@ -50,6 +53,7 @@
     fun accept(report: PeerReport): Boolean {
         val known = reports[report.sender]?.takeIf(::isFresh)
         if (known != null && report.isNotNewerThan(known.message)) return false
+        reports[report.sender]?.message?.takeIf { it.start != report.start || report.isLeaving }?.let(::recordEnd)
         if (report.isLeaving) reports.remove(report.sender) else reports[report.sender] = received(report)
         return true
     }
@@ -105,12 +109,32 @@
     /** Returns the request limits from all messages. */
     fun limits(): LimitsByReplica = limitsOf(reports.values + zones.values + listOfNotNull(fleet))
 
-    /** Returns what the instances of the local zone reported of rollouts. */
-    fun localVersions(): List<RolloutReport> = localReports.map { it.versions }
+    /** Returns what this instance, which knows [own], and the others of the local zone know of rollouts. */
+    fun localVersions(own: RolloutReport): List<RolloutReport> {
+        val live = localReports.map { it.versions } + own
+        return live + endedVersions(live)
+    }
 
-    /** Returns what the other instances know of rollouts, from the same messages as [work]. */
-    fun versions(): List<RolloutReport> =
-        localVersions() + sums.map { it.versions } + reportsOfZonesWithoutSums().map { it.versions }
+    /** Returns what all instances know of rollouts, from the same messages as [work] and from [own]. */
+    fun versions(own: RolloutReport): List<RolloutReport> =
+        localVersions(own) + sums.map { it.versions } + reportsOfZonesWithoutSums().map { it.versions }
+
+    /** Returns what instances that ended know of the orders that [live] say are in force. */
+    private fun endedVersions(live: List<RolloutReport>): List<RolloutReport> {
+        reports.values
+            .filter { !isFresh(it) && it.message.zone == ownZone.value }
+            .forEach { recordEnd(it.message) }
+        endedVersions.values.removeIf { it.ended(live).shares.isEmpty() }
+        return endedVersions
+            .filterKeys { (name, start) -> reports[name]?.takeIf(::isFresh)?.message?.start != start }
+            .values
+            .map { it.ended(live) }
+    }
+
+    private fun recordEnd(report: PeerReport) {
+        if (report.zone != ownZone.value || report.versions.shares.isEmpty()) return
+        endedVersions[report.sender to report.start] = report.versions
+    }
 
     private fun limitsOf(messages: Collection<Received<out PeerMessage>>): LimitsByReplica =
         messages
--- a/core/src/main/kotlin/io/sequoiawheel/core/rollout/RolloutReport.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/rollout/RolloutReport.kt
@@ -64,6 +64,7 @@
         second: Map<Long, Int>,
     ): Map<Long, Int> {
         if (first.isEmpty()) return second
+        if (second.isEmpty()) return first
         val sums = HashMap(first)
         second.forEach { (value, count) -> sums.merge(value, count, Int::plus) }
         return sums
@@ -155,6 +156,15 @@
     /** Returns the report without the time that has passed since the orders. */
     fun withoutAges() = if (shares.isEmpty()) this else RolloutReport(shares.map { it.copy(elapsedMillis = 0) })
 
+    /**
+     * Returns what remains of this report of an instance that ended: its counts for the orders that [live] say are in
+     * force. Without them a version could pass because the instance that had seen its failures ended.
+     */
+    fun ended(live: List<RolloutReport>): RolloutReport {
+        val active = live.flatMap { it.shares }.filter { !it.stage.isFinal }.map { it.service to it.revision }
+        return RolloutReport(shares.filter { it.service to it.revision in active }.map { it.copy(oldRuns = 0) })
+    }
+
     companion object {
         val NONE = RolloutReport()
 
--- a/core/src/test/kotlin/io/sequoiawheel/core/relay/LoadExchangeTest.kt
+++ b/core/src/test/kotlin/io/sequoiawheel/core/relay/LoadExchangeTest.kt
@@ -3,6 +3,9 @@
 import io.sequoiawheel.core.model.InstanceId
 import io.sequoiawheel.core.model.ServiceName
 import io.sequoiawheel.core.model.ZoneName
+import io.sequoiawheel.core.rollout.RolloutReport
+import io.sequoiawheel.core.rollout.RolloutShare
+import io.sequoiawheel.core.rollout.RolloutStage
 import kotlinx.serialization.SerializationException
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertThrows
@@ -56,6 +59,29 @@
         assertEquals(3, loads.instanceCount)
     }
 
+    private fun versions(
+        service: String,
+        received: Int,
+        stage: RolloutStage = RolloutStage.CANARY,
+    ) = RolloutReport(listOf(RolloutShare(service, "v2", 7, 12_000, 0, stage, received = received)))
+
+    // A bad version was completed because the instances that had seen its failures ended or restarted.
+    @Test
+    fun `what an instance that ended knew of a rollout still counts`() {
+        loads.receive(report("b", 1, 300).copy(versions = versions("desk", 5)))
+        loads.receive(report("c", 1, 300).copy(versions = versions("desk", 3)))
+        loads.receive(report("b", 1, 300, start = 2).copy(versions = versions("desk", 1)))
+        loads.ownVersions = versions("desk", 10)
+        assertEquals(listOf(19), loads.knownVersions().shares.map { it.received })
+        nowMillis = 5_000
+        loads.receive(report("b", 2, 300, start = 2).copy(versions = versions("desk", 2)))
+        assertEquals(listOf(20), loads.knownVersions().shares.map { it.received })
+        loads.receive(report("b", 3, 300, start = 2, isLeaving = true).copy(versions = versions("desk", 2)))
+        assertEquals(listOf(20), loads.knownVersions().shares.map { it.received })
+        loads.ownVersions = versions("desk", 10, RolloutStage.REVERTED)
+        assertEquals(listOf(10), loads.knownVersions().shares.map { it.received })
+    }
+
     // A request that was held by an old load must be recognizable in the log.
     @Test
     fun `the age of the newest load message is known until it expires`() {
