Keep the shift of a rollout within the exposure bound as far as answers allow

Versions that turned bad late or during the shift reached more callers than the bound allows.

Cause: within 1.2 s all new requests and the runs moved to the new version, before its answers were known, and little of the bound was left by then.

Now the canary uses 0.6 of its share; the share grows by a constant factor in equal times over 2.2 s to as many replicas as the share; runs, copies and repeated requests follow only after that; suspect recent responses hold the shift, and a shift that was held for too long is reverted. While the old version still answers, the new one is judged as strictly as before the shift. An instance that starts during the shift takes it to have begun in time. Log lines tell when the shift is held and resumed.

--- a/core/src/main/kotlin/io/sequoiawheel/core/rollout/CanaryBudget.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/rollout/CanaryBudget.kt
@@ -77,7 +77,9 @@
 
         /** The rest of the margin covers requests that the instances count and others do not. */
         const val SPENDABLE_SHARE = 0.5
-        const val SHARE_IN_USE = 0.95
+
+        /** The rest of the share is left for the shift, where a version that turns bad then is sent the most. */
+        const val SHARE_IN_USE = 0.6
 
         /** The margin is released over this share of the time, so that a bad version shows at its first part. */
         const val RAMP_SHARE = 0.25
--- a/core/src/main/kotlin/io/sequoiawheel/core/rollout/RolloutGate.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/rollout/RolloutGate.kt
@@ -149,12 +149,7 @@
             RolloutStage.COMPLETE -> listOf(new)
             RolloutStage.REVERTED -> listOf(old)
             RolloutStage.CANARY -> canaryPreferences(rollout, open, old, isFirst, running)
-            RolloutStage.SHIFTING ->
-                when {
-                    running != null && isNew(running, rollout) -> listOf(open)
-                    isFirst && !isShifted(rollout) -> listOf(old, open)
-                    else -> listOf(open, old)
-                }
+            RolloutStage.SHIFTING -> shiftPreferences(rollout, open, old, isFirst, running)
         }.filter { it.isNotEmpty() }
     }
 
@@ -166,10 +161,26 @@
         running: Replica?,
     ) = when {
         running != null -> listOf(if (isNew(running, rollout)) open else old)
-        isFirst -> listOf(canaries(rollout, open), old)
+        isFirst -> listOf(canaries(rollout, open, CANARY_REPLICA_SHARE), old)
         else -> listOf(old)
     }
 
+    private fun shiftPreferences(
+        rollout: ServiceRollout,
+        open: List<Replica>,
+        old: List<Replica>,
+        isFirst: Boolean,
+        running: Replica?,
+    ): List<List<Replica>> {
+        val share = rollout.shiftedShare(bounds.canaryShare)
+        return when {
+            running != null && isNew(running, rollout) -> listOf(open)
+            share >= 1 -> listOf(open, old)
+            isFirst && random.nextDouble() < share -> listOf(canaries(rollout, open, share), open, old)
+            else -> listOf(old, open)
+        }
+    }
+
     /** Whether a run on [source] may be copied to [destination], or go on there. */
     fun mayMove(
         source: Replica,
@@ -180,17 +191,24 @@
         val isSame = isNew(source, rollout) == isNew(destination, rollout)
         return when (rollout.stage) {
             RolloutStage.CANARY -> isSame
-            RolloutStage.SHIFTING -> isNew(destination, rollout)
+            RolloutStage.SHIFTING -> if (rollout.isRampOver) isNew(destination, rollout) else isSame
             RolloutStage.COMPLETE, RolloutStage.REVERTED -> true
         }
     }
 
-    /** Whether runs on [replica] should move to another version now. */
-    fun isVacated(replica: Replica): Boolean {
+    /** Whether the runs of [instance], the name of this one, on [replica] should move to another version now. */
+    fun isVacated(
+        replica: Replica,
+        instance: String,
+    ): Boolean {
         val rollout = rollouts[replica.entry.service] ?: return false
-        val isMoving =
-            rollout.stage == RolloutStage.SHIFTING && !rollout.isBad || rollout.stage == RolloutStage.COMPLETE
-        return isMoving && !isNew(replica, rollout)
+        if (isNew(replica, rollout)) return false
+        if (rollout.stage != RolloutStage.SHIFTING) return rollout.stage == RolloutStage.COMPLETE
+        if (rollout.isBad || rollout.isHeld) return false
+        val plan = rollout.plan
+        // Instances begin with different replicas, so that runs do not arrive at the new version all at once.
+        val offset = Math.floorMod((instance + replica.entry.id.value).hashCode(), plan.moveSpreadMillis.toInt())
+        return rollout.rampedMillis >= plan.rampMillis + offset
     }
 
     /** Returns what the other instances should know, given all known [replicas]. */
@@ -208,25 +226,20 @@
         .sumOf { it.load.running }
 
     /**
-     * Returns the replicas of the new version that receive the first requests. They are few, and all instances choose
-     * the same ones, so that the load on each is like that after the rollout.
+     * Returns [share] of the replicas of the new version, which receive the requests sent to it for now. All instances
+     * choose the same ones, so that the load on each is like that after the rollout.
      */
     private fun canaries(
         rollout: ServiceRollout,
         open: List<Replica>,
+        share: Double,
     ): List<Replica> {
-        val count = ceil(open.size * CANARY_REPLICA_SHARE).toInt().coerceAtLeast(MINIMUM_CANARIES)
+        val count = ceil(open.size * maxOf(share, CANARY_REPLICA_SHARE)).toInt().coerceAtLeast(MINIMUM_CANARIES)
         val key = "${rollout.order.service.value}@${rollout.order.revision}"
         val chosen = RendezvousHashing.subset(key, open.map { it.entry.id }, count).toSet()
         return open.filter { it.entry.id in chosen && !it.isCold }.ifEmpty { open }
     }
 
-    /** Whether a request goes to the new version, at random with a share that grows during the shift. */
-    private fun isShifted(rollout: ServiceRollout): Boolean {
-        val progress = rollout.shiftedMillis.toDouble() / RolloutPlan(rollout.order.durationMillis).rampMillis
-        return random.nextDouble() < bounds.canaryShare + progress
-    }
-
     private fun isOpen(rollout: ServiceRollout) = !rollout.isBad && isInContact()
 
     private fun isNew(
--- a/core/src/main/kotlin/io/sequoiawheel/core/rollout/RolloutProgress.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/rollout/RolloutProgress.kt
@@ -64,8 +64,10 @@
                 ),
                 rollout.shiftedMillis,
                 earlier(rollout, share),
+                rollout.shiftedMillis - rollout.rampedMillis,
             )
         if (assessment.step == RolloutStep.REVERT) rollout.markBad()
+        rollout.hold(assessment.isSuspect)
         return assessment
     }
 
--- a/core/src/main/kotlin/io/sequoiawheel/core/rollout/RolloutVerdict.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/rollout/RolloutVerdict.kt
@@ -7,10 +7,15 @@
 /** What the evidence calls for. */
 enum class RolloutStep { WAIT, SHIFT, COMPLETE, REVERT }
 
-/** A [step] with the [reason] for it, in words for an operator. */
+/**
+ * A [step] with the [reason] for it, in words for an operator.
+ *
+ * @property isSuspect whether the evidence, not yet conclusive, speaks against sending more requests than now
+ */
 data class RolloutAssessment(
     val step: RolloutStep,
     val reason: String,
+    val isSuspect: Boolean = false,
 )
 
 /**
@@ -23,6 +28,7 @@
      * Returns what [share], the sum over all instances, calls for.
      *
      * @param shiftedMillis time since the shift began
+     * @param heldMillis the part of it in which the evidence kept the share of the new version from growing
      * @param earlier the evidence of some time ago; what came since is assessed by itself too, since a version that
      *   turns bad would pass for long on its earlier responses
      */
@@ -30,17 +36,25 @@
         share: RolloutShare,
         shiftedMillis: Long = 0,
         earlier: EvidenceByRoute? = null,
+        heldMillis: Long = 0,
     ): RolloutAssessment {
         val isShifting = share.stage == RolloutStage.SHIFTING
-        val findings =
-            findings(share.evidence, share.evidence, isShifting, "") + recentFindings(share, earlier, isShifting)
-        val worst = findings.minByOrNull { it.chance }
-        val certainty = if (isShifting) SHIFTING_CHANCE else REVERT_CHANCE
+        val recent = earlier?.let { recent(share.evidence, it) }
+        // While requests shift, few remain on the old version to compare with, so more must speak against the new one.
+        val isComparable = !isShifting || recent != null && isComparable(recent)
+        val recentFindings = recent?.let { findings(it, share.evidence, isComparable, " recently") }.orEmpty()
+        val worst =
+            (findings(share.evidence, share.evidence, isComparable, "") + recentFindings).minByOrNull { it.chance }
+        // Earlier responses weigh on the sum for long, so a slow spell of the past must not hold the shift.
+        val isSuspect =
+            recentFindings.any { it.chance < HOLD_CHANCE } || worst != null && worst.chance < LATE_REVERT_CHANCE
+        val certainty = if (isComparable) REVERT_CHANCE else SHIFTING_CHANCE
         val plan = RolloutPlan(share.durationMillis)
         return when {
             share.isBad -> RolloutAssessment(RolloutStep.REVERT, worst?.toString() ?: "reported by another instance")
             worst != null && worst.chance < certainty -> RolloutAssessment(RolloutStep.REVERT, worst.toString())
-            isShifting -> assessShift(share, plan, shiftedMillis, worst)
+            isShifting ->
+                assessShift(share, plan, shiftedMillis, heldMillis, worst).copy(isSuspect = isSuspect)
             else -> assessCanary(share, plan, worst)
         }
     }
@@ -49,6 +63,7 @@
         share: RolloutShare,
         plan: RolloutPlan,
         shiftedMillis: Long,
+        heldMillis: Long,
         worst: Finding?,
     ): RolloutAssessment {
         val isDue =
@@ -57,11 +72,13 @@
             } else {
                 shiftedMillis >= plan.shiftMillis
             }
-        val isMoved = share.oldRuns == 0 && shiftedMillis >= plan.minimumShiftMillis
+        val isMoved = share.oldRuns == 0 && shiftedMillis - heldMillis >= plan.minimumShiftMillis
         val answered = share.evidence.values.sumOf { it.new.responses }
         val isSuspect = worst != null && worst.chance < LATE_REVERT_CHANCE
         return when {
             isDue && isSuspect -> RolloutAssessment(RolloutStep.REVERT, worst.toString())
+            isDue && heldMillis > plan.longestHoldMillis ->
+                RolloutAssessment(RolloutStep.REVERT, "suspicious responses held the shift for $heldMillis ms")
             isSuspect -> RolloutAssessment(RolloutStep.WAIT, worst.toString())
             isMoved -> RolloutAssessment(RolloutStep.COMPLETE, "$answered responses, all runs moved")
             isDue -> RolloutAssessment(RolloutStep.COMPLETE, "$answered responses, ${share.oldRuns} runs not moved")
@@ -108,33 +125,30 @@
                 "expected at most %.1f in 100".format(expected * PERCENT)
     }
 
-    private fun recentFindings(
-        share: RolloutShare,
-        earlier: EvidenceByRoute?,
-        isShifting: Boolean,
-    ): List<Finding> {
-        if (earlier == null) return emptyList()
-        val recent =
-            share.evidence.mapValues { (route, parts) ->
-                val before = earlier[route] ?: VersionEvidence()
-                VersionEvidence(parts.old - before.old, parts.new - before.new)
-            }
-        return findings(recent, share.evidence, isShifting, " recently")
-    }
+    private fun recent(
+        all: EvidenceByRoute,
+        earlier: EvidenceByRoute,
+    ): EvidenceByRoute =
+        all.mapValues { (route, parts) ->
+            val before = earlier[route] ?: VersionEvidence()
+            VersionEvidence(parts.old - before.old, parts.new - before.new)
+        }
+
+    /** Whether the old version answered enough in the same time for a slow spell of the service to show there too. */
+    private fun isComparable(recent: EvidenceByRoute): Boolean =
+        recent.values.sumOf { it.old.responses } >= recent.values.sumOf { it.new.responses } * COMPARABLE_SHARE
 
     /** Returns what [evidence] says, where [all] decides which responses are slow. */
     private fun findings(
         evidence: EvidenceByRoute,
         all: EvidenceByRoute,
-        isShifting: Boolean,
+        isComparable: Boolean,
         period: String,
     ): List<Finding> {
         val routes =
             evidence.filterValues { it.new.responses > 0 }.map { (route, parts) ->
                 val usual = all.getValue(route).old
-                // While requests shift, few remain on the old version to compare with, so more must speak against the
-                // new one.
-                val tolerance = if (isShifting) SHIFTING_TOLERANCE else 0.0
+                val tolerance = if (isComparable) 0.0 else SHIFTING_TOLERANCE
                 val share = maxOf(expectedShare(parts.old, usual), expectedShare(usual, usual))
                 val expected = share + tolerance
                 val bad = badOf(parts.new, usual)
@@ -203,6 +217,10 @@
     private const val LATE_REVERT_CHANCE = 5e-3
     private const val LATE_MINIMUM_BAD = 2
     private const val SHIFTING_CHANCE = 1e-5
+    private const val COMPARABLE_SHARE = 0.5
+
+    /** One or two bad responses of ten hold the shift. Unlike a verdict, later responses undo this. */
+    private const val HOLD_CHANCE = 0.05
     private const val SHIFTING_TOLERANCE = 0.05
 
     /** Of 30 responses of a version with every tenth bad, 96 in 100 times at least one is. */
@@ -237,8 +255,14 @@
     val completeMillis = durationMillis - reserveMillis
     val latestShiftMillis = completeMillis - shiftMillis
 
-    /** Over this time the share of the new version grows to all requests. */
+    /** Over this time the share of the new version grows to all new requests; runs move after it. */
     val rampMillis = (shiftMillis * RAMP_SHARE).toLong().coerceAtLeast(1)
+
+    /** A version whose shift was held for longer has not shown in time that it can serve all requests. */
+    val longestHoldMillis = ((shiftMillis - rampMillis) * LONGEST_HOLD_SHARE).toLong()
+
+    /** Over this time, after the ramp, the instances begin to move their runs. */
+    val moveSpreadMillis = (shiftMillis * MOVE_SPREAD_SHARE).toLong().coerceAtLeast(1)
     val earliestShiftMillis = (durationMillis * CANARY_SHARE).toLong().coerceAtMost(latestShiftMillis)
 
     private companion object {
@@ -246,14 +270,16 @@
 
         /** An instance that takes over waits for up to a second, and a slow write takes 300 ms. */
         const val RESERVE_MILLIS = 1_400L
-        const val SHIFT_SHARE = 0.25
+        const val SHIFT_SHARE = 0.3
         const val LONGEST_SHIFT_MILLIS = 15_000L
 
-        /** A version that breaks under load shows it in the first second, before most requests go to it. */
-        const val RAMP_SHARE = 0.4
+        /** Slow responses take up to 1.2 s to be known to all; at 12 s the share grows 3.6-fold in this time. */
+        const val RAMP_SHARE = 0.6
+        const val LONGEST_HOLD_SHARE = 0.7
+        const val MOVE_SPREAD_SHARE = 0.13
 
-        /** At 12 s this is 2.1 s, in which the responses of the first second of the shift arrive and are reported. */
-        const val MINIMUM_SHIFT_SHARE = 0.7
+        /** At 12 s this is 3.2 s, in which the responses of the whole ramp arrive and are reported. */
+        const val MINIMUM_SHIFT_SHARE = 0.9
 
         /** Versions may turn bad after some seconds, so the first seconds are not enough. */
         const val CANARY_SHARE = 0.6
--- a/core/src/main/kotlin/io/sequoiawheel/core/rollout/ServiceRollout.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/rollout/ServiceRollout.kt
@@ -1,6 +1,7 @@
 package io.sequoiawheel.core.rollout
 
 import io.sequoiawheel.core.model.Clock
+import kotlin.math.pow
 
 /**
  * What one instance knows of the newest order for a service, and its own part in it. Confined to one thread.
@@ -16,6 +17,9 @@
 ) {
     val evidence = RolloutEvidence(clock)
 
+    /** The times of the order. */
+    val plan = RolloutPlan(order.durationMillis)
+
     /** How far the order has been carried out, as the store or another instance says. */
     var stage = stage
         private set
@@ -27,13 +31,20 @@
     var orderedAtMillis = orderedAtMillis
         private set
 
-    /** When this instance learned that runs are moved, or null. */
-    var shiftedAtMillis: Long? = if (stage == RolloutStage.SHIFTING) clock.nowMillis() else null
+    /** When the shift began, as far as this instance knows, or null. */
+    var shiftedAtMillis: Long? = if (stage == RolloutStage.SHIFTING) clock.nowMillis() - missedShiftMillis() else null
         private set
 
     val elapsedMillis: Long get() = clock.nowMillis() - orderedAtMillis
     val shiftedMillis: Long get() = shiftedAtMillis?.let { clock.nowMillis() - it } ?: 0
 
+    private var heldSinceMillis: Long? = null
+    private var heldMillis = 0L
+
+    /** The part of [shiftedMillis] in which the share of the new version grew. */
+    val rampedMillis: Long
+        get() = (shiftedMillis - heldMillis - (heldSinceMillis?.let { clock.nowMillis() - it } ?: 0)).coerceAtLeast(0)
+
     /** Requests that this instance received for the service, and those that it sent to the new version. */
     val received: Int get() = budget.received
     val admitted: Int get() = budget.admitted
@@ -58,6 +69,40 @@
         if (next == RolloutStage.SHIFTING) shiftedAtMillis = clock.nowMillis()
     }
 
+    /** Whether all new requests go to the new version, so that runs move there too. */
+    val isRampOver: Boolean get() = !isHeld && rampedMillis >= plan.rampMillis
+
+    /** Whether the evidence speaks against sending the new version more than the canary share for now. */
+    val isHeld: Boolean get() = heldSinceMillis != null
+
+    /**
+     * Returns the share of new requests that the new version receives during the shift. It grows from [canaryShare] by
+     * a constant factor in equal times, so that a version that turns bad has received few requests by the time its
+     * answers show it.
+     */
+    fun shiftedShare(canaryShare: Double): Double {
+        val start = canaryShare.coerceIn(SMALLEST_SHARE, 1.0)
+        val progress = (rampedMillis.toDouble() / plan.rampMillis).coerceAtMost(1.0)
+        return if (isHeld) start else start.pow(1 - progress)
+    }
+
+    /** Returns the least time that the shift has taken by now if it began in time. */
+    private fun missedShiftMillis(): Long =
+        if (elapsedMillis > order.durationMillis) 0 else (elapsedMillis - plan.latestShiftMillis).coerceAtLeast(0)
+
+    /** Records whether the new version should receive no more than the canary share for now. */
+    fun hold(isHeld: Boolean) {
+        val since = heldSinceMillis
+        when {
+            !isHeld && since != null -> {
+                heldMillis += clock.nowMillis() - since
+                heldSinceMillis = null
+            }
+
+            isHeld && since == null && stage == RolloutStage.SHIFTING -> heldSinceMillis = clock.nowMillis()
+        }
+    }
+
     /** Records that the new version is bad. Returns whether that is new. */
     fun markBad(): Boolean = !isBad.also { isBad = true }
 
@@ -83,6 +128,9 @@
         )
 
     private companion object {
+        /** The share at which the shift starts if the canary share is smaller. */
+        const val SMALLEST_SHARE = 0.01
+
         /** An instance that lost the store learns of the verdict from the others within this time. */
         const val REPORTED_MILLIS = 15_000L
     }
--- a/core/src/test/kotlin/io/sequoiawheel/core/rollout/RolloutSimulationTest.kt
+++ b/core/src/test/kotlin/io/sequoiawheel/core/rollout/RolloutSimulationTest.kt
@@ -44,14 +44,14 @@
     // A bad version that received more than its budget harmed callers whom the bound protects.
     @Test
     fun `a version that fails every second request stays within its budget while instances join and leave`() {
-        val bad = VersionConduct { _, _ -> VersionConduct.Conduct(failureShare = 0.5) }
+        val bad = VersionConduct { VersionConduct.Conduct(failureShare = 0.5) }
         assertReverted(results(1..200) { RolloutLoad(instances(it), new = bad, doInstancesChange = true) })
     }
 
     // A version that is only slow returns no errors, so nothing but the comparison with the old one shows it.
     @Test
     fun `a version that is several times slower is reverted`() {
-        val slow = VersionConduct { _, _ -> VersionConduct.Conduct(slowShare = 0.6, slowness = 5.0) }
+        val slow = VersionConduct { VersionConduct.Conduct(slowShare = 0.6, slowness = 5.0) }
         assertReverted(results(1..100) { RolloutLoad(instances(it), new = slow, doInstancesChange = true) })
     }
 
@@ -59,7 +59,7 @@
     @Test
     fun `a version that turns bad after four seconds is reverted`() {
         val late =
-            VersionConduct { _, millis ->
+            VersionConduct { (_, millis) ->
                 VersionConduct.Conduct(
                     failureShare =
                         if (millis >
@@ -78,7 +78,7 @@
     @Test
     fun `a version that is bad on one route is reverted`() {
         val partial =
-            VersionConduct { route, _ -> VersionConduct.Conduct(failureShare = if (route == "long") 0.6 else 0.0) }
+            VersionConduct { (route) -> VersionConduct.Conduct(failureShare = if (route == "long") 0.6 else 0.0) }
         assertReverted(results(1..100) { RolloutLoad(instances(it), new = partial) })
     }
 
@@ -86,7 +86,7 @@
     @Test
     fun `a version that turns bad while requests shift to it is reverted`() {
         val underLoad =
-            VersionConduct { _, millis ->
+            VersionConduct { (_, millis) ->
                 VersionConduct.Conduct(
                     failureShare =
                         if (millis >
@@ -119,7 +119,7 @@
     @Test
     fun `a good version is completed while both versions are slow for two seconds`() {
         val pause =
-            VersionConduct { _, millis ->
+            VersionConduct { (_, millis) ->
                 val slowShare = if (millis in 3_000..5_000) 0.7 else 0.0
                 VersionConduct.Conduct(failureShare = 0.003, slowShare = slowShare, slowness = 4.0)
             }
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/control/RolloutController.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/control/RolloutController.kt
@@ -14,7 +14,6 @@
 import io.sequoiawheel.core.relay.ReplicaDirectory
 import io.sequoiawheel.core.rollout.EvidenceCell
 import io.sequoiawheel.core.rollout.RolloutGate
-import io.sequoiawheel.core.rollout.RolloutPlan
 import io.sequoiawheel.core.rollout.RolloutProgress
 import io.sequoiawheel.core.rollout.RolloutReport
 import io.sequoiawheel.core.rollout.RolloutShare
@@ -119,11 +118,16 @@
         val share = progress.shareOf(rollout, known)
         logEvidence(rollout, share)
         val wasBad = rollout.isBad
+        val wasHeld = rollout.isHeld
         val assessment = progress.assess(rollout, known)
         if (rollout.isBad && !wasBad) {
             metrics.count("rollouts.versions", "bad")
             log.stateChange("version found bad", fields(rollout) + ("reason" to assessment.reason) + fields(share))
         }
+        if (rollout.isHeld != wasHeld) {
+            val text = if (rollout.isHeld) "rollout shift held" else "rollout shift resumed"
+            log.stateChange(text, fields(rollout) + ("reason" to assessment.reason) + fields(share))
+        }
         val target =
             when {
                 isInForce(rollout) -> RolloutTarget(RolloutStage.COMPLETE, "the version is in force")
@@ -194,11 +198,9 @@
 
     /** Moves runs off the replicas of the old version, one replica after the other. */
     private fun vacate(rollout: ServiceRollout) {
-        val spreadMillis = RolloutPlan(rollout.order.durationMillis).rampMillis
         for (replica in directory.all()) {
             if (replica.entry.service != rollout.order.service) continue
-            val offset = Math.floorMod((loads.selfName + replica.entry.id.value).hashCode(), spreadMillis.toInt())
-            replica.setVacated(gate.isVacated(replica) && rollout.shiftedMillis >= offset)
+            replica.setVacated(gate.isVacated(replica, loads.selfName))
         }
     }
 
