--- a/core/src/main/kotlin/io/sequoiawheel/core/relay/LoadExchange.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/LoadExchange.kt
@@ -123,12 +123,8 @@
         val hasChanged = hasNewNotices || work.generationTokens() != sentReports.latestWork.generationTokens()
         this.leaving = leaving
         this.limits = limits
-        if (hasChanged ||
-            isElapsed(reportSentMillis, aggregators.heartbeatMillis(isMesh()))
-        ) {
-            outgoing +=
-                newReport(work, isLeaving = false)
-        }
+        val isDue = hasChanged || isElapsed(reportSentMillis, aggregators.heartbeatMillis(isMesh()))
+        if (isDue) outgoing += newReport(work, isLeaving = false)
         outgoing += questions()
         if (!aggregators.isRequested && !isAggregator()) return outgoing
         if (isElapsed(totalsSentMillis, TotalsInterval.millis(totalsEntries))) newTotals(work)?.let { outgoing += it }
@@ -276,20 +272,8 @@
         hasNewIncarnation = false
         sentReports.add(report)
         reportSentMillis = clock.nowMillis()
-        return OutgoingMessage(
-            (
-                if (isMesh()) {
-                    roster.meshRecipients(
-                        quarantine.isActive,
-                    )
-                } else {
-                    aggregators.current()
-                }
-            ).map {
-                it.endpoint
-            },
-            report,
-        )
+        val recipients = if (isMesh()) roster.meshRecipients(quarantine.isActive) else aggregators.current()
+        return OutgoingMessage(recipients.map { it.endpoint }, report)
     }
 
     /**
@@ -343,12 +327,8 @@
         val zoneLeaving = reports.fold(leaving) { known, member -> known + member.leaving }
         val versions = RolloutReport.sum(received.localVersions(ownVersions))
         val content = SentContent.of(sums, zoneLeaving, zoneLimits, quarantine.version, versions)
-        if (content == lastSums &&
-            !speeds.hasZoneNews &&
-            !isElapsed(sumsSentMillis, AggregatorSelection.HEARTBEAT_MILLIS)
-        ) {
-            return null
-        }
+        val isUnchanged = content == lastSums && !speeds.hasZoneNews
+        if (isUnchanged && !isElapsed(sumsSentMillis, AggregatorSelection.HEARTBEAT_MILLIS)) return null
         lastSums = content
         sumsSentMillis = clock.nowMillis()
         val report =
