Repeat the write of a rollout status after a conflict without a newer revision

An order stayed without a status, and so without a verdict, if the store answered a write with 409 and no other revision followed: the same write was taken for settled. It is now repeated after 1 s; a conflict with a newer revision is still followed by a write for that revision at once.

RolloutTest 'a status is written although the first writes are answered with 409' failed before ('status null' after 12 s) and passes now.

--- a/relay/src/main/kotlin/io/sequoiawheel/relay/control/RolloutStatusWriter.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/control/RolloutStatusWriter.kt
@@ -12,7 +12,7 @@
 ) {
     WRITTEN("written"),
 
-    /** The object has another revision, which the watch reports. */
+    /** The object has another revision, which the watch reports, unless the store lost the other write. */
     CONFLICT("conflict"),
 
     /** The store did not answer, or did nothing. The write may be done later if the revision is still the same. */
@@ -72,15 +72,24 @@
         revision: Long,
     ): Boolean {
         val outcome = last.outcome ?: return false
-        val isSameWrite = last.revision == revision && last.status["state"] == status["state"]
-        val isSettled = isSameWrite && last.status["stage"] == status["stage"] && outcome != StatusWriteOutcome.UNKNOWN
-        // After a conflict the revision in force arrives by the watch, with which the write is another one.
-        return !isSettled &&
-            (outcome != StatusWriteOutcome.UNKNOWN || clock.nowMillis() - last.atMillis >= RETRY_MILLIS)
+        val isSameWrite =
+            last.revision == revision &&
+                last.status["state"] == status["state"] &&
+                last.status["stage"] == status["stage"]
+        val ageMillis = clock.nowMillis() - last.atMillis
+        return when (outcome) {
+            StatusWriteOutcome.WRITTEN -> !isSameWrite
+            StatusWriteOutcome.UNKNOWN -> ageMillis >= RETRY_MILLIS
+            // The revision in force arrives by the watch, with which the write is another one.
+            StatusWriteOutcome.CONFLICT -> !isSameWrite || ageMillis >= CONFLICT_RETRY_MILLIS
+        }
     }
 
     private companion object {
         /** A store that is down for a moment is back within some of these; an order takes some seconds. */
         const val RETRY_MILLIS = 400L
+
+        /** The watch reports another revision within 400 ms; without one, the other write was lost. */
+        const val CONFLICT_RETRY_MILLIS = 1_000L
     }
 }
--- a/relay/src/test/kotlin/io/sequoiawheel/relay/RolloutTest.kt
+++ b/relay/src/test/kotlin/io/sequoiawheel/relay/RolloutTest.kt
@@ -39,11 +39,11 @@
         names.forEach { others += fixture.startInstance(it, FreePorts.allocate()) }
     }
 
-    private fun startNewVersion() {
-        for (id in listOf("new-1", "new-2")) {
-            fixture.replica(id, version = "v2") { request, answer ->
+    private fun startNewVersion(version: String = "v2") {
+        for (id in listOf("$version-1", "$version-2")) {
+            fixture.replica(id, version = version) { request, answer ->
                 newCalls.incrementAndGet()
-                answer.sendComplete(request, "new", if (isBad) "500 Internal Server Error" else "200 OK")
+                answer.sendComplete(request, "new $version", if (isBad) "500 Internal Server Error" else "200 OK")
             }
         }
     }
@@ -91,7 +91,7 @@
         order()
         callUntil { state() == "complete" }
         val before = oldCalls.get()
-        repeat(20) { assertTrue(call().endsWith("new")) }
+        repeat(20) { assertTrue(call().endsWith("new v2")) }
         assertEquals(before, oldCalls.get())
         assertEquals("v2", fixture.store.status(KIND, SERVICE)?.text("to"))
     }
@@ -153,6 +153,45 @@
         assertEquals(listOf("active", "active", "complete"), states)
     }
 
+    // A conflict without a newer revision, since the store lost the other write, left the order without a status.
+    @Test
+    fun `a status is written although the first writes are answered with 409`() {
+        start()
+        startNewVersion()
+        fixture.store.statusConflicts = 2
+        order()
+        callUntil { state() == "complete" }
+        assertEquals(0, fixture.store.statusConflicts)
+    }
+
+    // The verdict of the first order, which the second one replaced, was carried out for the second version.
+    @Test
+    fun `the newer of two orders in succession is carried out`() {
+        start()
+        startNewVersion()
+        order(seconds = LONG_SECONDS)
+        callUntil { state() == "active" && newCalls.get() > 0 }
+        startNewVersion("v3")
+        order(version = "v3")
+        callUntil { state() == "complete" }
+        assertEquals("v3", fixture.store.status(KIND, SERVICE)?.text("to"))
+        repeat(20) { assertTrue(call().endsWith("new v3")) }
+    }
+
+    // An order that was written while the watch had no history to continue from was carried out too late.
+    @Test
+    fun `an order is carried out although the history of the store is compacted`() {
+        start()
+        startNewVersion()
+        fixture.store.expireHistory()
+        order()
+        fixture.store.expireHistory()
+        callUntil { state() == "active" }
+        fixture.store.expireHistory()
+        callUntil { state() == "complete" }
+        repeat(20) { assertTrue(call().endsWith("new v2")) }
+    }
+
     // While the store was down, nothing but the instances' own evidence could stop the requests to a bad version.
     @Test
     fun `a version that turns bad while the store is down receives nothing more`() {
--- a/standin/src/main/kotlin/io/sequoiawheel/standin/platform/PlatformStoreStandIn.kt
+++ b/standin/src/main/kotlin/io/sequoiawheel/standin/platform/PlatformStoreStandIn.kt
@@ -93,6 +93,10 @@
     @Volatile
     var losesStatusAnswers = false
 
+    /** Number of the next writes of a status that are answered with 409 and do nothing. */
+    @Volatile
+    var statusConflicts = 0
+
     /** Number of calls received so far. */
     @Volatile
     var calls = 0
@@ -321,6 +325,10 @@
     ): Pair<Int, String> =
         lock.withLock {
             val existing = objects[kind to name] ?: return MISSING to "{}"
+            if (statusConflicts > 0) {
+                statusConflicts--
+                return CONFLICT to existing.toString()
+            }
             val fields = Json.parseToJsonElement(body).jsonObject
             val condition = fields["meta"]?.jsonObject?.get("revision")
             val meta = existing.getValue("meta").jsonObject
