Count answers about the store only for the era that was asked about

An instance that had asked at its start accepted reports of newer versions again for 10 s after each later restore that it saw itself, and a report that no longer counted, perhaps of a withdrawn version, counted again after the next restore. A wrong report could then have stopped all instances for 10 s. Found by reading; no caller saw it.

Change: an answer counts only for the era of the last question, and a report that no longer counts is forgotten when the era changes.

The two new tests were not run on the code before.

--- a/core/src/main/kotlin/io/sequoiawheel/core/relay/ConfigurationOrder.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/ConfigurationOrder.kt
@@ -24,7 +24,10 @@
     private var revision = 0L
     private var observedVersion = 0L
 
-    /** The newest version that other instances reported in answers. */
+    /** The era that other instances were last asked about. */
+    private var askedEra: Long? = null
+
+    /** The newest version that other instances reported in answers. It counts until the settling limit. */
     private var reportedVersion = Long.MIN_VALUE
 
     /** The version in force, or null before the first. */
@@ -32,14 +35,15 @@
         private set
 
     /** The newest version that is known to have been in force at any instance. */
-    val newestVersion: Long get() = maxOf(version ?: Long.MIN_VALUE, reportedVersion)
+    val newestVersion: Long
+        get() = maxOf(version ?: Long.MIN_VALUE, if (isSettling) reportedVersion else Long.MIN_VALUE)
 
     /** Whether the version in force is older than one that another instance had in force before the restore. */
-    val isOutdated: Boolean
-        get() {
-            val since = eraSinceMillis ?: return false
-            return newestVersion != version && clock.nowMillis() - since < SETTLE_LIMIT_MILLIS
-        }
+    val isOutdated: Boolean get() = isSettling && newestVersion != version
+
+    /** Whether the era is known to have begun less than the settling limit ago. */
+    private val isSettling: Boolean
+        get() = eraSinceMillis?.let { clock.nowMillis() - it < SETTLE_LIMIT_MILLIS } ?: false
 
     /**
      * Processes the version read from the store in [era] at [revision]. Returns true if it replaces the version in
@@ -62,6 +66,8 @@
     /** Records the [era] of a response of the store; revisions restart when the era changes. */
     fun enterEra(era: Long?) {
         if (hasObserved && era == this.era) return
+        // A report that no longer counts, perhaps of a withdrawn version, must not count again after the next restore.
+        if (!isSettling) reportedVersion = Long.MIN_VALUE
         eraSeenMillis = clock.nowMillis()
         if (hasObserved) {
             revision = 0
@@ -88,12 +94,16 @@
     }
 
     /** Returns the question to send to other instances now, or null if there is none. */
-    fun question(): EraReport? = era?.takeIf { inquiry?.isAsking == true }?.let { EraReport(it) }
+    fun question(): EraReport? {
+        if (inquiry?.isAsking != true) return null
+        askedEra = era
+        return era?.let { EraReport(it) }
+    }
 
     /** Processes a [report] of another instance. Returns the answer if it is a question, or null if there is none. */
     fun receive(report: EraReport): EraReport? {
         val reported = report.version ?: return answer(report.era)
-        if (inquiry?.hasAsked != true || report.era != era) return null
+        if (inquiry == null || report.era != era || askedEra != era) return null
         val age = report.ageMillis.coerceIn(0, MAXIMUM_AGE_MILLIS)
         // The process has seen the era itself since eraSeenMillis, so that no answer can put off the end of the wait.
         eraSinceMillis = minOf(eraSinceMillis ?: eraSeenMillis, clock.nowMillis() - age)
--- a/core/src/main/kotlin/io/sequoiawheel/core/relay/StartInquiry.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/StartInquiry.kt
@@ -28,7 +28,6 @@
 ) {
     private var readMillis: Long? = null
     private var listedMillis: Long? = null
-    private var hasOthers = false
     private var isClosed = false
 
     /** Whether the configuration read at the start is not to be taken for the newest one yet. */
@@ -43,9 +42,6 @@
     /** Whether other instances are to be asked now. */
     val isAsking: Boolean get() = isOpen && listedMillis != null
 
-    /** Whether other instances were asked, so that answers are expected; they may arrive after the end of the time. */
-    val hasAsked: Boolean get() = readMillis != null && hasOthers
-
     /** Records that the store was read; only the first call counts. */
     fun recordRead() {
         readMillis = readMillis ?: clock.nowMillis()
@@ -55,7 +51,6 @@
     fun recordListed(hasOthers: Boolean) {
         if (listedMillis != null) return
         listedMillis = clock.nowMillis()
-        this.hasOthers = hasOthers
         if (!hasOthers) close()
     }
 
--- a/core/src/test/kotlin/io/sequoiawheel/core/relay/StartInquiryTest.kt
+++ b/core/src/test/kotlin/io/sequoiawheel/core/relay/StartInquiryTest.kt
@@ -33,6 +33,7 @@
     ) = order().apply {
         observe(era, revision = 30, version)
         recordInstances(hasOthers = true)
+        question()
     }
 
     private fun ConfigurationOrder.confirms() = confirmsCurrent(nowMillis)
@@ -175,6 +176,30 @@
         assertTrue(silent.confirms())
     }
 
+    // After a restore, a running instance knows of the change itself, so that reports must not stop all instances.
+    @Test
+    fun `a running instance that saw the restore accepts no answers`() {
+        val order = starting(version = 5, era = 2)
+        nowMillis += HOUR_MILLIS
+        order.observe(era = 3, revision = 30, version = 5)
+        order.receive(EraReport(era = 3, version = 10))
+        assertFalse(order.isOutdated)
+        nowMillis += 2_000
+        assertTrue(order.confirms())
+    }
+
+    // A withdrawn version that was reported once would have stopped the instance again after each restore.
+    @Test
+    fun `a report that no longer counts does not count after a later restore`() {
+        val order = starting()
+        order.receive(EraReport(era = 2, version = 10))
+        nowMillis += 10_000
+        assertFalse(order.isOutdated)
+        order.observe(era = 3, revision = 30, version = 5)
+        assertFalse(order.isOutdated)
+        assertEquals(EraReport(4, 5), order.receive(EraReport(4)))
+    }
+
     // The answer may be late on a busy machine, after the start was confirmed.
     @Test
     fun `an answer after the wait still marks the configuration as outdated`() {
