Release the load of a generation that is cancelled before its first step

A caller that left in the same turn of the event loop as its generation started left load behind for as long as its engine was listed, at all instances. It is now released when the coroutine ends in any way. LaunchAndReleaseTest covers the function; no test brings the case about in a running instance.

--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationAttempt.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationAttempt.kt
@@ -17,12 +17,12 @@
 import io.sequoiawheel.relay.backend.ConnectionEndedException
 import io.sequoiawheel.relay.filter.Exchange
 import io.sequoiawheel.relay.filter.SendRecord
+import io.sequoiawheel.relay.internal.launchAndRelease
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.channels.SendChannel
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.launch
 import java.io.IOException
 
 /** A notification to a [GenerationRun], sent by one of its attempts, by a copy job or by a replica that is leaving. */
@@ -188,7 +188,7 @@
         context.onGenerationStart(replica, PeerWork(1, demand.tokens, promptTokens))
         backup?.load?.reserve(demand.tokens)
         job =
-            scope.launch {
+            scope.launchAndRelease(::releaseResources) {
                 try {
                     sendAndReceive()
                 } catch (failure: ConnectFailedException) {
@@ -207,8 +207,6 @@
                 } catch (failure: IOException) {
                     observation?.recordFailure()
                     reportConnectionFailure(failure)
-                } finally {
-                    releaseResources()
                 }
             }
     }
