Keep the pause of accepting when Netty resumes it

After a failed attempt to accept, Netty stops reading from the listener and resumes a second later. If the limit of connections was reached meanwhile, the pause was not set again. Found by reading; each check now sets it.

--- a/relay/src/main/kotlin/io/sequoiawheel/relay/http/AcceptPause.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/http/AcceptPause.kt
@@ -26,7 +26,8 @@
     fun update() {
         val wasPaused = isPaused
         isPaused = !connections.mayAdd()
-        if (isPaused != wasPaused) listener.config().isAutoRead = !isPaused
+        // Netty resumes accepting by itself a second after a failed attempt, also while this pause lasts.
+        if (isPaused || wasPaused) listener.config().isAutoRead = !isPaused
         if (!isPaused) return
         if (!wasPaused) count++
         if (isCheckScheduled) return
