Do not keep repeated reports, and ask nothing once the list is late

Answers to starting instances displaced the report that the totals included, so that an instance counted its own load twice. An instance whose list of instances came late had confirmed its configuration already and stopped serving for 300 ms; it now asks nothing any more, and waits for the list for 700 ms, since three slow calls to the store take longer than 400 ms. StartInquiryTest has the second case.

--- a/core/src/main/kotlin/io/sequoiawheel/core/relay/SentReports.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/SentReports.kt
@@ -17,18 +17,17 @@
         if (reports.size > MAXIMUM_KEPT) reports.removeFirst()
     }
 
-    /** Returns the latest report again with a new [sequence] and [eraReport], or null before the first report. */
+    /**
+     * Returns the latest report again with a new [sequence] and [eraReport], or null before the first report. It is not
+     * kept: many answers would displace the report that the totals include.
+     */
     fun repeatLatest(
         sequence: Long,
         eraReport: EraReport,
-    ): PeerReport? =
-        reports
-            .lastOrNull()
-            ?.copy(sequence = sequence, wantsTotals = false, storeEra = eraReport)
-            ?.also(::add)
-
-    /** Returns the work in the report with [sequence], or null if it is no longer retained. */
-    operator fun get(sequence: Long): WorkByReplica? = reports.find { it.sequence == sequence }?.work
+    ): PeerReport? = reports.lastOrNull()?.copy(sequence = sequence, wantsTotals = false, storeEra = eraReport)
+
+    /** Returns the work in the report with [sequence], or in the one that it repeats, or null if none is retained. */
+    operator fun get(sequence: Long): WorkByReplica? = reports.lastOrNull { it.sequence <= sequence }?.work
 
     private companion object {
         /** Three seconds at ten reports per second, the lifetime of a total. */
--- a/core/src/main/kotlin/io/sequoiawheel/core/relay/StartInquiry.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/StartInquiry.kt
@@ -50,8 +50,9 @@
     /** Records that the list of instances was read; only the first call counts. */
     fun recordListed(hasOthers: Boolean) {
         if (listedMillis != null) return
+        val isOverdue = readMillis?.let { clock.nowMillis() - it >= LISTING_MILLIS } ?: false
         listedMillis = clock.nowMillis()
-        if (!hasOthers) close()
+        if (!hasOthers || isOverdue) close()
     }
 
     /** Ends the time early. */
@@ -60,8 +61,12 @@
     }
 
     companion object {
-        /** Registering the instance and listing the others take a few milliseconds, or 300 ms a call if it is slow. */
-        internal const val LISTING_MILLIS = 400L
+        /**
+         * Registering the instance and listing the others take a few milliseconds. If the store is slow, the three
+         * calls of an instance that was killed and is still registered take up to 300 ms each; the configuration is
+         * read during the first one.
+         */
+        internal const val LISTING_MILLIS = 700L
 
         /** Two or three questions, which are 100 ms apart, so that one lost datagram does not matter. */
         internal const val ANSWER_MILLIS = 300L
--- a/core/src/test/kotlin/io/sequoiawheel/core/relay/StartInquiryTest.kt
+++ b/core/src/test/kotlin/io/sequoiawheel/core/relay/StartInquiryTest.kt
@@ -63,6 +63,17 @@
         assertTrue(order.confirms())
     }
 
+    // An instance that was ready stopped serving for 300 ms when a slow store listed the others late.
+    @Test
+    fun `a list that is read too late asks nothing any more`() {
+        val order = order().apply { observe(era = 2, revision = 30, version = 5) }
+        nowMillis += StartInquiry.LISTING_MILLIS
+        assertTrue(order.confirms())
+        order.recordInstances(hasOthers = true)
+        assertNull(order.question())
+        assertTrue(order.confirms())
+    }
+
     @Test
     fun `an instance that reaches no other one confirms after the time for the answers`() {
         val order = starting()
