Count announced starts once, and assume unknown ones at the limit

Found by a reviewer, by reading: a notice with starts of two reports was counted whole beside totals that included the first of them, and starts counted as known although the limit on bytes held notices back. A notice now holds the starts of one report, and unknown starts are assumed for a second after the limit was reached. StartNoticesTest has both cases.

--- a/core/src/main/kotlin/io/sequoiawheel/core/relay/LoadExchange.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/LoadExchange.kt
@@ -138,14 +138,16 @@
     /** Whether the instances of this zone tell each other at once of the generations that they start. */
     val announcesStarts: Boolean get() = speeds.isInUse && noticeRecipients().isNotEmpty()
 
+    /** Whether the load that this instance knows includes the starts in its zone, as far as it can tell. */
+    val knowsStarts: Boolean get() = announcesStarts && !notices.isLimited
+
     /** Returns the notice that this instance starts a generation of [work] at [replica], or null if none is sent. */
     fun noticeOfStart(
         replica: String,
         work: PeerWork,
     ): OutgoingMessage? {
         if (!announcesStarts) return null
-        val included = totals()?.members?.get(self.name) ?: 0
-        return notices.create(noticeRecipients(), mapOf(replica to work), sequence + 1, included)
+        return notices.create(noticeRecipients(), mapOf(replica to work), sequence + 1)
     }
 
     /** Returns the other instances of the zone, or none where the fleet or the zone is too small or too large. */
--- a/core/src/test/kotlin/io/sequoiawheel/core/relay/StartNoticesTest.kt
+++ b/core/src/test/kotlin/io/sequoiawheel/core/relay/StartNoticesTest.kt
@@ -73,6 +73,21 @@
         assertEquals(2_200, remotePrompts())
     }
 
+    // Starts of two reports in one notice were counted twice beside totals that included the first of them.
+    @Test
+    fun `a start is counted once beside totals that include an earlier one`() {
+        val work = PeerWork(1, 2_208, 2_200)
+        deliver(checkNotNull(start()))
+        val first =
+            sender
+                .tick(mapOf("engine" to work))
+                .first()
+                .message.sequence
+        deliver(checkNotNull(start()))
+        receiver.receive(totals(mapOf("a-3" to first), sequence = 2, mapOf("engine" to work)))
+        assertEquals(4_400, remotePrompts())
+    }
+
     // A notice whose totals are lost must not occupy an engine that has long answered.
     @Test
     fun `a start that the totals never include expires`() {
@@ -102,6 +117,8 @@
     fun `the bytes of notices are limited`() {
         val sent = List(100) { start() }.count { it != null }
         assertEquals(8, sent)
+        assertTrue(sender.announcesStarts)
+        assertFalse(sender.knowsStarts)
         nowMillis += 2_400
         assertTrue(start() != null)
     }
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/RelayDaemon.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/RelayDaemon.kt
@@ -115,7 +115,7 @@
         RelayContext(
             monotonic,
             directory,
-            ReplicaSelection(settings.zone, random) { loads.announcesStarts },
+            ReplicaSelection(settings.zone, random) { loads.knowsStarts },
             pool,
             log,
             metrics,
