Hold back what an earlier order reverted while a newer one is in force

Found by a reviewer, by reading: while an order was known, a replica counted as old unless it was of the version of that order, so copies and runs could go to a version that an earlier order had found bad, or to one that no order names yet. RolloutGateTest has the case.

--- a/core/src/main/kotlin/io/sequoiawheel/core/rollout/RolloutGate.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/rollout/RolloutGate.kt
@@ -108,10 +108,11 @@
     fun mayReceive(replica: Replica): Boolean {
         val rollout = rollouts[replica.entry.service] ?: return isEstablished(replica)
         return when (rollout.stage) {
-            RolloutStage.CANARY -> !isHeldBack(replica, rollout) || isOpen(rollout) && rollout.budget.mayAdmit
-            RolloutStage.SHIFTING -> !isHeldBack(replica, rollout) || isOpen(rollout)
+            RolloutStage.CANARY ->
+                if (isHeldBack(replica, rollout)) isOpen(rollout) && rollout.budget.mayAdmit else isEstablished(replica)
+            RolloutStage.SHIFTING -> if (isHeldBack(replica, rollout)) isOpen(rollout) else isEstablished(replica)
             RolloutStage.COMPLETE -> isNew(replica, rollout)
-            RolloutStage.REVERTED -> !isNew(replica, rollout)
+            RolloutStage.REVERTED -> !isNew(replica, rollout) && isEstablished(replica)
         }
     }
 
--- a/core/src/test/kotlin/io/sequoiawheel/core/rollout/RolloutGateTest.kt
+++ b/core/src/test/kotlin/io/sequoiawheel/core/rollout/RolloutGateTest.kt
@@ -53,4 +53,19 @@
         assertFalse(gate.mayReceive(new))
         assertEquals(listOf(listOf(old)), gate.preferences(service, listOf(old, new), isFirst = true))
     }
+
+    // Copies and runs went to a version that an earlier order had found bad, once a newer order began.
+    @Test
+    fun `a version that an earlier order reverted stays held back under a newer one`() {
+        val (old, bad, newer) = listOf("v1", "v2", "v3").map { replica("r-$it", it) }
+        gate.observe(listOf(old))
+        gate.begin(order("v2"), RolloutStage.REVERTED)
+        gate.begin(RolloutOrder(service, "v3", durationMillis = 12_000, revision = 9), RolloutStage.CANARY)
+        assertTrue(gate.mayReceive(old))
+        assertFalse(gate.mayReceive(bad))
+        assertFalse(gate.mayMove(old, bad))
+        gate.begin(RolloutOrder(service, "v3", durationMillis = 12_000, revision = 9), RolloutStage.REVERTED)
+        assertFalse(gate.mayReceive(newer))
+        assertFalse(gate.mayReceive(bad))
+    }
 }
