--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationRun.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationRun.kt
@@ -21,7 +21,6 @@
 import io.sequoiawheel.core.relay.Replica
 import io.sequoiawheel.core.relay.ReplicaPlacement
 import io.sequoiawheel.core.relay.SignalQueue
-import io.sequoiawheel.core.relay.UnsentAttempts
 import io.sequoiawheel.relay.filter.Exchange
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
@@ -78,8 +77,7 @@
 
     /** Number of attempts that a replica may have executed, without those that continued from a copy. */
     private var runs = 0
-    private var refusals = 0
-    private val unsentAttempts = UnsentAttempts(context.clock)
+    private val retries = RetryAllowance(context, exchange, service)
 
     /** Number of sends that continue from a copy and were not refused; each may have been executed. */
     private var continuations = 0
@@ -218,7 +216,7 @@
         runs++
         signal.attempt.replica.load
             .recordOutcome(failed = true)
-        if (route.isRepeatable && mayRetry() && startAttempt(setOf(signal.attempt.replica))) return
+        if (route.isRepeatable && retries.mayRunAgain(runs) && startAttempt(setOf(signal.attempt.replica))) return
         if (exchange.response.isStarted) return fail(ResultCode.STREAM_INTERRUPTED, detail)
         if (signal.head.hasNotRunStatus) {
             return fail(ResultCode.BACKEND_ERROR, "${signal.attempt.replica} sent $status without the required header")
@@ -239,7 +237,7 @@
             return
         }
         if (runs == 0 && delivery.delivered == 0) exchange.mayHaveRun = false
-        if (mayRetryElsewhere(signal) && startAttempt(abandoned)) {
+        if (retries.maySendElsewhere(signal) && startAttempt(abandoned)) {
             if (signal.proof == NotRunProof.REFUSED_BY_REPLICA) {
                 context.logResend(exchange, signal.attempt.replica, signal.detail, signal.isReusedConnection)
             }
@@ -253,13 +251,6 @@
         }
     }
 
-    private fun mayRetryElsewhere(signal: GenerationSignal.NotRun): Boolean =
-        when {
-            signal.isUnavailable -> true
-            signal.proof == NotRunProof.NOTHING_SENT -> unsentAttempts.mayRetry()
-            else -> refusals++ < MAXIMUM_REFUSED_RETRIES && context.retryBudget(service.name).tryRetry()
-        }
-
     private suspend fun handleConnectionFailed(signal: GenerationSignal.ConnectionFailed) {
         if (signal.attempt !== current) return
         val attempt = signal.attempt
@@ -293,15 +284,10 @@
 
     /** Sends the request again without a copy if the route allows it, or else fails it with [detail]. */
     private suspend fun retryWithoutCopy(detail: String) {
-        if (route.isRepeatable && mayRetry() && startAttempt(abandoned)) return
+        if (route.isRepeatable && retries.mayRunAgain(runs) && startAttempt(abandoned)) return
         fail(if (exchange.response.isStarted) ResultCode.STREAM_INTERRUPTED else ResultCode.OUTCOME_UNKNOWN, detail)
     }
 
-    private fun mayRetry() =
-        runs < route.maximumAttempts &&
-            !context.outcomes.isSuspected(exchange) &&
-            context.retryBudget(service.name).tryRetry()
-
     private fun handleReplicaLeaving(signal: GenerationSignal.ReplicaLeaving) {
         exchange.logFields["left"] = signal.reason.name
         if (!continueFromBackup(signal.attempt)) migrate(signal.attempt)
@@ -361,7 +347,7 @@
         if (!delivery.canBeResumed) return false
         quarantinedPart = context.refusedPart(exchange)
         if (quarantinedPart != null) return false
-        val purpose = if (runs == 0 && refusals == 0) SendPurpose.FIRST_ATTEMPT else SendPurpose.RETRY
+        val purpose = if (runs == 0 && !retries.hasRefusals) SendPurpose.FIRST_ATTEMPT else SendPurpose.RETRY
         val placement =
             attempts.place(purpose) { context.placement.forGeneration(it, excluded, demand, engine, service) }
         retryAfterMillis =
@@ -394,9 +380,6 @@
     }
 
     private companion object {
-        /** Refusals after which the request is retried; the next refusal is reported to the caller. */
-        const val MAXIMUM_REFUSED_RETRIES = 2
-
         /** Interval between checks of a stream that delivers no events. */
         const val STALL_CHECK_MILLIS = 150L
 
