Give a shift its time that begins when the verdict is due

Found by a reviewer, by reading: after an outage of the store the shift could begin shortly before the deadline and was complete at the next check, without a ramp, and all runs on old replicas were broken off. The verdict now waits for the shift, also beyond the deadline.

--- a/core/src/main/kotlin/io/sequoiawheel/core/rollout/RolloutVerdict.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/rollout/RolloutVerdict.kt
@@ -66,9 +66,10 @@
         heldMillis: Long,
         worst: Finding?,
     ): RolloutAssessment {
+        // After an outage of the store the shift may begin when the verdict is due; the version must be seen first.
         val isDue =
             if (share.elapsedMillis <= share.durationMillis) {
-                share.elapsedMillis >= plan.completeMillis
+                share.elapsedMillis >= plan.completeMillis && shiftedMillis >= plan.minimumShiftMillis
             } else {
                 shiftedMillis >= plan.shiftMillis
             }
