Do not write the status of an order that the store lost

Found by a reviewer, by reading: if a restored store did not hold the object of a rollout any more, all instances repeated the write of its status without end. An object that is missing in a new era is no longer written, and a verdict is written again only while the order is reported to other instances.

--- a/relay/src/main/kotlin/io/sequoiawheel/relay/control/RolloutController.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/control/RolloutController.kt
@@ -82,6 +82,8 @@
             if (reliability == ListReliability.NEW_ERA && isOlder(target)) continue
             adopt(target, isLate = isFirstListing)
         }
+        // The status of an object that the store lost cannot be written.
+        if (reliability == ListReliability.NEW_ERA) stored.keys.removeIf { it.value !in names }
         if (reliability == ListReliability.CERTAIN) {
             gate.all
                 .map { it.order.service }
@@ -148,7 +150,7 @@
     /** Writes the verdict again if the store lost it. */
     private fun rewriteVerdict(rollout: ServiceRollout) {
         val state = stored[rollout.order.service] ?: return
-        if (state.stage == rollout.stage) return
+        if (state.stage == rollout.stage || !rollout.isReported) return
         want(rollout, RolloutTarget(rollout.stage, "verdict written again"), share = null)
     }
 
