--- a/review/common-2/rig.py
+++ b/review/common-2/rig.py
@@ -124,6 +124,7 @@
         self.port = self.listener.getsockname()[1]
         self.address = "127.0.0.1:%d" % self.port
         self.is_closed = False
+        self.sockets = set()
         threading.Thread(target=self._accept, daemon=True).start()
 
     def _accept(self):
@@ -137,17 +138,28 @@
 
     def _run(self, sock):
         connection = Connection(sock)
+        self.sockets.add(sock)
         try:
             self.serve(connection)
         except (OSError, EOFError, ValueError):
             pass
         finally:
+            self.sockets.discard(sock)
             connection.close()
 
     def close(self):
         self.is_closed = True
         self.listener.close()
 
+    def end(self):
+        """Closes the listener and all connections, as the end of a process does."""
+        self.close()
+        for sock in list(self.sockets):
+            try:
+                sock.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
+
 
 class Store(Server):
     """The platform's metadata store: listings, watches, creation, replacement, removal."""
@@ -158,6 +170,7 @@
         self.revision = 1
         self.objects = {}
         self.events = []
+        self.watches = {}
         super().__init__()
 
     def put(self, kind, name, spec, by="operator"):
@@ -222,6 +235,7 @@
         return 200, self.put(kind, name, fields["spec"], by="the system")
 
     def watch(self, kind, revision, wait_s):
+        self.watches[kind] = self.watches.get(kind, 0) + 1
         end = time.monotonic() + wait_s
         with self.lock:
             while True:
