--- a/review/common-2/rig.py
+++ b/review/common-2/rig.py
@@ -473,6 +473,11 @@
 
 def main(folder, scenario):
     """Runs `scenario(trouble, record, folder, entries)`, which returns whether the rule was broken, and exits."""
+    def terminate(number, frame):
+        raise RuntimeError("ended by signal %d" % number)
+
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(number, terminate)
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record = Record(os.path.join(folder, "record.txt"))
     entries = []
@@ -492,5 +497,5 @@
             for entry in entries:
                 shutil.copy(entry.log, os.environ["KEEP_LOGS"])
         shutil.rmtree(temporary, ignore_errors=True)
-        print(record.file.name and {HELD: "held", BROKEN: "broken", NOT_RUN: "could not run"}[code])
+        print({HELD: "held", BROKEN: "broken", NOT_RUN: "could not run"}[code], flush=True)
     os._exit(code)
