--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,5 +1,5 @@
 """
-The engine of a service is replaced: the new one starts first, the old one drains. Its runs are moved, one after another
+One of three engines, which run resumable streams, is replaced: the new one starts first, the old one drains. Its runs are moved, one after another
 on its link. It doesn't drop a run when its connection closes, so it has to be asked to stop.
 """
 import os
@@ -13,7 +13,8 @@
 
 DRAIN_S = 2.0
 COLD_S = 1.0
-STREAMS = 11
+STREAMS = 21
+ENGINES = 3
 
 
 class Engine(engines.Engine):
@@ -24,8 +25,9 @@
 def scenario(trouble, record, folder, entries):
     store = rig.Store(record)
     fleet = {}
-    old, new = [Engine(name, store, record, fleet, 150, False) for name in ("engine-old", "engine-new")]
-    engines.deploy(store, [old])
+    first = [Engine("engine-%d" % number, store, record, fleet, 150, False) for number in range(1, ENGINES + 1)]
+    new = Engine("engine-new", store, record, fleet, 150, False)
+    engines.deploy(store, first, resumable=True, attempts=2)
     entry = rig.Entry("edge-1", "a", store.port, folder, record)
     entries.append(entry)
     entry.await_ready()
@@ -36,6 +38,7 @@
         time.sleep(0.05)
     new.register(cold_ms=int(COLD_S * 1000))
     time.sleep(COLD_S + 0.5)
+    old = max(first, key=lambda engine: len(engine.runs))
     if trouble:
         old.register("draining")
         time.sleep(DRAIN_S + 1.5)
@@ -43,7 +46,7 @@
     for call in calls:
         call.thread.join(25)
     record("%d of %d streams were complete" % (sum(call.end == "complete" for call in calls), len(calls)))
-    longest = max(engines.longest_overlap(record, call.id, [old, new]) for call in calls)
+    longest = max(engines.longest_overlap(record, call.id, first + [new]) for call in calls)
     return longest > engines.OVERLAP_MS
 
 
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -33,7 +33,7 @@
 def scenario(trouble, record, folder, entries):
     store = rig.Store(record)
     fleet = {}
-    both = [Engine("engine-%d" % number, store, record, fleet) for number in (1, 2)]
+    both = [Engine("engine-%d" % number, store, record, fleet) for number in range(1, 8)]
     engines.deploy(store, both)
     entry = rig.Entry("edge-1", "a", store.port, folder, record)
     entries.append(entry)
@@ -44,11 +44,11 @@
     source = next(engine for engine in both if "first" in engine.runs)
     # Requests of other machines take the other slots of the source, so that it turns further ones away.
     source.is_full, source.pauses = True, trouble
-    for number in range(8):
+    for number in range(60):
         if source.refused:
             break
         calls.append(rig.Call(entry, "more-%d" % number, "/letters/1", record, headers=engines.HEADERS).start())
-        time.sleep(0.3)
+        time.sleep(0.05)
     if not source.refused:
         raise RuntimeError("the source was sent no further request")
     time.sleep(0.5)
