Send the stop of a run to a paused or limited replica

Cause: a pause held back every request, also the one that stops a run, and the generation moved regardless. A request limit did the same.

Change: a paused replica still receives two stops, the stops at a limited one precede its other requests, and a generation whose stream is read leaves either of them only if its stop is reserved (StopPermit); otherwise it stays. A stream that broke off waits for its stop and fails after 3 s if none could be sent, instead of running at two engines.

--- a/core/src/main/kotlin/io/sequoiawheel/core/relay/Replica.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/Replica.kt
@@ -86,6 +86,12 @@
     /** The limit on the requests of all instances together that the replica names in its responses. */
     val requestLimit = NamedRequestLimit(clock, onStart = limitedRate::reset)
 
+    /** The stops that the replica receives while it is paused. */
+    val pauseAllowance = PauseAllowance(clock)
+
+    /** Number of runs whose stop the request limit holds back; other requests wait until they are sent. */
+    internal var waitingStops = 0
+
     private var pausedUntilMillis = Long.MIN_VALUE
 
     /** Remaining time of the pause that the replica requested from this instance; 0 if it is not paused. */
@@ -97,6 +103,7 @@
      * Pauses requests to the replica for [millis], as it requested; a longer pause requested earlier remains in effect.
      */
     fun pauseFor(millis: Long) {
+        if (!isPaused && millis > 0) pauseAllowance.begin()
         pausedUntilMillis = maxOf(pausedUntilMillis, clock.nowMillis() + millis)
     }
 
--- a/core/src/main/kotlin/io/sequoiawheel/core/relay/RequestLimiter.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/RequestLimiter.kt
@@ -11,8 +11,14 @@
     /** Whether a request may be sent to [replica] now. Does not consume anything. */
     fun mayAdmit(replica: Replica): Boolean = waitMillis(replica) == 0L
 
-    /** Consumes the permission for one request to [replica], or returns false if there is none now. */
-    fun tryAdmit(replica: Replica): Boolean {
+    /**
+     * Consumes the permission for one request to [replica], or returns false if there is none now, or stops of runs
+     * wait for it.
+     */
+    fun tryAdmit(replica: Replica): Boolean = replica.waitingStops == 0 && tryAdmitStop(replica)
+
+    /** Like [tryAdmit], for the stop of a run, which precedes other requests. */
+    internal fun tryAdmitStop(replica: Replica): Boolean {
         val share = shareOf(replica) ?: return true
         return share.burst >= 1 && replica.limitedRate.tryTake(share.perSecond, share.burst)
     }
@@ -23,8 +29,10 @@
      */
     fun waitMillis(replica: Replica): Long {
         val share = shareOf(replica) ?: return 0
-        if (share.burst < 1) return (MILLIS_PER_SECOND / effectiveRate(replica)).toLong()
-        return replica.limitedRate.millisUntilToken(share.perSecond, share.burst)
+        val intervalMillis = (MILLIS_PER_SECOND / effectiveRate(replica)).toLong()
+        if (share.burst < 1) return intervalMillis
+        val waitMillis = replica.limitedRate.millisUntilToken(share.perSecond, share.burst)
+        return if (replica.waitingStops > 0) waitMillis + intervalMillis else waitMillis
     }
 
     /** Returns the share of this instance in the limit of [replica], or null if the replica names none. */
--- a/core/src/main/kotlin/io/sequoiawheel/core/relay/RunStopPlan.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/RunStopPlan.kt
@@ -16,8 +16,14 @@
 
     /** No connection could be opened. */
     UNREACHABLE,
+
+    /** The replica accepts connections, but nothing was sent because of its pause or its request limit. */
+    HELD_BACK,
 }
 
+/** What a generation does that waits for the end of its run at another replica. */
+enum class StopWait { GO_ON, WAIT, GIVE_UP }
+
 /**
  * Decides how long a replica is asked to stop a run whose generation goes on elsewhere: until an answer proves that the
  * run ended, or until the run has ended by its deadline.
@@ -46,22 +52,25 @@
             StopAnswer.STOPPED -> true
             StopAnswer.NO_SUCH_RUN -> hasStarted || nowMillis - startMillis >= WAITING_MILLIS
             StopAnswer.UNREACHABLE -> !isListed && nowMillis - startMillis >= UNLISTED_MILLIS
-            StopAnswer.REFUSED, StopAnswer.NO_RESPONSE -> false
+            StopAnswer.REFUSED, StopAnswer.NO_RESPONSE, StopAnswer.HELD_BACK -> false
         }
 
     /**
-     * Returns whether a generation that waits for the end of the run goes on without a proof of it: the replica does
-     * not answer, as [answer] null, cannot be reached, knows no such run yet, or has refused for too long.
+     * Returns what a generation does that waits for the end of the run. It goes on without a proof if the replica does
+     * not answer, as [answer] null, cannot be reached, knows no such run yet, or has refused for too long. A replica
+     * that was not asked because of its pause or its limit is alive and works on, so the generation must not go on.
      */
-    fun mayGoOn(
+    fun awaitEnd(
         answer: StopAnswer?,
         nowMillis: Long,
-    ): Boolean =
-        when (answer) {
-            StopAnswer.STOPPED -> true
-            StopAnswer.REFUSED, StopAnswer.NO_RESPONSE -> nowMillis - startMillis >= REFUSED_MILLIS
-            StopAnswer.NO_SUCH_RUN, StopAnswer.UNREACHABLE, null -> true
+    ): StopWait {
+        val isPatient = nowMillis - startMillis < REFUSED_MILLIS
+        return when (answer) {
+            StopAnswer.REFUSED, StopAnswer.NO_RESPONSE -> if (isPatient) StopWait.WAIT else StopWait.GO_ON
+            StopAnswer.HELD_BACK -> if (isPatient) StopWait.WAIT else StopWait.GIVE_UP
+            StopAnswer.STOPPED, StopAnswer.NO_SUCH_RUN, StopAnswer.UNREACHABLE, null -> StopWait.GO_ON
         }
+    }
 
     /** Returns the delay before the next request, or null if the run is over by then. */
     fun delayMillis(nowMillis: Long): Long? {
--- a/core/src/test/kotlin/io/sequoiawheel/core/relay/RunStopPlanTest.kt
+++ b/core/src/test/kotlin/io/sequoiawheel/core/relay/RunStopPlanTest.kt
@@ -41,14 +41,22 @@
     @Test
     fun `a generation goes on without a proof if the replica is out of reach or refuses for some seconds`() {
         for (answer in listOf(StopAnswer.UNREACHABLE, StopAnswer.NO_SUCH_RUN, null)) {
-            assertTrue(plan.mayGoOn(answer, START_MILLIS), "$answer")
+            assertEquals(StopWait.GO_ON, plan.awaitEnd(answer, START_MILLIS), "$answer")
         }
         for (answer in listOf(StopAnswer.REFUSED, StopAnswer.NO_RESPONSE)) {
-            assertFalse(plan.mayGoOn(answer, START_MILLIS + 2_999), "$answer")
-            assertTrue(plan.mayGoOn(answer, START_MILLIS + 3_000), "$answer")
+            assertEquals(StopWait.WAIT, plan.awaitEnd(answer, START_MILLIS + 2_999), "$answer")
+            assertEquals(StopWait.GO_ON, plan.awaitEnd(answer, START_MILLIS + 3_000), "$answer")
         }
     }
 
+    // A pause or a limit held the stop back, and the generation went on beside a replica that was alive.
+    @Test
+    fun `a generation does not go on beside a replica that could not be asked to stop`() {
+        assertFalse(plan.isEnd(StopAnswer.HELD_BACK, isListed = false, START_MILLIS + 3_000))
+        assertEquals(StopWait.WAIT, plan.awaitEnd(StopAnswer.HELD_BACK, START_MILLIS + 2_999))
+        assertEquals(StopWait.GIVE_UP, plan.awaitEnd(StopAnswer.HELD_BACK, START_MILLIS + 3_000))
+    }
+
     @Test
     fun `requests become rarer and end with the run`() {
         assertEquals(20, plan.delayMillis(START_MILLIS))
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/EngineCalls.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/EngineCalls.kt
@@ -8,6 +8,7 @@
 import io.netty.handler.codec.http.HttpVersion
 import io.sequoiawheel.core.relay.Endpoint
 import io.sequoiawheel.core.relay.Replica
+import io.sequoiawheel.core.relay.StopPermit
 import io.sequoiawheel.platform.EngineProtocol
 import io.sequoiawheel.relay.backend.ConnectFailedException
 import kotlinx.coroutines.withTimeoutOrNull
@@ -26,52 +27,68 @@
         val detail: String,
     ) : EngineResult
 
-    /** No whole response arrived in time, or the engine accepts no requests now. */
+    /** No whole response arrived in time. */
     class NoResponse(
         val detail: String,
     ) : EngineResult
+
+    /** Nothing was sent, since the engine accepts connections but no such request now. */
+    class HeldBack(
+        val detail: String,
+    ) : EngineResult
 }
 
 /** Calls to model engines about the runs of generations, other than the generations themselves. */
 internal class EngineCalls(
     private val context: RelayContext,
 ) {
-    /**
-     * Asks [source] to copy the run of [requestId] to [destination].
-     *
-     * @param stop whether the source is to stop the run first
-     */
+    /** Asks [source] to copy the run of [requestId] to [destination] while it goes on. */
     suspend fun copyRun(
         requestId: String,
         source: Replica,
         destination: Replica,
-        stop: Boolean,
-        purpose: SendPurpose,
         timeoutMillis: Long,
     ): EngineResult {
-        val body = EngineProtocol.copyRunBody(requestId, endpoint(destination), stop)
-        return call(source, HttpMethod.POST, EngineProtocol.COPY_RUN_PATH, body, purpose, timeoutMillis)
+        val body = EngineProtocol.copyRunBody(requestId, endpoint(destination), stop = false)
+        return call(source, HttpMethod.POST, EngineProtocol.COPY_RUN_PATH, body, timeoutMillis) {
+            context.tryAdmitControl(source, SendPurpose.COPY)
+        }
     }
 
-    /** Asks [source] to free the copy with [handle], which the source made, at both ends. */
-    suspend fun releaseCopy(
+    /** Asks [source] to stop the run of [requestId] and then to copy it to [destination]. */
+    suspend fun stopRun(
+        requestId: String,
         source: Replica,
+        destination: Replica,
+        permit: StopPermit,
+        timeoutMillis: Long,
+    ): EngineResult {
+        val body = EngineProtocol.copyRunBody(requestId, endpoint(destination), stop = true)
+        return call(source, HttpMethod.POST, EngineProtocol.COPY_RUN_PATH, body, timeoutMillis) {
+            context.tryAdmitStop(source, permit)
+        }
+    }
+
+    /** Asks [holder] to free the copy with [handle]: at both ends, if [holder] made the copy. */
+    suspend fun releaseCopy(
+        holder: Replica,
         handle: String,
-        purpose: SendPurpose,
         timeoutMillis: Long,
     ): EngineResult =
-        call(source, HttpMethod.DELETE, EngineProtocol.releaseCopyPath(handle), null, purpose, timeoutMillis)
+        call(holder, HttpMethod.DELETE, EngineProtocol.releaseCopyPath(handle), null, timeoutMillis) {
+            context.tryAdmitControl(holder, SendPurpose.RELEASE)
+        }
 
     private suspend fun call(
         replica: Replica,
         method: HttpMethod,
         path: String,
         body: String?,
-        purpose: SendPurpose,
         timeoutMillis: Long,
+        admit: () -> Boolean,
     ): EngineResult =
         try {
-            withTimeoutOrNull(timeoutMillis) { exchange(replica, request(replica, method, path, body), purpose) }
+            withTimeoutOrNull(timeoutMillis) { exchange(replica, request(replica, method, path, body), admit) }
                 ?: EngineResult.NoResponse("no response within $timeoutMillis ms")
         } catch (failure: ConnectFailedException) {
             EngineResult.Unreachable(failure.message.orEmpty())
@@ -82,12 +99,12 @@
     private suspend fun exchange(
         replica: Replica,
         request: DefaultFullHttpRequest,
-        purpose: SendPurpose,
+        admit: () -> Boolean,
     ): EngineResult =
         context.pool.use(replica, requestId = null, mustBeRecent = true) { lease ->
-            if (!context.tryAdmitControl(replica, purpose)) {
+            if (!admit()) {
                 lease.complete()
-                return@use EngineResult.NoResponse("$replica accepts no requests now")
+                return@use EngineResult.HeldBack("$replica accepts no such request now")
             }
             lease.connection.send(request)
             val head = lease.connection.receiveHead(requestId = null)
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationAttempt.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationAttempt.kt
@@ -88,10 +88,15 @@
         override val failure get() = AttemptFailure(cause, detail)
     }
 
-    /** The run of an attempt whose connection failed was asked to stop, so the generation may go on elsewhere. */
+    /**
+     * The run of an attempt whose connection failed was asked to stop.
+     *
+     * @property mayGoOn whether the generation may go on elsewhere
+     */
     class SourceStopped(
         override val attempt: GenerationAttempt,
         val detail: String,
+        val mayGoOn: Boolean,
     ) : GenerationSignal
 
     class ReplicaLeaving(
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationLog.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationLog.kt
@@ -33,6 +33,19 @@
         context.metrics.count("moves", "continued")
     }
 
+    /** Logs that the generation is to leave [replica] and stays there, since its run could not be stopped. */
+    fun recordHeldMove(
+        replica: Replica,
+        waitMillis: Long,
+    ) {
+        context.log.request(
+            "generation stays at its replica",
+            position(replica) +
+                mapOf("waitMillis" to waitMillis, "limitPerSecond" to replica.requestLimit.perSecond),
+        )
+        context.metrics.count("moves", "held")
+    }
+
     /** Logs the failure of an attempt, if [signal] reports one, after the response has begun. */
     fun recordFailure(
         signal: GenerationSignal,
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationRun.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationRun.kt
@@ -66,6 +66,7 @@
             current?.replica === replica || successor?.replica === replica
         }
 
+    private val moveGate = MoveGate(context, attempts, runsLeft, log)
     private val sourceStop =
         SourceStop(context, attempts, copier, runsLeft, exchange, service, scope, signals.sender)
 
@@ -121,7 +122,10 @@
             is GenerationSignal.ConnectionFailed ->
                 if (!discardSuccessor(signal, signal.detail)) handleConnectionFailed(signal)
             is GenerationSignal.SourceStopped ->
-                if (!continueFromBackup(signal.attempt)) retryWithoutCopy(signal.detail)
+                when {
+                    !signal.mayGoOn -> failInterrupted("${signal.detail}, and its run cannot be stopped")
+                    !continueFromBackup(signal.attempt) -> retryWithoutCopy(signal.detail)
+                }
             is GenerationSignal.Events -> deliver(signal)
             else -> if (signal.attempt === current || signal.attempt === attemptAwaitingCopy) handleCurrent(signal)
         }
@@ -131,7 +135,10 @@
         when (signal) {
             is GenerationSignal.Completed -> if (signal.attempt === current) complete(signal.attempt)
             is GenerationSignal.ReplicaLeaving -> handleReplicaLeaving(signal)
-            is GenerationSignal.CopyReady -> if (successor == null) continueFrom(signal.copy)
+            is GenerationSignal.CopyReady -> {
+                val mayLeave = signal.attempt !== current || moveGate.mayLeave(signal.attempt, hasCopy = true)
+                if (successor == null && mayLeave) continueFrom(signal.copy)
+            }
             is GenerationSignal.CopyFailed -> {
                 exchange.logFields["copyFailed"] = signal.detail
                 if (signal.attempt === attemptAwaitingCopy) retryWithoutCopy(signal.detail)
@@ -155,7 +162,7 @@
         source?.let { runsLeft.stopAll(it.replica) }
         when {
             source == null -> retryWithoutCopy(detail)
-            source.replica.isLeaving || source.replica.isVacated -> migrate(source)
+            source.replica.isLeaving || source.replica.isVacated -> moveFrom(source)
         }
         return true
     }
@@ -263,14 +270,15 @@
         val mayAwaitCopy = copyJob?.isActive == true && !route.isRepeatable
         when {
             successor != null -> Unit
-            mayAwaitCopy -> if (!continueFromBackup(attempt)) attemptAwaitingCopy = attempt
-            !sourceStop.start(
+            sourceStop.start(
                 attempt,
                 signal.detail,
                 abandoned,
                 delivery.canBeResumed && runs < route.maximumAttempts,
-            ) ->
-                if (!continueFromBackup(attempt)) retryWithoutCopy(signal.detail)
+            ) -> Unit
+            continueFromBackup(attempt) -> Unit
+            mayAwaitCopy -> attemptAwaitingCopy = attempt
+            else -> retryWithoutCopy(signal.detail)
         }
     }
 
@@ -285,12 +293,19 @@
     /** Sends the request again without a copy if the route allows it, or else fails it with [detail]. */
     private suspend fun retryWithoutCopy(detail: String) {
         if (route.isRepeatable && retries.mayRunAgain(runs) && startAttempt(abandoned)) return
-        fail(if (exchange.response.isStarted) ResultCode.STREAM_INTERRUPTED else ResultCode.OUTCOME_UNKNOWN, detail)
+        failInterrupted(detail)
     }
 
+    private suspend fun failInterrupted(detail: String) =
+        fail(if (exchange.response.isStarted) ResultCode.STREAM_INTERRUPTED else ResultCode.OUTCOME_UNKNOWN, detail)
+
     private fun handleReplicaLeaving(signal: GenerationSignal.ReplicaLeaving) {
         exchange.logFields["left"] = signal.reason.name
-        if (!continueFromBackup(signal.attempt)) migrate(signal.attempt)
+        moveFrom(signal.attempt)
+    }
+
+    private fun moveFrom(source: GenerationAttempt) {
+        if (successor == null && moveGate.mayLeave(source) && !continueFromBackup(source)) migrate(source)
     }
 
     /** Continues on the replica that holds [copy]; events of the current replica are still delivered meanwhile. */
@@ -310,11 +325,16 @@
             }
     }
 
-    /** Continues from the backup if the replica's stream has started but delivered no new event for too long. */
+    /**
+     * Tries a move again that had to wait, and continues from the backup if the replica's stream has started but
+     * delivered no new event for too long.
+     */
     private fun checkForStall() {
         val attempt = current ?: return
+        if (moveGate.isHeld(attempt) && (attempt.replica.isLeaving || attempt.replica.isVacated)) moveFrom(attempt)
         val stalledMillis = context.clock.nowMillis() - attempt.lastProgressMillis
         if (!attempt.hasStarted || successor != null || stalledMillis < STALL_MILLIS) return
+        if (attempts.usableBackup(attempt) == null || !moveGate.mayLeave(attempt)) return
         exchange.sendLog.resendBecause("no event of ${attempt.replica} for $stalledMillis ms")
         if (continueFromBackup(attempt)) exchange.logFields["silentMilliseconds"] = stalledMillis
     }
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/RelayContext.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/RelayContext.kt
@@ -21,6 +21,7 @@
 import io.sequoiawheel.core.relay.RequestLimiter
 import io.sequoiawheel.core.relay.Route
 import io.sequoiawheel.core.relay.SlidingWindowRetryBudget
+import io.sequoiawheel.core.relay.StopPermit
 import io.sequoiawheel.core.rollout.RolloutGate
 import io.sequoiawheel.core.rollout.RolloutObservation
 import io.sequoiawheel.relay.backend.BackendPool
@@ -202,13 +203,31 @@
         purpose: SendPurpose,
     ): Boolean {
         if (replica.isPaused) return false
-        val isAdmitted = limiter.tryAdmit(replica)
-        if (replica.requestLimit.perSecond != null) {
-            metrics.count(if (isAdmitted) "limited.replica.requests" else "limited.replica.deferrals", purpose.label)
-        }
+        return limiter.tryAdmit(replica).also { recordAdmission(replica, purpose, it) }
+    }
+
+    /** Returns the permission to stop a run at [replica], of which nothing is reserved yet. */
+    fun stopPermit(replica: Replica) = StopPermit(replica, limiter)
+
+    /** Like [tryAdmitControl], for a stop with [permit], which a pause or a limit does not hold back at once. */
+    fun tryAdmitStop(
+        replica: Replica,
+        permit: StopPermit,
+    ): Boolean {
+        val isAdmitted = permit.tryUse().also { recordAdmission(replica, SendPurpose.STOP, it) }
+        if (replica.isPaused) metrics.count("paused.replica.stops", if (isAdmitted) "sent" else "deferred")
         return isAdmitted
     }
 
+    private fun recordAdmission(
+        replica: Replica,
+        purpose: SendPurpose,
+        isAdmitted: Boolean,
+    ) {
+        if (replica.requestLimit.perSecond == null) return
+        metrics.count(if (isAdmitted) "limited.replica.requests" else "limited.replica.deferrals", purpose.label)
+    }
+
     /** Logs that a request that [replica] refused is sent again. */
     fun logResend(
         exchange: Exchange,
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/RunCopier.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/RunCopier.kt
@@ -155,21 +155,11 @@
         requestId: String,
         source: Replica,
         destination: Replica,
-    ): CopyResult {
-        val purpose = SendPurpose.COPY
-        return when (
-            val result =
-                calls.copyRun(
-                    requestId,
-                    source,
-                    destination,
-                    stop = false,
-                    purpose,
-                    COPY_TIMEOUT_MILLIS,
-                )
-        ) {
+    ): CopyResult =
+        when (val result = calls.copyRun(requestId, source, destination, COPY_TIMEOUT_MILLIS)) {
             is EngineResult.Unreachable -> CopyResult.Refused(result.detail)
             is EngineResult.NoResponse -> CopyResult.Refused(result.detail)
+            is EngineResult.HeldBack -> CopyResult.Refused(result.detail)
             is EngineResult.Response ->
                 when (result.status) {
                     OK -> decode(source, destination, result.text)
@@ -177,7 +167,6 @@
                     else -> CopyResult.Refused("$source responded with status ${result.status}")
                 }
         }
-    }
 
     private fun decode(
         source: Replica,
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/RunStopper.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/RunStopper.kt
@@ -4,6 +4,8 @@
 import io.sequoiawheel.core.relay.RunStopPlan
 import io.sequoiawheel.core.relay.SignalQueue
 import io.sequoiawheel.core.relay.StopAnswer
+import io.sequoiawheel.core.relay.StopPermit
+import io.sequoiawheel.core.relay.StopWait
 import io.sequoiawheel.platform.EngineProtocol
 import io.sequoiawheel.platform.UnreadableDocumentException
 import kotlinx.coroutines.CoroutineScope
@@ -18,6 +20,7 @@
  * @property hasStarted whether the response of the run had begun
  * @property deadlineMillis when the replica ends the run by itself
  * @property leftAtMillis when the stream of the run was left
+ * @property permit the permission to send the stop
  */
 internal class LeftRun(
     val requestId: String,
@@ -25,8 +28,21 @@
     val hasStarted: Boolean,
     val deadlineMillis: Long,
     val leftAtMillis: Long,
+    val permit: StopPermit,
 )
 
+/** What is known of a run when its generation goes on elsewhere, or cannot. */
+internal enum class FirstStop {
+    /** An answer proves the end of the run. */
+    PROVEN,
+
+    /** The replica does not answer, or refuses for too long, so the generation goes on. */
+    UNPROVEN,
+
+    /** The replica would stop the run, but accepts no request for that now. */
+    HELD_BACK,
+}
+
 /**
  * Stops runs whose generation goes on at another replica, or ended while several replicas may have worked on it. Most
  * replicas stop a run when its connection closes; the others are asked to move it for the last time, which stops it.
@@ -78,14 +94,18 @@
                     ),
                 )
             } finally {
+                run.permit.close()
                 pending--
             }
         }
     }
 
+    /** Returns the permission to stop a run at [replica], of which nothing is reserved yet. */
+    fun permit(replica: Replica): StopPermit = context.stopPermit(replica)
+
     /**
-     * Asks for the stop of [run], whose stream broke off, before its generation goes on elsewhere. Returns whether its
-     * end is proven; if it is not, the generation goes on all the same, see [RunStopPlan.mayGoOn].
+     * Asks for the stop of [run], whose stream broke off, before its generation goes on elsewhere, and returns what is
+     * known then.
      *
      * @param destination the replica to which the run is moved
      */
@@ -93,13 +113,17 @@
         run: LeftRun,
         destination: Replica,
         releasesCopy: Boolean,
-    ): Boolean {
+    ): FirstStop {
+        var wait = StopWait.WAIT
         val outcome =
             stopRepeatedly(run, destination, releasesCopy, StopTrace(), isInUse = { false }) { plan, answer ->
-                plan.mayGoOn(answer, nowMillis())
+                wait = plan.awaitEnd(answer, nowMillis())
+                wait != StopWait.WAIT
             }
-        if (outcome.isProven) context.metrics.count("runs.stopped.first", outcome.label)
-        return outcome.isProven
+        if (!outcome.isProven) return if (wait == StopWait.GO_ON) FirstStop.UNPROVEN else FirstStop.HELD_BACK
+        run.permit.close()
+        context.metrics.count("runs.stopped.first", outcome.label)
+        return FirstStop.PROVEN
     }
 
     /** Waits until the end of each run is proven, for at most [timeoutMillis]. */
@@ -155,14 +179,15 @@
         val source = run.replica
         pending++
         try {
-            val result =
-                calls.copyRun(run.requestId, source, destination, stop = true, SendPurpose.STOP, TIMEOUT_MILLIS)
+            val result = calls.stopRun(run.requestId, source, destination, run.permit, TIMEOUT_MILLIS)
             // A source that could not copy the run has stopped it nevertheless if it names a handle.
             val handle =
                 (result as? EngineResult.Response)?.takeIf { it.status != NOT_FOUND }?.let { handleOf(it.text) }
             results.trySend(interpret(result, handle))
             if (handle != null && releasesCopy) {
-                calls.releaseCopy(source, handle, SendPurpose.STOP, TIMEOUT_MILLIS)
+                // The source may want no further request; the copy occupies memory at the destination.
+                val holder = if (context.waitMillis(source) > 0) destination else source
+                calls.releaseCopy(holder, handle, TIMEOUT_MILLIS)
             }
         } finally {
             pending--
@@ -176,6 +201,7 @@
         when (result) {
             is EngineResult.Unreachable -> StopResult(StopAnswer.UNREACHABLE, result.detail)
             is EngineResult.NoResponse -> StopResult(StopAnswer.NO_RESPONSE, result.detail)
+            is EngineResult.HeldBack -> StopResult(StopAnswer.HELD_BACK, result.detail)
             is EngineResult.Response -> {
                 val answer =
                     when {
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/RunsLeft.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/RunsLeft.kt
@@ -1,6 +1,7 @@
 package io.sequoiawheel.relay.serving
 
 import io.sequoiawheel.core.relay.Replica
+import io.sequoiawheel.core.relay.StopPermit
 
 /**
  * The replicas that may still run a generation although nothing reads their stream any more. They are stopped once the
@@ -21,8 +22,16 @@
 
     /** All replicas that may have run the generation, in the order in which they were left. */
     private val involved = LinkedHashSet<Replica>()
+    private val permits = HashMap<Replica, StopPermit>()
     private var hasEnded = false
 
+    /**
+     * Reserves the stop of the run at [source], from which the generation is to move. Returns false if the run has to
+     * stay, since the replica would not accept its stop.
+     */
+    fun reserveStop(source: Replica): Boolean =
+        requestId == null || permits.getOrPut(source) { stopper.permit(source) }.reserve()
+
     /** Records that the stream of [attempt] is not read any more and that no response proved the end of its run. */
     fun add(attempt: GenerationAttempt) {
         if (!attempt.isSent) return
@@ -30,8 +39,11 @@
         if (attempt.isExchangeComplete) return
         attempt.recordLeft()
         if (requestId == null) return
-        sources[attempt.replica] =
-            LeftRun(requestId, attempt.replica, attempt.hasStarted, deadlineMillis, stopper.nowMillis())
+        val replica = attempt.replica
+        val permit = permits.remove(replica) ?: stopper.permit(replica)
+        sources[replica]?.permit?.close()
+        sources[replica] =
+            LeftRun(requestId, replica, attempt.hasStarted, deadlineMillis, stopper.nowMillis(), permit)
     }
 
     /** Whether the run at [source] was left and is not being stopped yet. */
@@ -39,7 +51,7 @@
 
     /**
      * Stops the run that was left at [source] by moving it to [destination], before the generation goes on. If its end
-     * cannot be proven soon, it is stopped with the others, once the generation goes on.
+     * cannot be proven soon, it is stopped with the others, once the generation goes on. Returns whether it may go on.
      *
      * @param isBackup whether [destination] holds the copy from which the generation is to go on
      */
@@ -47,9 +59,11 @@
         source: Replica,
         destination: Replica,
         isBackup: Boolean,
-    ) {
-        val run = sources[source] ?: return
-        if (stopper.stopFirst(run, destination, releasesCopy = !isBackup)) sources.remove(source)
+    ): Boolean {
+        val run = sources[source] ?: return true
+        val result = stopper.stopFirst(run, destination, releasesCopy = !isBackup)
+        if (result == FirstStop.PROVEN) sources.remove(source)
+        return result != FirstStop.HELD_BACK
     }
 
     /** Whether a run was left that is not being stopped yet. */
@@ -76,6 +90,7 @@
         attempts.forEach(::add)
         hasEnded = true
         stopAll(releasesCopy = true) { source -> involved.lastOrNull { it !== source } }
+        permits.values.forEach { it.close() }
     }
 
     private fun stopAll(
@@ -83,7 +98,11 @@
         destination: (Replica) -> Replica?,
     ) {
         for ((source, run) in sources) {
-            val target = destination(source)?.takeIf { it !== source } ?: continue
+            val target = destination(source)?.takeIf { it !== source }
+            if (target == null) {
+                run.permit.close()
+                continue
+            }
             stopper.stop(run, target, releasesCopy) { !hasEnded && isInUse(source) }
         }
         sources.clear()
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/SendPurpose.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/SendPurpose.kt
@@ -13,6 +13,9 @@
     /** Asks a replica to copy a generation's KV cache to another one. */
     COPY("copy"),
 
-    /** Asks a replica to stop a generation that went on at another one. */
+    /** Asks a replica to stop a generation that went on at another one. Nothing else may be sent during a pause. */
     STOP("stop"),
+
+    /** Frees the copy that a stop made. */
+    RELEASE("release"),
 }
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/SourceStop.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/SourceStop.kt
@@ -46,8 +46,8 @@
                 ?: copier.chooseDestination(attempt.replica, abandoned, service, exchange.demand)
                 ?: return false
         scope.launch {
-            runsLeft.stopFirst(attempt.replica, destination, isBackup = backup != null)
-            signals.trySend(GenerationSignal.SourceStopped(attempt, detail))
+            val mayGoOn = runsLeft.stopFirst(attempt.replica, destination, isBackup = backup != null)
+            signals.trySend(GenerationSignal.SourceStopped(attempt, detail, mayGoOn))
         }
         return true
     }
--- a/relay/src/test/kotlin/io/sequoiawheel/relay/StubbornEngines.kt
+++ b/relay/src/test/kotlin/io/sequoiawheel/relay/StubbornEngines.kt
@@ -36,6 +36,7 @@
 internal class StubbornRun(
     val engine: String,
     val isFirst: Boolean,
+    val request: String = "",
 ) {
     /** When the engine began to work on the run, or 0 while the run waits in its queue. */
     @Volatile
@@ -69,6 +70,16 @@
     val releasedCopies = CopyOnWriteArrayList<String>()
     private val engines = ConcurrentHashMap<String, ReplicaStandIn>()
     private val refusals = AtomicInteger()
+    private val troubles = ConcurrentHashMap<String, Trouble>()
+    private val arrivals = CopyOnWriteArrayList<Pair<String, Long>>()
+    private val pausedMillis = AtomicLong()
+
+    /** Id of the engine that refuses new generations and requests a pause, or null. */
+    @Volatile
+    var pausingEngine: String? = null
+
+    /** Whether the engine has requested its pause. */
+    val isPaused: Boolean get() = pausedMillis.get() > 0
     private val firstStopMillis = AtomicLong()
 
     /** When all runs are over that are worked on now. */
@@ -78,6 +89,7 @@
         for (id in listOf("e-1", "e-2", "e-3", "e-4")) {
             engines[id] =
                 relay.replica(id, RelayFixture.ENGINE) { request, answer ->
+                    arrivals += id to nowMillis()
                     when {
                         request.target == "/v1/kv-move" -> move(id, request, answer)
                         request.method == "DELETE" -> {
@@ -98,13 +110,10 @@
         request: ReceivedRequest,
         answer: ReplicaAnswer,
     ) {
-        val isLast =
-            Json
-                .parseToJsonElement(request.body)
-                .jsonObject["last"]
-                ?.jsonPrimitive
-                ?.boolean ?: false
-        val run = runs.lastOrNull { it.engine == id && !it.isStopped && it.startedMillis > 0 }
+        val fields = Json.parseToJsonElement(request.body).jsonObject
+        val isLast = fields["last"]?.jsonPrimitive?.boolean ?: false
+        val named = fields.getValue("id").jsonPrimitive.content
+        val run = runs.lastOrNull { it.engine == id && it.request == named && !it.isStopped && it.startedMillis > 0 }
         if (run == null) return answer.sendComplete(request, "{}", "404 Not Found")
         if (!isLast) return answer.sendComplete(request, """{"session":"h-1","created":1}""")
         if (isRefused(request, answer)) return
@@ -148,10 +157,14 @@
         request: ReceivedRequest,
         answer: ReplicaAnswer,
     ) {
+        if (id == pausingEngine && request.header("Kv-From") == null) {
+            pausedMillis.compareAndSet(0, nowMillis())
+            return answer.sendNotExecuted(request, listOf(PAUSE_SECONDS.toString()))
+        }
         val index = runs.size
         val end = ends.getOrElse(index) { StreamEnd.NONE }
         val isDrained = index in drainedRuns
-        val run = StubbornRun(id, isFirst = runs.isEmpty())
+        val run = StubbornRun(id, isFirst = runs.isEmpty(), request.header("X-Request-Id").orEmpty())
         runs += run
         val next = (request.header("Last-Event-Id")?.toInt() ?: 0) + 1
         var isRead = end != StreamEnd.RESET_IN_QUEUE
@@ -165,7 +178,7 @@
             if (run.isStopped) break
             run.workedMillis = nowMillis()
             if (isRead) {
-                isRead = stream(answer, request, event, event - next, end)
+                isRead = stream(answer, request, event, event - next, endOf(run, end))
                 if (!isRead) leaveStream(run)
             }
             if (isDrained && event - next == 2) drain(id)
@@ -175,6 +188,38 @@
         answer.endStream()
     }
 
+    private fun endOf(
+        run: StubbornRun,
+        planned: StreamEnd,
+    ) = troubles[run.engine]?.takeIf { run.startedMillis < it.sinceMillis }?.end ?: planned
+
+    /** Ends the streams of all runs that [engine] works on now with [end]. */
+    fun trouble(
+        engine: String,
+        end: StreamEnd,
+    ) {
+        troubles[engine] = Trouble(end, nowMillis())
+    }
+
+    /** Lets [engine] name a limit of [perSecond] requests in its responses. */
+    fun limit(
+        engine: String,
+        perSecond: String,
+    ) {
+        engines.getValue(engine).requestLimit = perSecond
+    }
+
+    /** Number of requests that reached [engine] in the part of its pause in which the users' rules count them. */
+    fun requestsInPause(engine: String): Int {
+        val counted = pausedMillis.get() + TRANSIT_MILLIS..pausedMillis.get() + PAUSE_SECONDS * MILLIS_PER_SECOND
+        return arrivals.count { (id, atMillis) -> id == engine && atMillis in counted }
+    }
+
+    private class Trouble(
+        val end: StreamEnd,
+        val sinceMillis: Long,
+    )
+
     /** Works on [run] for [millis] without sending anything. */
     private fun prefill(
         run: StubbornRun,
@@ -202,7 +247,7 @@
         try {
             if (end == StreamEnd.NO_HEAD) return false.also { answer.reset() }
             if (index == 0) answer.startStream(request)
-            if (index < eventsBeforeEnd || end == StreamEnd.NONE) {
+            if (index < eventsBeforeEnd && troubles.isEmpty() || end == StreamEnd.NONE) {
                 answer.sendEvent(event)
                 return true
             }
@@ -217,13 +262,17 @@
         }
     }
 
-    private fun drain(id: String) = relay.register(id, RelayFixture.ENGINE, engines.getValue(id), state = "draining")
+    /** Lets the engine with [id] announce that it leaves. */
+    fun drain(id: String) = relay.register(id, RelayFixture.ENGINE, engines.getValue(id), state = "draining")
 
     /**
      * Returns for how many milliseconds at most two engines worked on the generation at the same time.
      */
     fun longestOverlapMillis(): Long {
-        val pairs = runs.flatMap { one -> runs.filter { it !== one && it.engine != one.engine }.map { one to it } }
+        val pairs =
+            runs.flatMap { one ->
+                runs.filter { it.request == one.request && it.engine != one.engine }.map { one to it }
+            }
         return pairs.maxOfOrNull { (one, other) ->
             minOf(one.workedMillis, other.workedMillis) - maxOf(one.startedMillis, other.startedMillis)
         } ?: 0
@@ -251,5 +300,12 @@
         private const val UNANSWERED_MILLIS = 4_000L
         private const val UNREACHABLE_MILLIS = 160L
         private const val NANOS_PER_MILLI = 1_000_000L
+        private const val MILLIS_PER_SECOND = 1_000L
+
+        /** The pause that a full engine requests. */
+        const val PAUSE_SECONDS = 2L
+
+        /** The part of a pause in which requests may still be in flight. */
+        private const val TRANSIT_MILLIS = 500L
     }
 }
