Await the end of a second copy before a generation goes on

Cause: the second copy of a run was given up after 150 ms but still waited in the queue of the engine's link, behind the first copies of the other runs. An engine refuses to stop a run while a copy of it waits.

Change: the end of a second copy is awaited, an unanswered one leaves the run at its source, and each instance requests at most two copies of a replica at a time, so that the copies of other runs do not delay the second one.

--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/RunCopier.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/RunCopier.kt
@@ -7,7 +7,8 @@
 import io.sequoiawheel.platform.RunCopy
 import io.sequoiawheel.platform.UnreadableDocumentException
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.withTimeoutOrNull
+import kotlinx.coroutines.sync.Semaphore
+import kotlinx.coroutines.sync.withPermit
 
 /** A copy of a running generation's KV cache, held by [destination]. */
 internal class PlacedRunCopy(
@@ -23,6 +24,7 @@
             is Copied -> GenerationSignal.CopyReady(attempt, copy)
             is NoSuchRun -> GenerationSignal.CopyFailed(attempt, detail)
             is Refused -> GenerationSignal.CopyFailed(attempt, detail)
+            is Unanswered -> GenerationSignal.CopyFailed(attempt, detail)
         }
 
     class Copied(
@@ -37,6 +39,43 @@
     class Refused(
         val detail: String,
     ) : CopyResult
+
+    /** The source may still be copying the run, and refuses to stop it until the copy ends. */
+    class Unanswered(
+        val detail: String,
+    ) : CopyResult
+}
+
+/**
+ * Limits the copies that this instance requests of one replica at a time. A replica transfers one copy after another and
+ * refuses to stop a run while a copy of it waits, so that the copies wait here instead. Confined to the event loop.
+ */
+private class CopyQueues {
+    private class Queue {
+        val permits = Semaphore(COPIES_AT_A_TIME)
+        var users = 0
+    }
+
+    private val queues = HashMap<Replica, Queue>()
+
+    /** Runs [copy] in the turn of its run at [source]. */
+    suspend fun <T> await(
+        source: Replica,
+        copy: suspend () -> T,
+    ): T {
+        val queue = queues.getOrPut(source, ::Queue)
+        queue.users++
+        try {
+            return queue.permits.withPermit { copy() }
+        } finally {
+            if (--queue.users == 0) queues.remove(source)
+        }
+    }
+
+    private companion object {
+        /** The second one uses the link of the replica while the first one is confirmed. */
+        const val COPIES_AT_A_TIME = 2
+    }
 }
 
 /** Asks replicas to copy running generations to other replicas. Confined to the event loop. */
@@ -44,6 +83,8 @@
     private val context: RelayContext,
     private val calls: EngineCalls,
 ) {
+    private val queues = CopyQueues()
+
     /** Returns a replica to hold a continuously updated copy of a run on [source], or null if none has room. */
     fun chooseBackup(
         source: Replica,
@@ -119,7 +160,7 @@
         if (context.waitMillis(source) > 0) return CopyResult.Refused("$source accepts no requests now")
         destination.load.beginCopy()
         try {
-            return copyTwice(requestId, source, destination)
+            return queues.await(source) { copyTwice(requestId, source, destination) }
         } finally {
             destination.load.endCopy()
         }
@@ -146,8 +187,9 @@
         val sinceNoticeMillis = source.leavingSinceMillis?.let { context.clock.nowMillis() - it } ?: 0
         val isWorthwhile = firstMillis > SECOND_COPY_MINIMUM_MILLIS && sinceNoticeMillis < SECOND_COPY_CUTOFF_MILLIS
         if (first !is CopyResult.Copied || !isWorthwhile) return first
-        val second = withTimeoutOrNull(SECOND_COPY_TIMEOUT_MILLIS) { copy(requestId, source, destination) }
-        return second as? CopyResult.Copied ?: first
+        // The run could not be stopped while its second copy is in progress, so that its end is awaited.
+        val second = copy(requestId, source, destination)
+        return if (second is CopyResult.Copied || second is CopyResult.Unanswered) second else first
     }
 
     /** Copies the run of [requestId] from [source] to [destination] without stopping it. */
@@ -158,7 +200,7 @@
     ): CopyResult =
         when (val result = calls.copyRun(requestId, source, destination, COPY_TIMEOUT_MILLIS)) {
             is EngineResult.Unreachable -> CopyResult.Refused(result.detail)
-            is EngineResult.NoResponse -> CopyResult.Refused(result.detail)
+            is EngineResult.NoResponse -> CopyResult.Unanswered(result.detail)
             is EngineResult.HeldBack -> CopyResult.Refused(result.detail)
             is EngineResult.Response ->
                 when (result.status) {
@@ -195,9 +237,6 @@
         /** A replica exits 1.5 s after its notice at the earliest. */
         const val SECOND_COPY_CUTOFF_MILLIS = 1_200L
 
-        /** Copying the tokens of one second takes 20 ms on an idle link. */
-        const val SECOND_COPY_TIMEOUT_MILLIS = 150L
-
         /** As many attempts as fit into the time before a leaving replica exits. */
         const val COPY_ATTEMPTS = 30
         const val COPY_RETRY_DELAY_MILLIS = 120L
--- a/relay/src/test/kotlin/io/sequoiawheel/relay/StubbornEngines.kt
+++ b/relay/src/test/kotlin/io/sequoiawheel/relay/StubbornEngines.kt
@@ -10,8 +10,11 @@
 import java.io.IOException
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.CopyOnWriteArrayList
+import java.util.concurrent.atomic.AtomicBoolean
 import java.util.concurrent.atomic.AtomicInteger
 import java.util.concurrent.atomic.AtomicLong
+import java.util.concurrent.locks.ReentrantLock
+import kotlin.concurrent.withLock
 
 /** How a stubborn engine ends the stream of a run on which it works on. */
 enum class StreamEnd { NONE, SILENCE, RESET, INVALID_EVENT, NO_HEAD, RESET_IN_QUEUE }
@@ -47,6 +50,13 @@
 
     @Volatile
     var isStopped = false
+
+    /** Whether a copy of the run is in progress, during which the engine refuses other requests for the run. */
+    val isMoving = AtomicBoolean()
+
+    /** Whether the run was copied before, so that a further copy transfers only what is new. */
+    @Volatile
+    var isCopied = false
 }
 
 /**
@@ -56,6 +66,7 @@
  * @param drainedRuns the runs whose engines announce that they leave
  * @param headDelaysMillis how long the runs are worked on before their heads are sent
  * @param eventsBeforeEnd number of events before the end of a stream that is not whole
+ * @param copyMillis how long a copy takes on the link of its engine, which carries one after another
  */
 internal class StubbornEngines(
     private val conduct: StopConduct,
@@ -64,12 +75,14 @@
     private val lastEvent: Int = LAST_EVENT,
     private val headDelaysMillis: List<Long> = emptyList(),
     private val eventsBeforeEnd: Int = EVENTS_BEFORE_END,
+    private val copyMillis: Long = 0,
 ) : AutoCloseable {
     val relay = RelayFixture()
     val runs = CopyOnWriteArrayList<StubbornRun>()
     val releasedCopies = CopyOnWriteArrayList<String>()
     private val engines = ConcurrentHashMap<String, ReplicaStandIn>()
     private val refusals = AtomicInteger()
+    private val links = listOf("e-1", "e-2", "e-3", "e-4").associateWith { ReentrantLock(true) }
     private val troubles = ConcurrentHashMap<String, Trouble>()
     private val arrivals = CopyOnWriteArrayList<Pair<String, Long>>()
     private val pausedMillis = AtomicLong()
@@ -115,15 +128,43 @@
         val named = fields.getValue("id").jsonPrimitive.content
         val run = runs.lastOrNull { it.engine == id && it.request == named && !it.isStopped && it.startedMillis > 0 }
         if (run == null) return answer.sendComplete(request, "{}", "404 Not Found")
-        if (!isLast) return answer.sendComplete(request, """{"session":"h-1","created":1}""")
-        if (isRefused(request, answer)) return
-        run.isStopped = true
+        if (isLast && !run.isMoving.get() && isRefused(request, answer)) return
+        if (!run.isMoving.compareAndSet(false, true)) return answer.sendComplete(request, "{}", "409 Conflict")
+        try {
+            copy(run, isLast, request, answer)
+        } finally {
+            run.isMoving.set(false)
+        }
+    }
+
+    private fun copy(
+        run: StubbornRun,
+        isLast: Boolean,
+        request: ReceivedRequest,
+        answer: ReplicaAnswer,
+    ) {
+        if (isLast) run.isStopped = true
+        occupyLink(run.engine, if (run.isCopied) copyMillis / FURTHER_COPY_PARTS else copyMillis)
+        run.isCopied = true
+        if (!isLast) {
+            // A further copy may be requested as soon as the response arrives.
+            run.isMoving.set(false)
+            return answer.sendComplete(request, """{"session":"h-1","created":1}""")
+        }
         if (conduct == StopConduct.LATE) Thread.sleep(LATE_MILLIS)
         val status = if (conduct == StopConduct.NO_ROOM) "503 Service Unavailable" else "200 OK"
         val responses = if (conduct == StopConduct.ANSWERED_TWICE) 2 else 1
         repeat(responses) { answer.sendComplete(request, """{"session":"h-2","created":1}""", status) }
     }
 
+    /** Occupies the link of [engine] for [millis], in its turn. */
+    fun occupyLink(
+        engine: String,
+        millis: Long,
+    ) {
+        if (millis > 0) links.getValue(engine).withLock { Thread.sleep(millis) }
+    }
+
     /** Answers the stop of a run that goes on. Returns whether it was refused. */
     private fun isRefused(
         request: ReceivedRequest,
@@ -299,6 +340,7 @@
         private const val QUEUE_MILLIS = 300L
         private const val UNANSWERED_MILLIS = 4_000L
         private const val UNREACHABLE_MILLIS = 160L
+        private const val FURTHER_COPY_PARTS = 10
         private const val NANOS_PER_MILLI = 1_000_000L
         private const val MILLIS_PER_SECOND = 1_000L
 
