Leave a hub whose state is not confirmed within the bounds

Cause: they watched a hub that was cut off from the store. It served on until two of its own calls had failed, 2.56 s, and its members left it for a stale proof after 3 s at the earliest.

Change: an instance measures the age of what it knows through a hub itself and reads the store once the last proof is 0.75 of the smaller one of drain_ms and config_apply_ms old, whatever the hub does. For that, a hub proves its state at once after a change and when it gets its first member, and the watch of a member outlasts the interval of the proofs.

--- a/core/src/main/kotlin/io/sequoiawheel/core/relay/InstanceSettings.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/InstanceSettings.kt
@@ -86,6 +86,7 @@
  * @property coldExcess factor by which the rate limit of a cold replica may be exceeded in one second
  * @property coldMargin additional requests by which it may be exceeded, across all instances
  * @property rollout bounds on roll-outs, or null in a deployment without them
+ * @property configurationMillis time after which a new configuration is in force
  */
 data class ServiceBounds(
     val contactMillis: Long,
@@ -98,6 +99,7 @@
     val coldExcess: Double,
     val coldMargin: Double,
     val rollout: RolloutBounds? = null,
+    val configurationMillis: Long = drainMillis,
 )
 
 /**
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/RelayDaemon.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/RelayDaemon.kt
@@ -15,6 +15,7 @@
 import io.sequoiawheel.core.relay.Endpoint
 import io.sequoiawheel.core.relay.Freshness
 import io.sequoiawheel.core.relay.HubSelection
+import io.sequoiawheel.core.relay.HubTiming
 import io.sequoiawheel.core.relay.InstanceSettings
 import io.sequoiawheel.core.relay.LoadExchange
 import io.sequoiawheel.core.relay.NotRunProof
@@ -133,7 +134,7 @@
     private val sources = ChangeSources(store, connector, hubSelection, eras, log)
     private val feeds =
         (BASIC_KINDS + listOfNotNull(rollouts?.let { StoreKind.ROLLOUTS })).associateWith(::ChangeFeed)
-    private val changeHub = ChangeHub(feeds, hubSelection, freshness)
+    private val changeHub = ChangeHub(feeds, hubSelection, freshness) { configurationWatcher.refresh() }
     private val longWatchers =
         listOfNotNull(
             watcher(StoreKind.REPLICAS, LONG_WAIT_MILLIS, replicas) {},
@@ -275,7 +276,18 @@
         waitMillis: Long,
         listener: KindListener,
         onFailure: () -> Unit,
-    ) = KindWatcher(sources, feeds.getValue(kind), waitMillis, listener, freshness, contact, random, log, onFailure)
+    ) = KindWatcher(
+        sources,
+        feeds.getValue(kind),
+        waitMillis,
+        listener,
+        freshness,
+        HubTiming.of(settings.bounds),
+        contact,
+        random,
+        log,
+        onFailure,
+    )
 
     private suspend fun relay(exchange: Exchange) {
         val route = checkNotNull(exchange.route)
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/control/ChangeHub.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/control/ChangeHub.kt
@@ -122,19 +122,24 @@
  * Serves watch requests of other instances from the changes that this one read from the store, in the store's own
  * format. A response states when the state was last confirmed as current, as an offset in milliseconds from the receipt
  * of the request. Confined to the event loop.
+ *
+ * @param onFirstWatcher called when another instance begins to rely on this one
  */
 internal class ChangeHub(
     private val feeds: Map<StoreKind, ChangeFeed>,
     private val selection: HubSelection,
     private val freshness: Freshness,
+    private val onFirstWatcher: () -> Unit = {},
 ) {
     /** Handles a watch request for [uri]. */
     suspend fun handle(uri: String): StatusResponse {
         val query = StoreProtocol.parseWatch(uri) ?: return StatusResponse(HttpResponseStatus.NOT_FOUND)
         val feed = feeds[query.kind] ?: return StatusResponse(HttpResponseStatus.NOT_FOUND)
         if (!feed.isServing) return StatusResponse(HttpResponseStatus.SERVICE_UNAVAILABLE)
+        val isFirst = !selection.hasWatchers
         selection.recordWatcher()
         val received = freshness.now()
+        if (isFirst) onFirstWatcher()
         withTimeoutOrNull(query.waitMillis) {
             while (feed.isServing && !isResponseDue(feed, query, received)) feed.awaitUpdate()
         }
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/control/KindWatcher.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/control/KindWatcher.kt
@@ -5,6 +5,7 @@
 import arrow.core.left
 import io.sequoiawheel.core.relay.ClockReading
 import io.sequoiawheel.core.relay.Freshness
+import io.sequoiawheel.core.relay.HubTiming
 import io.sequoiawheel.core.relay.ListReliability
 import io.sequoiawheel.core.relay.Peer
 import io.sequoiawheel.core.relay.StoreContact
@@ -19,6 +20,7 @@
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.ensureActive
+import kotlinx.coroutines.withTimeoutOrNull
 import org.apache.commons.rng.UniformRandomProvider
 
 /** Receives the state of one kind of store object, and its changes, from a [KindWatcher]. */
@@ -46,7 +48,7 @@
  * Confined to the event loop.
  *
  * The watcher of the configuration also acts as the probe of the store: its waits are short, so it detects an
- * unreachable store for the watchers with long waits.
+ * unreachable store, and a hub whose state is not confirmed any more, for the watchers with long waits.
  *
  * @param onFailure called after each failed call
  */
@@ -56,6 +58,7 @@
     private val waitMillis: Long,
     private val listener: KindListener,
     private val freshness: Freshness,
+    private val timing: HubTiming,
     private val contact: StoreContact,
     private val random: UniformRandomProvider,
     private val log: DecisionLog,
@@ -85,6 +88,14 @@
     private var lastConfirmedAt: ClockReading? = null
     private var hasLostHub = false
     private var pendingWatch: Deferred<Either<StoreFailure, StoreChanges>>? = null
+    private var pendingWaitMillis = 0L
+    private var isRefreshing = false
+
+    /**
+     * Whether the state is to be confirmed at once: the last response of the store contained changes, so that it proves
+     * only an earlier state as current, or another instance begins to rely on this one.
+     */
+    private var mustConfirm = false
 
     /** Lists and watches the kind until cancelled, or until an exception; it can be called again then. */
     suspend fun run() {
@@ -124,6 +135,14 @@
         pendingWatch?.cancel()
     }
 
+    /** Repeats the pending watch at once if its response may be delayed for longer than a hub may be unconfirmed. */
+    fun refresh() {
+        val running = pendingWatch?.takeIf { it.isActive && pendingWaitMillis > timing.confirmationMillis } ?: return
+        isRefreshing = true
+        mustConfirm = true
+        running.cancel()
+    }
+
     private fun reliabilityOf(listedEra: Long?) =
         when {
             isListed && listedEra != era -> ListReliability.NEW_ERA
@@ -135,7 +154,8 @@
     private suspend fun watchFrom(start: Long) {
         var revision = start
         while (sources.era == era) {
-            val hub = sources.currentHub()
+            // The state known here has to be recent before it is confirmed by a hub.
+            val hub = if (isProbe && mustConfirm) null else sources.currentHub()
             if (hub != null) {
                 feed.stop()
                 revision = watchHub(hub, revision, isJustListed = revision == start) ?: return
@@ -143,9 +163,14 @@
             }
             if (consecutiveFailures < STORE_LOST_FAILURES) feed.resume(revision, lastConfirmedAt, era)
             val asOf = freshness.now()
-            val waitMillis = waitMillis(isHubInvolved = sources.isHub)
+            val waitMillis = storeWaitMillis()
+            pendingWaitMillis = waitMillis
+            val result = watch { sources.store.watch(kind, revision, waitMillis) }
+            val isRepeated = isRefreshing && result.isLeft()
+            isRefreshing = false
+            if (isRepeated) continue
             val changes =
-                watch { sources.store.watch(kind, revision, waitMillis) }.fold({ failure ->
+                result.fold({ failure ->
                     // The call was interrupted because another response, or its own, stated a new era.
                     if (sources.era != era) return
                     if (failure is StoreFailure.HistoryGone) {
@@ -162,6 +187,7 @@
             }
             recordStoreResponse()
             if (changes.era != era || sources.era != era) return
+            mustConfirm = changes.events.isNotEmpty()
             revision = changes.revision
             // A response without events is sent at the end of the wait, so nothing changed until then.
             val confirmedAt = if (changes.events.isEmpty()) asOf.plus(waitMillis) else asOf
@@ -182,9 +208,15 @@
         isJustListed: Boolean,
     ): Long? {
         val asOf = freshness.now()
-        val waitMillis = waitMillis(isHubInvolved = true)
+        // The hub answers when it has confirmed its state, which takes less than the time that the probe waits.
+        val waitMillis =
+            when {
+                consecutiveFailures > 0 || isProbe && hasLostHub -> 0
+                isProbe -> timing.maximumAgeMillis
+                else -> waitMillis
+            }
         val changes =
-            watch { sources.watch(hub, kind, revision, waitMillis, era) }
+            watch { withinMaximumAge { sources.watch(hub, kind, revision, waitMillis, era) } }
                 .getOrElse { failure ->
                     val isHistoryGone = failure is StoreFailure.HistoryGone && !isJustListed
                     if (isHistoryGone || sources.era != era) return null
@@ -199,21 +231,32 @@
         val confirmedAt = changes.confirmationOffsetMillis?.let { asOf.plus(it) }
         confirmedAt?.let { contact.recordProof(it.monotonicMillis) }
         apply(changes, confirmedAt)
-        val isStale =
-            confirmedAt == null || freshness.now().monotonicMillis - confirmedAt.monotonicMillis > STALE_HUB_MILLIS
-        if (isProbe && isStale) {
-            sources.reportHubFailure(hub, StoreFailure.Unavailable("state not confirmed as current"))
-            onFailure()
-        }
         return changes.revision
     }
 
+    /**
+     * Calls a hub for as long as the state that is known here is recent enough to act on. Only the probe bounds its
+     * calls, and interrupts those of the other watchers when the hub fails.
+     */
+    private suspend fun withinMaximumAge(
+        call: suspend () -> Either<StoreFailure, StoreChanges>,
+    ): Either<StoreFailure, StoreChanges> {
+        if (!isProbe) return call()
+        val ageMillis = lastConfirmedAt?.let { freshness.now().monotonicMillis - it.monotonicMillis }
+        val remainingMillis = timing.maximumAgeMillis - (ageMillis ?: timing.maximumAgeMillis)
+        return withTimeoutOrNull(remainingMillis) { call() }
+            ?: StoreFailure.Unavailable("state not confirmed for ${timing.maximumAgeMillis} ms").left()
+    }
+
     private fun apply(
         changes: StoreChanges,
         confirmedAt: ClockReading?,
     ) {
         changes.events.forEach(::applyEvent)
-        lastConfirmedAt = confirmedAt ?: lastConfirmedAt
+        val before = lastConfirmedAt
+        if (before == null || confirmedAt != null && confirmedAt.monotonicMillis > before.monotonicMillis) {
+            lastConfirmedAt = confirmedAt
+        }
         if (confirmedAt != null && unappliedNames.isEmpty()) listener.onConfirmed(confirmedAt)
     }
 
@@ -233,15 +276,15 @@
     }
 
     /**
-     * Returns how long the response to a watch may be delayed. After a failed call the response must not wait for a
+     * Returns how long the store may delay the response to a watch. After a failed call the response must not wait for a
      * change, so that the end of an outage and a new era are detected at once; after the loss of a hub the probe must
-     * not wait either, so that the loss does not count as an outage of the store. The probe uses a shorter wait in the
-     * watches of a hub and of the instances that watch it.
+     * not wait either, so that the loss does not count as an outage of the store, nor after changes, so that the state
+     * that includes them is confirmed. The probe of a hub uses a shorter wait.
      */
-    private fun waitMillis(isHubInvolved: Boolean) =
+    private fun storeWaitMillis() =
         when {
-            consecutiveFailures > 0 || isProbe && hasLostHub -> 0
-            isProbe && isHubInvolved -> minOf(waitMillis, HUB_WAIT_MILLIS)
+            consecutiveFailures > 0 || isProbe && (hasLostHub || mustConfirm) -> 0
+            isProbe && sources.isHub -> minOf(waitMillis, timing.confirmationMillis)
             else -> waitMillis
         }
 
@@ -307,18 +350,6 @@
          */
         const val STORE_LOST_FAILURES = 2
 
-        /**
-         * How often a hub confirms the configuration as current, and how often it is asked: bounds the time until a
-         * silent hub is detected.
-         */
-        const val HUB_WAIT_MILLIS = 1_000L
-
-        /**
-         * A hub that no instance watches yet confirms its state every 2.4 s, the maximum wait of its own watch of the
-         * configuration; one that is further behind lost the store.
-         */
-        const val STALE_HUB_MILLIS = 3_000L
-
         /**
          * The first retry follows a closed connection almost at once; later ones reduce the load on a store that is
          * down.
--- a/relay/src/test/kotlin/io/sequoiawheel/relay/KindWatcherTest.kt
+++ b/relay/src/test/kotlin/io/sequoiawheel/relay/KindWatcherTest.kt
@@ -8,6 +8,7 @@
 import io.sequoiawheel.core.relay.Endpoint
 import io.sequoiawheel.core.relay.Freshness
 import io.sequoiawheel.core.relay.HubSelection
+import io.sequoiawheel.core.relay.HubTiming
 import io.sequoiawheel.core.relay.ListReliability
 import io.sequoiawheel.core.relay.StoreContact
 import io.sequoiawheel.core.relay.StoreEras
@@ -64,7 +65,9 @@
         sources.completePeerDiscovery()
         val freshness = Freshness(clock, { System.currentTimeMillis() }, FRESH_MILLIS)
         val feed = ChangeFeed(StoreKind.REPLICAS)
-        val watcher = KindWatcher(sources, feed, WAIT_MILLIS, listener, freshness, StoreContact(clock), random, log)
+        val timing = HubTiming(HUB_WAIT_MILLIS, HUB_AGE_MILLIS)
+        val contact = StoreContact(clock)
+        val watcher = KindWatcher(sources, feed, WAIT_MILLIS, listener, freshness, timing, contact, random, log)
         scope.launch { watcher.run() }
     }
 
@@ -141,6 +144,8 @@
         const val SEED = 30L
         const val FRESH_MILLIS = 5_000L
         const val WAIT_MILLIS = 2_000L
+        const val HUB_WAIT_MILLIS = 1_000L
+        const val HUB_AGE_MILLIS = 1_500L
 
         /** Longer than the watcher takes between a change and its confirmation. */
         const val SETTLE_MILLIS = 200L
--- a/relay/src/test/kotlin/io/sequoiawheel/relay/RelayFixture.kt
+++ b/relay/src/test/kotlin/io/sequoiawheel/relay/RelayFixture.kt
@@ -117,12 +117,13 @@
         daemon = startInstance("entry-1", peerPort)
     }
 
-    /** Starts another instance and waits until it is ready. The caller must close it. */
+    /** Starts another instance, with the store at [storePort], and waits until it is ready. The caller must close it. */
     fun startInstance(
         name: String,
         peerPort: Int,
+        storePort: Int = store.port,
     ): RelayDaemon {
-        val instance = launchInstance(name, peerPort)
+        val instance = launchInstance(name, peerPort, storePort)
         awaitTrue("$name is ready") { instance.isReady }
         return instance
     }
@@ -131,7 +132,8 @@
     fun launchInstance(
         name: String,
         peerPort: Int,
-    ): RelayDaemon = RelayDaemon(settings(name, peerPort)).also { runBlocking { it.start() } }
+        storePort: Int = store.port,
+    ): RelayDaemon = RelayDaemon(settings(name, peerPort, storePort)).also { runBlocking { it.start() } }
 
     /** Sends [request] on a new connection and returns everything received until the connection is closed. */
     fun send(
@@ -169,6 +171,7 @@
     private fun settings(
         name: String,
         peerPort: Int,
+        storePort: Int,
     ) = InstanceSettings(
         name,
         "127.0.0.1",
@@ -176,7 +179,7 @@
         callers = Endpoint("127.0.0.1", 0),
         readiness = Endpoint("127.0.0.1", 0),
         peerPorts = peerPort..peerPort,
-        store = Endpoint("127.0.0.1", store.port),
+        store = Endpoint("127.0.0.1", storePort),
         bounds = ServiceBounds(3_000, 2_000, 8.0, 5_000, 0.2, 54, 10_000, 1.5, 5.0, rollout),
         features = features.toImmutableSet(),
     )
