Count the grace period of vanished entries from the end of the outage

An entry that vanished within 2 s after an outage of the store was used for 2.3 s more, up to 4.3 s after the outage, and drain_ms is 2 s.

Cause: the grace period, in which live replicas register again, was counted from the removal of the entry. It now ends 2.3 s after the outage.

--- a/core/src/main/kotlin/io/sequoiawheel/core/relay/ReplicaDirectory.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/ReplicaDirectory.kt
@@ -25,12 +25,15 @@
  * Maintains the replicas by id. Confined to one thread.
  *
  * @param coldPhase from 0 to 1, chosen randomly by each instance; see [TokenBucket]
- * @param graceMillis how long an entry lost in an outage of the store is still used after it is found missing
+ * @param graceMillis how long an entry lost in an outage of the store is still used after the outage, or after it is
+ *   missing in a list
+ * @param sinceOutageMillis returns the time since the last outage ended
  */
 class ReplicaDirectory(
     private val clock: Clock,
     private val graceMillis: Long = REGISTRATION_GRACE_MILLIS,
     private val coldPhase: Double = 0.0,
+    private val sinceOutageMillis: () -> Long = { 0 },
 ) {
     private val replicas = LinkedHashMap<InstanceId, Replica>()
     private val missingUntilMillis = HashMap<InstanceId, Long>()
@@ -51,7 +54,8 @@
         val ids = entries.map { it.id }.toSet()
         possiblyStale.keys.retainAll(ids)
         entries.forEach(::put)
-        replicas.keys.filter { it !in ids }.forEach { remove(it, reliability != ListReliability.CERTAIN) }
+        val keptMillis = if (reliability == ListReliability.CERTAIN) 0 else graceMillis
+        replicas.keys.filter { it !in ids }.forEach { removeAfter(it, keptMillis) }
     }
 
     /** Adds or updates one entry. */
@@ -73,14 +77,19 @@
         if (entry.isDraining) replica.leave(LeaveReason.DRAINING)
     }
 
-    /** Removes one entry, immediately or after the grace period. */
+    /** Removes one entry, immediately or at the end of the grace period that began with the end of an outage. */
     fun remove(
         id: InstanceId,
         afterOutage: Boolean,
+    ) = removeAfter(id, if (afterOutage) graceMillis - sinceOutageMillis() else 0)
+
+    private fun removeAfter(
+        id: InstanceId,
+        keptMillis: Long,
     ) {
         possiblyStale.remove(id)
-        if (afterOutage && id in replicas) {
-            missingUntilMillis.getOrPut(id) { clock.nowMillis() + graceMillis }
+        if (keptMillis > 0 && id in replicas) {
+            missingUntilMillis.getOrPut(id) { clock.nowMillis() + keptMillis }
             return
         }
         missingUntilMillis.remove(id)
--- a/core/src/main/kotlin/io/sequoiawheel/core/relay/StoreContact.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/StoreContact.kt
@@ -17,6 +17,9 @@
     val isAfterOutage: Boolean
         get() = outageEndedMillis?.let { clock.nowMillis() - it <= REREGISTRATION_MILLIS } ?: false
 
+    /** Time since the last outage ended, or 0 if there was none. */
+    val sinceOutageMillis: Long get() = outageEndedMillis?.let { clock.nowMillis() - it } ?: 0
+
     /** Records that the store was reachable at [millis], by this instance or by the one that it watches. */
     fun recordProof(millis: Long) {
         val before = provenAtMillis
--- a/core/src/test/kotlin/io/sequoiawheel/core/relay/ReplicaDirectoryTest.kt
+++ b/core/src/test/kotlin/io/sequoiawheel/core/relay/ReplicaDirectoryTest.kt
@@ -11,7 +11,9 @@
 
 class ReplicaDirectoryTest {
     private var nowMillis = 0L
-    private val directory = ReplicaDirectory({ nowMillis }, graceMillis = 2_300)
+    private val outageEndMillis = 0L
+    private val directory =
+        ReplicaDirectory({ nowMillis }, graceMillis = 2_300, sinceOutageMillis = { nowMillis - outageEndMillis })
     private val service = ServiceName("writers")
 
     private fun entry(
@@ -32,6 +34,17 @@
 
     private fun usable() = directory.usable(service).map { it.entry.id.value }
 
+    // A replica that left soon after an outage was used for the whole grace period, beyond the bound on draining.
+    @Test
+    fun `an entry that vanishes after an outage is used until the replicas have had time to register again`() {
+        directory.replaceAll(listOf(entry("a"), entry("b")), ListReliability.CERTAIN)
+        nowMillis = 1_900
+        directory.remove(InstanceId("a"), afterOutage = true)
+        assertEquals(listOf("a", "b"), usable())
+        nowMillis = 2_300
+        assertEquals(listOf("b"), usable())
+    }
+
     @Test
     fun `a draining or removed replica immediately stops receiving new work`() {
         directory.replaceAll(listOf(entry("a"), entry("b"), entry("c")), ListReliability.CERTAIN)
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/RelayDaemon.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/RelayDaemon.kt
@@ -97,7 +97,8 @@
     private val store = StoreClient(connector, eras, ::onStoreRestored) { settings.store }
     private val freshness = Freshness(monotonic, wall, (settings.bounds.revokeMillis * FRESH_SHARE).toLong())
     private val contact = StoreContact(monotonic)
-    private val directory = ReplicaDirectory(monotonic, coldPhase = random.nextDouble())
+    private val directory =
+        ReplicaDirectory(monotonic, coldPhase = random.nextDouble(), sinceOutageMillis = contact::sinceOutageMillis)
     private val self = Peer(settings.name, settings.zone, Endpoint(settings.host, settings.peerPorts.first))
     private val quarantine = PartQuarantine(settings.name, monotonic, QuarantineLog(log, metrics))
     private val order = ConfigurationOrder(monotonic, StartInquiry(monotonic))
