--- a/relay/src/main/kotlin/io/sequoiawheel/relay/control/KindWatcher.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/control/KindWatcher.kt
@@ -156,44 +156,58 @@
         while (sources.era == era) {
             // The state known here has to be recent before it is confirmed by a hub.
             val hub = if (isProbe && mustConfirm) null else sources.currentHub()
-            if (hub != null) {
-                feed.stop()
-                revision = watchHub(hub, revision, isJustListed = revision == start) ?: return
-                continue
+            revision =
+                if (hub == null) {
+                    watchStore(revision) ?: return
+                } else {
+                    feed.stop()
+                    watchHub(hub, revision, isJustListed = revision == start) ?: return
+                }
+        }
+    }
+
+    /** Sends one watch to the store. Returns the last known revision, or null if the kind has to be listed again. */
+    private suspend fun watchStore(revision: Long): Long? {
+        if (consecutiveFailures < STORE_LOST_FAILURES) feed.resume(revision, lastConfirmedAt, era)
+        val asOf = freshness.now()
+        val waitMillis = storeWaitMillis()
+        pendingWaitMillis = waitMillis
+        val changes =
+            watch { sources.store.watch(kind, revision, waitMillis) }
+                .getOrElse { return recoverFrom(it, revision) }
+        isRefreshing = false
+        recordStoreResponse()
+        if (changes.era != era || sources.era != era) return null
+        mustConfirm = changes.events.isNotEmpty()
+        // A response without events is sent at the end of the wait, so nothing changed until then.
+        val confirmedAt = if (changes.events.isEmpty()) asOf.plus(waitMillis) else asOf
+        apply(changes, confirmedAt)
+        feed.append(changes, confirmedAt)
+        if (changes.events.isNotEmpty()) delay(CHANGE_BATCH_MILLIS)
+        return changes.revision
+    }
+
+    /** Waits after a failed watch of the store. Returns [revision], or null if the kind has to be listed again. */
+    private suspend fun recoverFrom(
+        failure: StoreFailure,
+        revision: Long,
+    ): Long? {
+        val isRepeated = isRefreshing
+        isRefreshing = false
+        return when {
+            isRepeated -> revision
+            // The call was interrupted because another response, or its own, stated a new era.
+            sources.era != era -> null
+            failure is StoreFailure.HistoryGone -> {
+                log.stateChange("store history truncated", mapOf("kind" to kind.name, "revision" to revision))
+                null
             }
-            if (consecutiveFailures < STORE_LOST_FAILURES) feed.resume(revision, lastConfirmedAt, era)
-            val asOf = freshness.now()
-            val waitMillis = storeWaitMillis()
-            pendingWaitMillis = waitMillis
-            val result = watch { sources.store.watch(kind, revision, waitMillis) }
-            val isRepeated = isRefreshing && result.isLeft()
-            isRefreshing = false
-            if (isRepeated) continue
-            val changes =
-                result.fold({ failure ->
-                    // The call was interrupted because another response, or its own, stated a new era.
-                    if (sources.era != era) return
-                    if (failure is StoreFailure.HistoryGone) {
-                        log.stateChange("store history truncated", mapOf("kind" to kind.name, "revision" to revision))
-                        return
-                    }
-                    recordFailure(failure)
-                    stopFeedIfStoreLost()
-                    null
-                }, { it })
-            if (changes == null) {
+            else -> {
+                recordFailure(failure)
+                stopFeedIfStoreLost()
                 awaitRetry()
-                continue
+                revision
             }
-            recordStoreResponse()
-            if (changes.era != era || sources.era != era) return
-            mustConfirm = changes.events.isNotEmpty()
-            revision = changes.revision
-            // A response without events is sent at the end of the wait, so nothing changed until then.
-            val confirmedAt = if (changes.events.isEmpty()) asOf.plus(waitMillis) else asOf
-            apply(changes, confirmedAt)
-            feed.append(changes, confirmedAt)
-            if (changes.events.isNotEmpty()) delay(CHANGE_BATCH_MILLIS)
         }
     }
 
@@ -208,6 +222,7 @@
         isJustListed: Boolean,
     ): Long? {
         val asOf = freshness.now()
+        pendingWaitMillis = 0
         // The hub answers when it has confirmed its state, which takes less than the time that the probe waits.
         val waitMillis =
             when {
@@ -276,8 +291,8 @@
     }
 
     /**
-     * Returns how long the store may delay the response to a watch. After a failed call the response must not wait for a
-     * change, so that the end of an outage and a new era are detected at once; after the loss of a hub the probe must
+     * Returns how long the store may delay the response to a watch. After a failed call the response must not wait for
+     * a change, so that the end of an outage and a new era are detected at once; after the loss of a hub the probe must
      * not wait either, so that the loss does not count as an outage of the store, nor after changes, so that the state
      * that includes them is confirmed. The probe of a hub uses a shorter wait.
      */
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/RunCopier.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/RunCopier.kt
@@ -47,8 +47,8 @@
 }
 
 /**
- * Limits the copies that this instance requests of one replica at a time. A replica transfers one copy after another and
- * refuses to stop a run while a copy of it waits, so that the copies wait here instead. Confined to the event loop.
+ * Limits the copies that this instance requests of one replica at a time. A replica transfers one copy after another,
+ * and refuses to stop a run while a copy of it waits, so that the copies wait here instead. Confined to the event loop.
  */
 private class CopyQueues {
     private class Queue {
--- a/relay/src/test/kotlin/io/sequoiawheel/relay/CopyQueueTest.kt
+++ b/relay/src/test/kotlin/io/sequoiawheel/relay/CopyQueueTest.kt
@@ -33,7 +33,8 @@
         otherInstances: Int,
         end: StreamEnd,
     ) {
-        StubbornEngines(StopConduct.PROMPT, emptyList(), emptySet(), LAST_EVENT, copyMillis = COPY_MILLIS).use { engines ->
+        val fleet = StubbornEngines(StopConduct.PROMPT, emptyList(), emptySet(), LAST_EVENT, copyMillis = COPY_MILLIS)
+        fleet.use { engines ->
             engines.start()
             val callers = (1..runs).map { number -> thread { send(engines, "g-$number") } }
             RelayFixture.awaitTrue("all generations run") { engines.runs.size == runs }
--- a/relay/src/test/kotlin/io/sequoiawheel/relay/RelayFixture.kt
+++ b/relay/src/test/kotlin/io/sequoiawheel/relay/RelayFixture.kt
@@ -117,7 +117,10 @@
         daemon = startInstance("entry-1", peerPort)
     }
 
-    /** Starts another instance, with the store at [storePort], and waits until it is ready. The caller must close it. */
+    /**
+     * Starts another instance, which reaches the store at [storePort], and waits until it is ready. The caller must
+     * close it.
+     */
     fun startInstance(
         name: String,
         peerPort: Int,
