Fail responses whose status is not one of the protocol

Cause: the decoder reads the second word of a status line as a number, and each one from 100 to 999 was accepted. The word has to be three digits now, of which the first one names a class of statuses.

--- a/relay/src/main/kotlin/io/sequoiawheel/relay/backend/ResponseDecoder.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/backend/ResponseDecoder.kt
@@ -35,6 +35,12 @@
     override fun isContentAlwaysEmpty(message: HttpMessage): Boolean =
         answersHead(message) || super.isContentAlwaysEmpty(message)
 
+    /** Fails a head whose status the superclass would read as a number, although it is none of the protocol. */
+    override fun createMessage(initialLine: Array<String>): HttpMessage {
+        if (!StatusLine.isStatus(initialLine[1])) throw InvalidResponseException("an invalid status")
+        return super.createMessage(initialLine)
+    }
+
     override fun decode(
         context: ChannelHandlerContext,
         buffer: ByteBuf,
--- a/relay/src/test/kotlin/io/sequoiawheel/relay/StreamFixture.kt
+++ b/relay/src/test/kotlin/io/sequoiawheel/relay/StreamFixture.kt
@@ -66,6 +66,10 @@
     /** Ids of the engines that were asked to continue from a copy. */
     val continued = CopyOnWriteArrayList<String>()
 
+    /** The status with which the engines answer requests to copy a run. */
+    @Volatile
+    var copyStatus = "200 OK"
+
     /** Starts the relay and its engines. The last of [scripts] also answers all further attempts. */
     fun start(
         vararg scripts: StreamScript,
@@ -76,7 +80,7 @@
                 relay.replica(id, RelayFixture.ENGINE) { request, answer ->
                     if (request.target == "/v1/kv-move") {
                         onCopy()
-                        answer.sendComplete(request, """{"session":"h-1","created":1}""")
+                        answer.sendComplete(request, """{"session":"h-1","created":1}""", copyStatus)
                     } else if (request.method == "DELETE") {
                         answer.sendComplete(request, "")
                     } else {
