Decide in one place whether a generation goes on beside its last run

RunPlaces in core now keeps the places at which a run may be at work and decides go on, wait or stop by why the stream was left, what the engine answered and how the generation would go on; OverlapPlan and the waiting rules of RunStopPlan are part of it. One rule is new: an attempt whose head is late is not given up at a replica that would not accept its stop.

--- a/core/src/main/kotlin/io/sequoiawheel/core/relay/RunStopPlan.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/RunStopPlan.kt
@@ -21,9 +21,6 @@
     HELD_BACK,
 }
 
-/** What a generation does that waits for the end of its run at another replica. */
-enum class StopWait { GO_ON, WAIT, GIVE_UP }
-
 /**
  * Decides how long a replica is asked to stop a run whose generation goes on elsewhere: until an answer proves that the
  * run ended, or until the run has ended by its deadline.
@@ -55,23 +52,6 @@
             StopAnswer.REFUSED, StopAnswer.NO_RESPONSE, StopAnswer.HELD_BACK -> false
         }
 
-    /**
-     * Returns what a generation does that waits for the end of the run. It goes on without a proof if the replica does
-     * not answer, as [answer] null, cannot be reached, knows no such run yet, or has refused for too long. A replica
-     * that was not asked because of its pause or its limit is alive and works on, so the generation must not go on.
-     */
-    fun awaitEnd(
-        answer: StopAnswer?,
-        nowMillis: Long,
-    ): StopWait {
-        val isPatient = nowMillis - startMillis < REFUSED_MILLIS
-        return when (answer) {
-            StopAnswer.REFUSED, StopAnswer.NO_RESPONSE -> if (isPatient) StopWait.WAIT else StopWait.GO_ON
-            StopAnswer.HELD_BACK -> if (isPatient) StopWait.WAIT else StopWait.GIVE_UP
-            StopAnswer.STOPPED, StopAnswer.NO_SUCH_RUN, StopAnswer.UNREACHABLE, null -> StopWait.GO_ON
-        }
-    }
-
     /** Returns the delay before the next request, or null if the run is over by then. */
     fun delayMillis(nowMillis: Long): Long? {
         val elapsedMillis = nowMillis - startMillis
@@ -89,9 +69,6 @@
          */
         const val UNLISTED_MILLIS = 3_000L
 
-        /** A caller waits for the next event for several times its objective; a longer pause would lose it. */
-        const val REFUSED_MILLIS = 3_000L
-
         /** A refusal often ends within milliseconds, when another copy of the run is complete. */
         const val MINIMUM_DELAY_MILLIS = 20L
 
--- a/core/src/test/kotlin/io/sequoiawheel/core/relay/RunStopPlanTest.kt
+++ b/core/src/test/kotlin/io/sequoiawheel/core/relay/RunStopPlanTest.kt
@@ -37,24 +37,10 @@
         assertFalse(plan.isEnd(StopAnswer.REFUSED, isListed = false, START_MILLIS))
     }
 
-    // A caller whose stream broke off waited for a replica that could not be reached, or lost its stream to a refusal.
+    // A pause or a limit held the stop back, which was taken for a replica that had ended.
     @Test
-    fun `a generation goes on without a proof if the replica is out of reach or refuses for some seconds`() {
-        for (answer in listOf(StopAnswer.UNREACHABLE, StopAnswer.NO_SUCH_RUN, null)) {
-            assertEquals(StopWait.GO_ON, plan.awaitEnd(answer, START_MILLIS), "$answer")
-        }
-        for (answer in listOf(StopAnswer.REFUSED, StopAnswer.NO_RESPONSE)) {
-            assertEquals(StopWait.WAIT, plan.awaitEnd(answer, START_MILLIS + 2_999), "$answer")
-            assertEquals(StopWait.GO_ON, plan.awaitEnd(answer, START_MILLIS + 3_000), "$answer")
-        }
-    }
-
-    // A pause or a limit held the stop back, and the generation went on beside a replica that was alive.
-    @Test
-    fun `a generation does not go on beside a replica that could not be asked to stop`() {
+    fun `a replica that was not asked to stop runs on`() {
         assertFalse(plan.isEnd(StopAnswer.HELD_BACK, isListed = false, START_MILLIS + 3_000))
-        assertEquals(StopWait.WAIT, plan.awaitEnd(StopAnswer.HELD_BACK, START_MILLIS + 2_999))
-        assertEquals(StopWait.GIVE_UP, plan.awaitEnd(StopAnswer.HELD_BACK, START_MILLIS + 3_000))
     }
 
     @Test
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationAttempt.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationAttempt.kt
@@ -9,6 +9,7 @@
 import io.sequoiawheel.core.relay.PeerWork
 import io.sequoiawheel.core.relay.Replica
 import io.sequoiawheel.core.relay.ReplicaStream
+import io.sequoiawheel.core.relay.RunDecision
 import io.sequoiawheel.core.relay.StreamEvent
 import io.sequoiawheel.core.rollout.RolloutObservation
 import io.sequoiawheel.platform.Headers
@@ -91,12 +92,12 @@
     /**
      * The run of an attempt whose connection failed was asked to stop.
      *
-     * @property mayGoOn whether the generation may go on elsewhere
+     * @property decision whether the generation goes on elsewhere, or ends
      */
     class SourceStopped(
         override val attempt: GenerationAttempt,
         val detail: String,
-        val mayGoOn: Boolean,
+        val decision: RunDecision,
     ) : GenerationSignal
 
     class ReplicaLeaving(
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationRun.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationRun.kt
@@ -11,15 +11,16 @@
 import io.netty.handler.codec.http.HttpResponse
 import io.sequoiawheel.core.model.ResultCode
 import io.sequoiawheel.core.quarantine.PromptPart
+import io.sequoiawheel.core.relay.Continuation
 import io.sequoiawheel.core.relay.Delivery
 import io.sequoiawheel.core.relay.EngineProfile
+import io.sequoiawheel.core.relay.LeaveCause
 import io.sequoiawheel.core.relay.NotRunProof
-import io.sequoiawheel.core.relay.OverlapDecision
-import io.sequoiawheel.core.relay.OverlapPlan
 import io.sequoiawheel.core.relay.Placement
 import io.sequoiawheel.core.relay.RelayService
 import io.sequoiawheel.core.relay.Replica
 import io.sequoiawheel.core.relay.ReplicaPlacement
+import io.sequoiawheel.core.relay.RunDecision
 import io.sequoiawheel.core.relay.SignalQueue
 import io.sequoiawheel.relay.filter.Exchange
 import kotlinx.coroutines.CoroutineScope
@@ -41,7 +42,6 @@
     private val demand = exchange.demand
     private val delivery = Delivery(exchange.lastEventId)
     private val log = GenerationLog(context, exchange, delivery)
-    private val overlap = OverlapPlan()
 
     /** Only generations whose streams cannot be resumed are backed up to another replica. */
     private val wantsBackup = !route.isResumable && exchange.requestId != null
@@ -66,7 +66,7 @@
             current?.replica === replica || successor?.replica === replica
         }
 
-    private val moveGate = MoveGate(context, attempts, runsLeft, log)
+    private val moveGate = MoveGate(context, attempts, runsLeft, log, engine.supportsMigration)
     private val sourceStop =
         SourceStop(context, attempts, copier, runsLeft, exchange, service, scope, signals.sender)
 
@@ -123,7 +123,10 @@
                 if (!discardSuccessor(signal, signal.detail)) handleConnectionFailed(signal)
             is GenerationSignal.SourceStopped ->
                 when {
-                    !signal.mayGoOn -> failInterrupted("${signal.detail}, and its run cannot be stopped")
+                    signal.decision == RunDecision.STOP ->
+                        failInterrupted(
+                            "${signal.detail}, and its run cannot be stopped",
+                        )
                     !continueFromBackup(signal.attempt) -> retryWithoutCopy(signal.detail)
                 }
             is GenerationSignal.Events -> deliver(signal)
@@ -136,7 +139,7 @@
             is GenerationSignal.Completed -> if (signal.attempt === current) complete(signal.attempt)
             is GenerationSignal.ReplicaLeaving -> handleReplicaLeaving(signal)
             is GenerationSignal.CopyReady -> {
-                val mayLeave = signal.attempt !== current || moveGate.mayLeave(signal.attempt, hasCopy = true)
+                val mayLeave = signal.attempt !== current || moveGate.mayContinueFromCopy(signal.attempt)
                 if (successor == null && mayLeave) continueFrom(signal.copy)
             }
             is GenerationSignal.CopyFailed -> {
@@ -305,7 +308,12 @@
     }
 
     private fun moveFrom(source: GenerationAttempt) {
-        if (successor == null && moveGate.mayLeave(source) && !continueFromBackup(source)) migrate(source)
+        if (successor != null) return
+        when (moveGate.tryLeave(source, LeaveCause.NOTICE)) {
+            Continuation.BACKUP -> continueFromBackup(source)
+            Continuation.COPY -> migrate(source)
+            else -> Unit
+        }
     }
 
     /** Continues on the replica that holds [copy]; events of the current replica are still delivered meanwhile. */
@@ -334,7 +342,7 @@
         if (moveGate.isHeld(attempt) && (attempt.replica.isLeaving || attempt.replica.isVacated)) moveFrom(attempt)
         val stalledMillis = context.clock.nowMillis() - attempt.lastProgressMillis
         if (!attempt.hasStarted || successor != null || stalledMillis < STALL_MILLIS) return
-        if (attempts.usableBackup(attempt) == null || !moveGate.mayLeave(attempt)) return
+        if (moveGate.tryLeave(attempt, LeaveCause.STALL) == null) return
         exchange.sendLog.resendBecause("no event of ${attempt.replica} for $stalledMillis ms")
         if (continueFromBackup(attempt)) exchange.logFields["silentMilliseconds"] = stalledMillis
     }
@@ -346,10 +354,11 @@
         val source = current?.takeIf { it !== newest }
         val nowMillis = context.clock.nowMillis()
         val isSourceInProgress = source != null && nowMillis - source.lastProgressMillis < STALL_MILLIS
-        when (overlap.decide(nowMillis - sentMillis, isSourceInProgress)) {
-            OverlapDecision.WAIT -> return
-            OverlapDecision.GIVE_UP_NEWEST -> return handle(newest.rejectStream("no response head in time"))
-            OverlapDecision.LEAVE_OTHERS -> Unit
+        val mayStopNewest = { runsLeft.reserveStop(newest.replica) == null }
+        when (runsLeft.places.decideLateHead(nowMillis - sentMillis, isSourceInProgress, mayStopNewest)) {
+            RunDecision.WAIT -> return
+            RunDecision.STOP -> return handle(newest.rejectStream("no response head in time"))
+            RunDecision.GO_ON -> Unit
         }
         if (source != null) {
             if (!source.hasStarted) runs++
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/RunStopper.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/RunStopper.kt
@@ -1,11 +1,11 @@
 package io.sequoiawheel.relay.serving
 
 import io.sequoiawheel.core.relay.Replica
+import io.sequoiawheel.core.relay.RunDecision
 import io.sequoiawheel.core.relay.RunStopPlan
 import io.sequoiawheel.core.relay.SignalQueue
 import io.sequoiawheel.core.relay.StopAnswer
 import io.sequoiawheel.core.relay.StopPermit
-import io.sequoiawheel.core.relay.StopWait
 import io.sequoiawheel.platform.EngineProtocol
 import io.sequoiawheel.platform.UnreadableDocumentException
 import kotlinx.coroutines.CoroutineScope
@@ -31,17 +31,15 @@
     val permit: StopPermit,
 )
 
-/** What is known of a run when its generation goes on elsewhere, or cannot. */
-internal enum class FirstStop {
-    /** An answer proves the end of the run. */
-    PROVEN,
-
-    /** The replica does not answer, or refuses for too long, so the generation goes on. */
-    UNPROVEN,
-
-    /** The replica would stop the run, but accepts no request for that now. */
-    HELD_BACK,
-}
+/**
+ * The result of a stop that precedes the continuation of a generation.
+ *
+ * @property isProven whether an answer proves the end of the run
+ */
+internal class FirstStop(
+    val isProven: Boolean,
+    val decision: RunDecision,
+)
 
 /**
  * Stops runs whose generation goes on at another replica, or ended while several replicas may have worked on it. Most
@@ -104,26 +102,28 @@
     fun permit(replica: Replica): StopPermit = context.stopPermit(replica)
 
     /**
-     * Asks for the stop of [run], whose stream broke off, before its generation goes on elsewhere, and returns what is
-     * known then.
+     * Asks for the stop of [run], whose stream broke off, before its generation goes on elsewhere.
      *
      * @param destination the replica to which the run is moved
+     * @param decide what the generation does after an answer, or none, and a time of waiting in milliseconds
      */
     suspend fun stopFirst(
         run: LeftRun,
         destination: Replica,
         releasesCopy: Boolean,
+        decide: (StopAnswer?, Long) -> RunDecision,
     ): FirstStop {
-        var wait = StopWait.WAIT
+        val startMillis = nowMillis()
+        var decision = RunDecision.WAIT
         val outcome =
-            stopRepeatedly(run, destination, releasesCopy, StopTrace(), isInUse = { false }) { plan, answer ->
-                wait = plan.awaitEnd(answer, nowMillis())
-                wait != StopWait.WAIT
+            stopRepeatedly(run, destination, releasesCopy, StopTrace(), isInUse = { false }) { answer ->
+                decision = decide(answer, nowMillis() - startMillis)
+                decision != RunDecision.WAIT
             }
-        if (!outcome.isProven) return if (wait == StopWait.GO_ON) FirstStop.UNPROVEN else FirstStop.HELD_BACK
+        if (!outcome.isProven) return FirstStop(isProven = false, decision)
         run.permit.close()
         context.metrics.count("runs.stopped.first", outcome.label)
-        return FirstStop.PROVEN
+        return FirstStop(isProven = true, RunDecision.GO_ON)
     }
 
     /** Waits until the end of each run is proven, for at most [timeoutMillis]. */
@@ -137,7 +137,7 @@
         releasesCopy: Boolean,
         trace: StopTrace,
         isInUse: () -> Boolean,
-        givesUp: (RunStopPlan, StopAnswer?) -> Boolean = { _, _ -> false },
+        givesUp: (StopAnswer?) -> Boolean = { false },
     ): StopOutcome {
         val plan = RunStopPlan(nowMillis(), run.deadlineMillis, run.hasStarted)
         val results = SignalQueue<StopResult>()
@@ -157,7 +157,7 @@
                 val isListed = context.directory.all().any { it === run.replica }
                 if (plan.isEnd(result.answer, isListed, nowMillis())) return outcome(result.answer)
             }
-            if (givesUp(plan, result?.answer)) return StopOutcome.NOT_STOPPED
+            if (givesUp(result?.answer)) return StopOutcome.NOT_STOPPED
             delay(plan.delayMillis(nowMillis()) ?: return StopOutcome.NOT_STOPPED)
         }
     }
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/RunsLeft.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/RunsLeft.kt
@@ -1,11 +1,16 @@
 package io.sequoiawheel.relay.serving
 
+import io.sequoiawheel.core.relay.Continuation
+import io.sequoiawheel.core.relay.LeaveCause
 import io.sequoiawheel.core.relay.Replica
+import io.sequoiawheel.core.relay.RunDecision
+import io.sequoiawheel.core.relay.RunPlaces
+import io.sequoiawheel.core.relay.StopAnswer
 import io.sequoiawheel.core.relay.StopPermit
 
 /**
- * The replicas that may still run a generation although nothing reads their stream any more. They are stopped once the
- * generation goes on elsewhere, or ends; until then a copy of their run may be needed.
+ * Stops the runs of one generation that [places] keeps, once the generation goes on elsewhere, or ends; until then a
+ * copy of their run may be needed.
  *
  * @param requestId id of the generation, or null if it has none and cannot be named to a replica
  * @param deadlineMillis when the replicas end the generation by themselves
@@ -17,57 +22,50 @@
     private val deadlineMillis: Long,
     private val isInUse: (Replica) -> Boolean,
 ) {
-    /** The runs that may go on, by their replicas. */
-    private val sources = LinkedHashMap<Replica, LeftRun>()
-
-    /** All replicas that may have run the generation, in the order in which they were left. */
-    private val involved = LinkedHashSet<Replica>()
+    /** Where the generation may be at work although nothing reads its stream. */
+    val places = RunPlaces<Replica>()
     private val permits = HashMap<Replica, StopPermit>()
     private var hasEnded = false
 
     /**
-     * Reserves the stop of the run at [source], from which the generation is to move. Returns false if the run has to
-     * stay, since the replica would not accept its stop.
+     * Reserves the stop of the run at [source]. Returns [StopAnswer.HELD_BACK] if the replica would not accept it, or
+     * else null.
      */
-    fun reserveStop(source: Replica): Boolean =
-        requestId == null || permits.getOrPut(source) { stopper.permit(source) }.reserve()
+    fun reserveStop(source: Replica): StopAnswer? {
+        if (requestId == null || permitFor(source).reserve()) return null
+        return StopAnswer.HELD_BACK
+    }
 
-    /** Records that the stream of [attempt] is not read any more and that no response proved the end of its run. */
+    /** Records that the stream of [attempt] is not read any more, unless a response proved the end of its run. */
     fun add(attempt: GenerationAttempt) {
         if (!attempt.isSent) return
-        involved += attempt.replica
+        places.involve(attempt.replica)
         if (attempt.isExchangeComplete) return
         attempt.recordLeft()
-        if (requestId == null) return
-        val replica = attempt.replica
-        val permit = permits.remove(replica) ?: stopper.permit(replica)
-        sources[replica]?.permit?.close()
-        sources[replica] =
-            LeftRun(requestId, replica, attempt.hasStarted, deadlineMillis, stopper.nowMillis(), permit)
+        if (requestId != null) places.leave(attempt.replica, attempt.hasStarted, stopper.nowMillis())
     }
 
-    /** Whether the run at [source] was left and is not being stopped yet. */
-    operator fun contains(source: Replica): Boolean = source in sources
-
     /**
-     * Stops the run that was left at [source] by moving it to [destination], before the generation goes on. If its end
-     * cannot be proven soon, it is stopped with the others, once the generation goes on. Returns whether it may go on.
-     *
-     * @param isBackup whether [destination] holds the copy from which the generation is to go on
+     * Stops the run at [source], whose stream broke off, by moving it to [destination] before the generation goes on by
+     * [continuation]. If its end cannot be proven soon, it is stopped with the others, once the generation goes on.
      */
     suspend fun stopFirst(
         source: Replica,
         destination: Replica,
-        isBackup: Boolean,
-    ): Boolean {
-        val run = sources[source] ?: return true
-        val result = stopper.stopFirst(run, destination, releasesCopy = !isBackup)
-        if (result == FirstStop.PROVEN) sources.remove(source)
-        return result != FirstStop.HELD_BACK
+        continuation: Continuation,
+    ): RunDecision {
+        val run = leftRun(source) ?: return RunDecision.GO_ON
+        val releasesCopy = continuation != Continuation.BACKUP
+        val result =
+            stopper.stopFirst(run, destination, releasesCopy) { answer, waitedMillis ->
+                places.decide(LeaveCause.BREAK, answer, continuation, waitedMillis)
+            }
+        if (result.isProven) settle(source)
+        return result.decision
     }
 
     /** Whether a run was left that is not being stopped yet. */
-    val isPending: Boolean get() = sources.isNotEmpty()
+    val isPending: Boolean get() = places.unstopped.isNotEmpty()
 
     /**
      * Stops the recorded runs, since the generation goes on at [destination].
@@ -78,7 +76,7 @@
         destination: Replica,
         mayWaitForCopy: Boolean = false,
     ) {
-        involved += destination
+        places.involve(destination)
         stopAll(releasesCopy = !mayWaitForCopy) { destination }
     }
 
@@ -89,7 +87,7 @@
     fun stopAtEnd(attempts: List<GenerationAttempt>) {
         attempts.forEach(::add)
         hasEnded = true
-        stopAll(releasesCopy = true) { source -> involved.lastOrNull { it !== source } }
+        stopAll(releasesCopy = true, places::lastOther)
         permits.values.forEach { it.close() }
     }
 
@@ -97,14 +95,35 @@
         releasesCopy: Boolean,
         destination: (Replica) -> Replica?,
     ) {
-        for ((source, run) in sources) {
+        for (source in places.unstopped) {
+            val run = leftRun(source) ?: continue
+            settle(source)
             val target = destination(source)?.takeIf { it !== source }
             if (target == null) {
                 run.permit.close()
-                continue
+            } else {
+                stopper.stop(run, target, releasesCopy) { !hasEnded && isInUse(source) }
             }
-            stopper.stop(run, target, releasesCopy) { !hasEnded && isInUse(source) }
         }
-        sources.clear()
+    }
+
+    private fun leftRun(source: Replica): LeftRun? {
+        val run = places.unread(source) ?: return null
+        return LeftRun(
+            checkNotNull(requestId),
+            source,
+            run.hasStarted,
+            deadlineMillis,
+            run.leftAtMillis,
+            permitFor(source),
+        )
+    }
+
+    private fun permitFor(source: Replica) = permits.getOrPut(source) { stopper.permit(source) }
+
+    /** Forgets the run at [source], which has ended or is being stopped; a later run there has another permission. */
+    private fun settle(source: Replica) {
+        places.settle(source)
+        permits.remove(source)
     }
 }
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/SourceStop.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/SourceStop.kt
@@ -1,5 +1,6 @@
 package io.sequoiawheel.relay.serving
 
+import io.sequoiawheel.core.relay.Continuation
 import io.sequoiawheel.core.relay.RelayService
 import io.sequoiawheel.core.relay.Replica
 import io.sequoiawheel.relay.filter.Exchange
@@ -40,14 +41,15 @@
         val isRepeatable = checkNotNull(exchange.route).isRepeatable
         val backup = attempts.usableBackup(attempt)
         if (if (isRepeatable) !mayRepeat else backup == null) return false
-        if (attempt.replica !in runsLeft || context.outcomes.isSuspected(exchange)) return false
+        if (attempt.replica !in runsLeft.places || context.outcomes.isSuspected(exchange)) return false
         val destination =
             backup
                 ?: copier.chooseDestination(attempt.replica, abandoned, service, exchange.demand)
                 ?: return false
         scope.launch {
-            val mayGoOn = runsLeft.stopFirst(attempt.replica, destination, isBackup = backup != null)
-            signals.trySend(GenerationSignal.SourceStopped(attempt, detail, mayGoOn))
+            val continuation = if (backup != null) Continuation.BACKUP else Continuation.NEW_ATTEMPT
+            val decision = runsLeft.stopFirst(attempt.replica, destination, continuation)
+            signals.trySend(GenerationSignal.SourceStopped(attempt, detail, decision))
         }
         return true
     }
