Stop a run over a kept connection if new ones fail

Cause: a request without an id was sent on unused connections only. The engine reset each new connection, beside idle ones of the instance.

Change: after a stop whose connection failed, the next one uses an idle connection. There, responses that name an earlier request are skipped, and only a handle proves the end of the run.

--- a/relay/src/main/kotlin/io/sequoiawheel/relay/backend/BackendConnection.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/backend/BackendConnection.kt
@@ -196,7 +196,8 @@
             if (head.status().codeClass() == HttpStatusClass.INFORMATIONAL) continue
             updateKeepAlive(head)
             val echoedId = matcher.namedRequest(head)
-            if (requestId == null || echoedId == requestId) {
+            val isLate = requestId == null && echoedId != null && matcher.wasSent(echoedId)
+            if (!isLate && (requestId == null || echoedId == requestId)) {
                 trace.send?.take(head, isOwn = requestId != null, clock.nowMillis())
                 return head
             }
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/backend/BackendPool.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/backend/BackendPool.kt
@@ -30,13 +30,16 @@
      *
      * @param requestId id of the request that is to be sent, or null if it has none
      * @param mustBeRecent whether to avoid idle connections that the peer may be about to close
+     * @param mayBeUsed whether a request without an id may be sent on a connection that carried others before, whose
+     *   late responses the caller can tell from its own
      */
     suspend fun acquire(
         replica: Replica,
         requestId: String?,
         mustBeRecent: Boolean,
+        mayBeUsed: Boolean = false,
     ): BackendConnection {
-        takeIdle(replica, requestId, mustBeRecent)?.let { return it }
+        takeIdle(replica, requestId, mustBeRecent, mayBeUsed)?.let { return it }
         opened++
         val connection = connector.connect(Endpoint(replica.entry.host, replica.entry.port))
         connection.unreadRequests = replica.unreadRequests
@@ -49,12 +52,13 @@
         replica: Replica,
         requestId: String?,
         mustBeRecent: Boolean,
+        mayBeUsed: Boolean,
     ): BackendConnection? {
         val connections = idle[replica] ?: return null
         for (index in connections.indices.reversed()) {
             val connection = connections[index]
             val isUsable = isUsable(connection, mustBeRecent)
-            if (isUsable && !connection.mayCarry(requestId)) {
+            if (isUsable && !mayBeUsed && !connection.mayCarry(requestId)) {
                 passedOver++
                 continue
             }
@@ -73,9 +77,10 @@
         replica: Replica,
         requestId: String?,
         mustBeRecent: Boolean,
+        mayBeUsed: Boolean = false,
         exchange: suspend (ConnectionLease) -> T,
     ): T {
-        val lease = ConnectionLease(acquire(replica, requestId, mustBeRecent))
+        val lease = ConnectionLease(acquire(replica, requestId, mustBeRecent, mayBeUsed))
         try {
             return exchange(lease)
         } finally {
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/EngineCalls.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/EngineCalls.kt
@@ -16,10 +16,15 @@
 
 /** The result of a call to a model engine. */
 internal sealed interface EngineResult {
-    /** The engine responded with [status] and the body [text]. */
+    /**
+     * The engine responded with [status] and the body [text].
+     *
+     * @property isOnUsedConnection whether the connection had carried other requests, to which the response may belong
+     */
     class Response(
         val status: Int,
         val text: String,
+        val isOnUsedConnection: Boolean,
     ) : EngineResult
 
     /** No connection could be opened. */
@@ -55,16 +60,21 @@
         }
     }
 
-    /** Asks [source] to stop the run of [requestId] and then to copy it to [destination]. */
+    /**
+     * Asks [source] to stop the run of [requestId] and then to copy it to [destination].
+     *
+     * @param mayUseKept whether to use an idle connection that carried other requests, if there is one
+     */
     suspend fun stopRun(
         requestId: String,
         source: Replica,
         destination: Replica,
         permit: StopPermit,
+        mayUseKept: Boolean,
         timeoutMillis: Long,
     ): EngineResult {
         val body = EngineProtocol.copyRunBody(requestId, endpoint(destination), stop = true)
-        return call(source, HttpMethod.POST, EngineProtocol.COPY_RUN_PATH, body, timeoutMillis) {
+        return call(source, HttpMethod.POST, EngineProtocol.COPY_RUN_PATH, body, timeoutMillis, mayUseKept) {
             context.tryAdmitStop(source, permit)
         }
     }
@@ -85,10 +95,12 @@
         path: String,
         body: String?,
         timeoutMillis: Long,
+        mayUseKept: Boolean = false,
         admit: () -> Boolean,
     ): EngineResult =
         try {
-            withTimeoutOrNull(timeoutMillis) { exchange(replica, request(replica, method, path, body), admit) }
+            val request = request(replica, method, path, body)
+            withTimeoutOrNull(timeoutMillis) { exchange(replica, request, mayUseKept, admit) }
                 ?: EngineResult.NoResponse("no response within $timeoutMillis ms")
         } catch (failure: ConnectFailedException) {
             EngineResult.Unreachable(failure.message.orEmpty())
@@ -99,9 +111,11 @@
     private suspend fun exchange(
         replica: Replica,
         request: DefaultFullHttpRequest,
+        mayUseKept: Boolean,
         admit: () -> Boolean,
     ): EngineResult =
-        context.pool.use(replica, requestId = null, mustBeRecent = true) { lease ->
+        context.pool.use(replica, requestId = null, mustBeRecent = true, mayBeUsed = mayUseKept) { lease ->
+            val isUsed = lease.connection.isReused
             if (!admit()) {
                 lease.complete()
                 return@use EngineResult.HeldBack("$replica accepts no such request now")
@@ -110,7 +124,7 @@
             val head = lease.connection.receiveHead(requestId = null)
             val text = String(lease.connection.receiveBody(BODY_LIMIT_BYTES))
             lease.complete()
-            EngineResult.Response(head.status().code(), text)
+            EngineResult.Response(head.status().code(), text, isUsed)
         }
 
     private fun request(
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/RunStopper.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/RunStopper.kt
@@ -142,18 +142,22 @@
         val plan = RunStopPlan(nowMillis(), run.deadlineMillis, run.hasStarted)
         val results = SignalQueue<StopResult>()
         var unanswered = 0
+        var mayUseKept = false
         while (true) {
             if (isInUse()) return StopOutcome.IN_USE
             if (unanswered < MAXIMUM_UNANSWERED) {
                 unanswered++
                 trace.tries++
                 // A late answer still names the copy to be freed, so the request outlives the wait for it.
-                scope.launch { ask(run, destination, releasesCopy, results.sender) }
+                val isOnKept = mayUseKept
+                scope.launch { ask(run, destination, releasesCopy, isOnKept, results.sender) }
             }
             val result = results.receiveWithin(ANSWER_MILLIS)
             if (result != null) {
                 unanswered--
                 trace.lastAnswer = result.detail
+                // A crowded replica resets new connections while those that it has serve on.
+                mayUseKept = !mayUseKept && result.answer in CONNECTION_FAILURES
                 val isListed = context.directory.all().any { it === run.replica }
                 if (plan.isEnd(result.answer, isListed, nowMillis())) return outcome(result.answer)
             }
@@ -174,12 +178,13 @@
         run: LeftRun,
         destination: Replica,
         releasesCopy: Boolean,
+        mayUseKept: Boolean,
         results: SendChannel<StopResult>,
     ) {
         val source = run.replica
         pending++
         try {
-            val result = calls.stopRun(run.requestId, source, destination, run.permit, TIMEOUT_MILLIS)
+            val result = calls.stopRun(run.requestId, source, destination, run.permit, mayUseKept, TIMEOUT_MILLIS)
             // A source that could not copy the run has stopped it nevertheless if it names a handle.
             val handle =
                 (result as? EngineResult.Response)?.takeIf { it.status != NOT_FOUND }?.let { handleOf(it.text) }
@@ -205,8 +210,10 @@
             is EngineResult.Response -> {
                 val answer =
                     when {
+                        // On a used connection, only a handle proves that the response is the one to this request.
+                        result.status == NOT_FOUND && result.isOnUsedConnection -> StopAnswer.REFUSED
                         result.status == NOT_FOUND -> StopAnswer.NO_SUCH_RUN
-                        handle != null || result.status == OK -> StopAnswer.STOPPED
+                        handle != null || result.status == OK && !result.isOnUsedConnection -> StopAnswer.STOPPED
                         else -> StopAnswer.REFUSED
                     }
                 StopResult(answer, if (handle == null) "status ${result.status}" else "handle, status ${result.status}")
@@ -246,6 +253,8 @@
     }
 
     private companion object {
+        /** Answers after which another connection may succeed. */
+        val CONNECTION_FAILURES = setOf(StopAnswer.UNREACHABLE, StopAnswer.NO_RESPONSE)
         const val OK = 200
         const val NOT_FOUND = 404
 
--- a/relay/src/test/kotlin/io/sequoiawheel/relay/StubbornEngines.kt
+++ b/relay/src/test/kotlin/io/sequoiawheel/relay/StubbornEngines.kt
@@ -51,6 +51,14 @@
     @Volatile
     var isStopped = false
 
+    /** Whether the engine is to end the stream now as if it was whole. */
+    @Volatile
+    var endsEarly = false
+
+    /** Whether the engine has ended the stream as if it was whole. */
+    @Volatile
+    var hasEnded = false
+
     /** Whether a copy of the run is in progress, during which the engine refuses other requests for the run. */
     val isMoving = AtomicBoolean()
 
@@ -198,10 +206,7 @@
         request: ReceivedRequest,
         answer: ReplicaAnswer,
     ) {
-        if (id == pausingEngine && request.header("Kv-From") == null) {
-            pausedMillis.compareAndSet(0, nowMillis())
-            return answer.sendNotExecuted(request, listOf(PAUSE_SECONDS.toString()))
-        }
+        if (isPausing(id, request, answer)) return
         val index = runs.size
         val end = ends.getOrElse(index) { StreamEnd.NONE }
         val isDrained = index in drainedRuns
@@ -216,7 +221,7 @@
         run.startedMillis = nowMillis()
         prefill(run, headDelaysMillis.getOrElse(index) { 0 })
         for (event in next..lastEvent) {
-            if (run.isStopped) break
+            if (run.isStopped || run.endsEarly) break
             run.workedMillis = nowMillis()
             if (isRead) {
                 isRead = stream(answer, request, event, event - next, endOf(run, end))
@@ -227,6 +232,19 @@
         }
         if (!isRead || run.isStopped) throw IOException("the stream is not read any more")
         answer.endStream()
+        run.hasEnded = true
+    }
+
+    /** Refuses a new generation if the engine with [id] is full. Returns whether it was refused. */
+    private fun isPausing(
+        id: String,
+        request: ReceivedRequest,
+        answer: ReplicaAnswer,
+    ): Boolean {
+        if (id != pausingEngine || request.header("Kv-From") != null) return false
+        pausedMillis.compareAndSet(0, nowMillis())
+        answer.sendNotExecuted(request, listOf(PAUSE_SECONDS.toString()))
+        return true
     }
 
     private fun endOf(
@@ -250,6 +268,12 @@
         engines.getValue(engine).requestLimit = perSecond
     }
 
+    /** Lets all engines keep idle connections open. */
+    fun keepConnections() = engines.values.forEach { it.keepAliveSeconds = KEEP_ALIVE_SECONDS }
+
+    /** Lets [engine] refuse new connections for as long as its runs last. */
+    fun refuseConnections(engine: String) = engines.getValue(engine).refuseConnections(CROWD_MILLIS)
+
     /** Number of requests that reached [engine] in the part of its pause in which the users' rules count them. */
     fun requestsInPause(engine: String): Int {
         val counted = pausedMillis.get() + TRANSIT_MILLIS..pausedMillis.get() + PAUSE_SECONDS * MILLIS_PER_SECOND
@@ -341,6 +365,8 @@
         private const val UNANSWERED_MILLIS = 4_000L
         private const val UNREACHABLE_MILLIS = 160L
         private const val FURTHER_COPY_PARTS = 10
+        private const val KEEP_ALIVE_SECONDS = 30
+        private const val CROWD_MILLIS = 3_500L
         private const val NANOS_PER_MILLI = 1_000_000L
         private const val MILLIS_PER_SECOND = 1_000L
 
--- a/standin/src/main/kotlin/io/sequoiawheel/standin/platform/ReplicaStandIn.kt
+++ b/standin/src/main/kotlin/io/sequoiawheel/standin/platform/ReplicaStandIn.kt
@@ -35,7 +35,8 @@
     private val leavingHeader get() = if (replica.isLeaving) "Server-Leaving: 1\r\n" else ""
     private val limitHeader get() = replica.requestLimit?.let { "Server-Limit: $it\r\n" }.orEmpty()
     private val loadHeader get() = replica.load?.let { "X-Instance-Load: $it\r\n" }.orEmpty()
-    private val noticeHeaders get() = leavingHeader + limitHeader + loadHeader
+    private val keepAliveHeader get() = replica.keepAliveSeconds?.let { "Keep-Alive: timeout=$it\r\n" }.orEmpty()
+    private val noticeHeaders get() = leavingHeader + limitHeader + loadHeader + keepAliveHeader
 
     /** Whether the client has closed the connection, which is detected only when a write fails. */
     @Volatile
@@ -171,6 +172,10 @@
     @Volatile
     var load: String? = null
 
+    /** Time for which every response announces that its connection stays open, or null for none. */
+    @Volatile
+    var keepAliveSeconds: Int? = null
+
     /** All received requests in order of arrival. */
     val requests = CopyOnWriteArrayList<ReceivedRequest>()
 
