--- a/core/src/main/kotlin/io/sequoiawheel/core/relay/HubTiming.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/HubTiming.kt
@@ -30,7 +30,7 @@
         private const val MAXIMUM_CONFIRMATION_MILLIS = 1_000L
         private const val CONFIRMATION_SHARE = 0.5
 
-        /** The rest is for a call to the store, one failed connection to it, and the application of the changes. */
+        /** The rest is for a call to the store, which may fail once, and the application of the changes. */
         private const val AGE_SHARE = 0.75
     }
 }
