Request a second copy only where it delays no move

Cause: the runs waited for the second copies of others, and the source ended before their turn. First copies are requested at once again; a second one is requested, and awaited, only if no other copy of this instance is in progress at the source and the first one did not wait long. Without it, the destination recomputes the tokens of the meantime.

--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/RunCopier.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/RunCopier.kt
@@ -7,8 +7,6 @@
 import io.sequoiawheel.platform.RunCopy
 import io.sequoiawheel.platform.UnreadableDocumentException
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.sync.Semaphore
-import kotlinx.coroutines.sync.withPermit
 
 /** A copy of a running generation's KV cache, held by [destination]. */
 internal class PlacedRunCopy(
@@ -46,44 +44,13 @@
     ) : CopyResult
 }
 
-/**
- * Limits the copies that this instance requests of one replica at a time. A replica transfers one copy after another,
- * and refuses to stop a run while a copy of it waits, so that the copies wait here instead. Confined to the event loop.
- */
-private class CopyQueues {
-    private class Queue {
-        val permits = Semaphore(COPIES_AT_A_TIME)
-        var users = 0
-    }
-
-    private val queues = HashMap<Replica, Queue>()
-
-    /** Runs [copy] in the turn of its run at [source]. */
-    suspend fun <T> await(
-        source: Replica,
-        copy: suspend () -> T,
-    ): T {
-        val queue = queues.getOrPut(source, ::Queue)
-        queue.users++
-        try {
-            return queue.permits.withPermit { copy() }
-        } finally {
-            if (--queue.users == 0) queues.remove(source)
-        }
-    }
-
-    private companion object {
-        /** The second one uses the link of the replica while the first one is confirmed. */
-        const val COPIES_AT_A_TIME = 2
-    }
-}
-
 /** Asks replicas to copy running generations to other replicas. Confined to the event loop. */
 internal class RunCopier(
     private val context: RelayContext,
     private val calls: EngineCalls,
 ) {
-    private val queues = CopyQueues()
+    /** Number of copies of this instance in progress, by their source. */
+    private val inProgress = HashMap<Replica, Int>()
 
     /** Returns a replica to hold a continuously updated copy of a run on [source], or null if none has room. */
     fun chooseBackup(
@@ -150,7 +117,8 @@
 
     /**
      * Copies a run. If that took long, copies it again to include the tokens generated meanwhile, so that the
-     * destination has few tokens to recompute. The second copy is skipped if the source may exit before it completes.
+     * destination has few tokens to recompute. The second copy is skipped if the source may exit before it completes,
+     * or if it would wait for other copies: the source refuses to stop the run until it ends.
      */
     private suspend fun copyAndCatchUp(
         requestId: String,
@@ -159,9 +127,11 @@
     ): CopyResult {
         if (context.waitMillis(source) > 0) return CopyResult.Refused("$source accepts no requests now")
         destination.load.beginCopy()
+        inProgress.merge(source, 1, Int::plus)
         try {
-            return queues.await(source) { copyTwice(requestId, source, destination) }
+            return copyTwice(requestId, source, destination)
         } finally {
+            inProgress.computeIfPresent(source) { _, count -> (count - 1).takeIf { it > 0 } }
             destination.load.endCopy()
         }
     }
@@ -185,8 +155,9 @@
             ),
         )
         val sinceNoticeMillis = source.leavingSinceMillis?.let { context.clock.nowMillis() - it } ?: 0
-        val isWorthwhile = firstMillis > SECOND_COPY_MINIMUM_MILLIS && sinceNoticeMillis < SECOND_COPY_CUTOFF_MILLIS
-        if (first !is CopyResult.Copied || !isWorthwhile) return first
+        val isWorthwhile = firstMillis in SECOND_COPY_MILLIS && sinceNoticeMillis < SECOND_COPY_CUTOFF_MILLIS
+        val isAlone = inProgress[source] == 1
+        if (first !is CopyResult.Copied || !isWorthwhile || !isAlone) return first
         // The run could not be stopped while its second copy is in progress, so that its end is awaited.
         val second = copy(requestId, source, destination)
         return if (second is CopyResult.Copied || second is CopyResult.Unanswered) second else first
@@ -231,8 +202,12 @@
         /** A leaving replica exits about two seconds after its notice. */
         const val COPY_TIMEOUT_MILLIS = 2_500L
 
-        /** A run generates about eight tokens in this time, which are cheaper to recompute than to copy. */
-        const val SECOND_COPY_MINIMUM_MILLIS = 60L
+        /**
+         * Duration of a first copy after which a second one is worthwhile. A run generates about eight tokens in the
+         * shortest one, which are cheaper to recompute than to copy. A longer one waited for copies of other instances,
+         * as a second one would.
+         */
+        val SECOND_COPY_MILLIS = 61L..250L
 
         /** A replica exits 1.5 s after its notice at the earliest. */
         const val SECOND_COPY_CUTOFF_MILLIS = 1_200L
