Ask a hub also when the own state is older than its bound

What callers saw: nothing yet; found when the change was read again. A member that had lost the store left a hub at once, since the age of its own state left no time for the call, and it stayed without any source.

The age is beyond the bound only if the store failed too; a hub then has the time in which it confirms its state. A failed watch of the store also ends the wait for a confirmation that kept the member at the store.

--- a/relay/src/main/kotlin/io/sequoiawheel/relay/control/KindWatcher.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/control/KindWatcher.kt
@@ -203,6 +203,7 @@
                 null
             }
             else -> {
+                mustConfirm = false
                 recordFailure(failure)
                 stopFeedIfStoreLost()
                 awaitRetry()
@@ -250,8 +251,9 @@
     }
 
     /**
-     * Calls a hub for as long as the state that is known here is recent enough to act on. Only the probe bounds its
-     * calls, and interrupts those of the other watchers when the hub fails.
+     * Calls a hub for as long as the state that is known here is recent enough to act on. It is older only if the store
+     * failed too, and then a hub is the only source left. Only the probe bounds its calls, and interrupts those of the
+     * other watchers when the hub fails.
      */
     private suspend fun withinMaximumAge(
         call: suspend () -> Either<StoreFailure, StoreChanges>,
@@ -259,7 +261,7 @@
         if (!isProbe) return call()
         val ageMillis = lastConfirmedAt?.let { freshness.now().monotonicMillis - it.monotonicMillis }
         val remainingMillis = timing.maximumAgeMillis - (ageMillis ?: timing.maximumAgeMillis)
-        return withTimeoutOrNull(remainingMillis) { call() }
+        return withTimeoutOrNull(if (remainingMillis > 0) remainingMillis else timing.confirmationMillis) { call() }
             ?: StoreFailure.Unavailable("state not confirmed for ${timing.maximumAgeMillis} ms").left()
     }
 
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationRun.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationRun.kt
@@ -124,9 +124,7 @@
             is GenerationSignal.SourceStopped ->
                 when {
                     signal.decision == RunDecision.STOP ->
-                        failInterrupted(
-                            "${signal.detail}, and its run cannot be stopped",
-                        )
+                        failInterrupted("${signal.detail}, and its run cannot be stopped")
                     !continueFromBackup(signal.attempt) -> retryWithoutCopy(signal.detail)
                 }
             is GenerationSignal.Events -> deliver(signal)
--- a/relay/src/test/kotlin/io/sequoiawheel/relay/HubFailureTest.kt
+++ b/relay/src/test/kotlin/io/sequoiawheel/relay/HubFailureTest.kt
@@ -6,6 +6,7 @@
 import io.netty.channel.nio.NioIoHandler
 import io.sequoiawheel.core.model.Clock
 import io.sequoiawheel.core.model.ZoneName
+import io.sequoiawheel.core.relay.ClockReading
 import io.sequoiawheel.core.relay.Endpoint
 import io.sequoiawheel.core.relay.Freshness
 import io.sequoiawheel.core.relay.HubSelection
@@ -25,7 +26,9 @@
 import io.sequoiawheel.relay.control.StoreClient
 import io.sequoiawheel.relay.control.StoreListing
 import io.sequoiawheel.relay.internal.DecisionLog
+import io.sequoiawheel.standin.platform.LinkState
 import io.sequoiawheel.standin.platform.PlatformStoreStandIn
+import io.sequoiawheel.standin.platform.StoreLink
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.asCoroutineDispatcher
@@ -35,6 +38,7 @@
 import org.apache.commons.rng.simple.RandomSource
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Test
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.EnumSource
 import java.net.InetSocketAddress
@@ -61,6 +65,7 @@
     }
 
     private val store = PlatformStoreStandIn()
+    private val storeLink = StoreLink(store.port)
     private val hub = HttpServer.create(InetSocketAddress("127.0.0.1", 0), 0)
     private val executor = Executors.newCachedThreadPool()
     private val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
@@ -73,17 +78,22 @@
     private val freshness = Freshness(clock, { System.currentTimeMillis() }, FRESH_MILLIS)
     private val applied = ConcurrentHashMap.newKeySet<String>()
     private val proofs = AtomicInteger()
+    private val confirmations = AtomicInteger()
     private val watched = ConcurrentHashMap.newKeySet<StoreKind>()
 
     @Volatile
     private var conduct = Conduct.SOUND
 
+    @Volatile
+    private var hasHub = true
+
     @AfterEach
     fun close() {
         scope.cancel()
         group.shutdownGracefully()
         hub.stop(0)
         executor.shutdownNow()
+        storeLink.close()
         store.close()
     }
 
@@ -122,8 +132,8 @@
         val peer = Peer("entry-1", ZoneName("a"), Endpoint("127.0.0.1", hub.address.port))
         val eras = StoreEras(clock)
         val connector = Connector(eventLoop, clock)
-        val client = StoreClient(connector, eras) { Endpoint("127.0.0.1", store.port) }
-        val selection = HubSelection("entry-2", ZoneName("a"), clock, random) { listOf(peer) }
+        val client = StoreClient(connector, eras) { Endpoint("127.0.0.1", storeLink.port) }
+        val selection = HubSelection("entry-2", ZoneName("a"), clock, random) { listOf(peer).filter { hasHub } }
         val sources = ChangeSources(client, connector, selection, eras, log)
         sources.completePeerDiscovery()
         val replicas = watcher(sources, StoreKind.REPLICAS, LONG_WAIT_MILLIS) {}
@@ -152,6 +162,10 @@
             ) {
                 applied += event.target.name
             }
+
+            override fun onConfirmed(asOf: ClockReading) {
+                if (kind == StoreKind.CONFIGURATION) confirmations.incrementAndGet()
+            }
         },
         freshness,
         HubTiming(PROOF_MILLIS, AGE_MILLIS),
@@ -176,6 +190,21 @@
         assertEquals(setOf("main", "r-1"), applied.toSet())
     }
 
+    // The age of its own state left such a member no time for the call, so that it stayed without any source.
+    @Test
+    fun `a member that lost the store follows a hub that appears then`() {
+        hasHub = false
+        startWatchers()
+        RelayFixture.awaitTrue("the member watches the store") { store.isWatchedToEnd("config") }
+        store.put("config", "main", JsonObject(emptyMap()))
+        RelayFixture.awaitTrue("the member applies a change") { "main" in applied }
+        storeLink.state = LinkState.CUT
+        Thread.sleep(LOSS_MILLIS)
+        val before = confirmations.get()
+        hasHub = true
+        RelayFixture.awaitTrue("the hub confirms its state") { confirmations.get() > before }
+    }
+
     private companion object {
         const val SEED = 30L
         const val OK = 200
@@ -189,6 +218,9 @@
         const val SLOW_MILLIS = 1_700L
         const val STALE_MILLIS = 1_000L
 
+        /** Longer than the watch of the configuration and its first repetition. */
+        const val LOSS_MILLIS = 4_500L
+
         /** The strictest bound that the timing is derived from. */
         const val BOUND_MILLIS = 2_000L
     }
