Let the hub of a test answer a watch without a wait at once

The hub of HubFailureTest delayed each answer for a second, also one that was to come at once, so that a member that had lost the store gave it up.

--- a/relay/src/test/kotlin/io/sequoiawheel/relay/HubFailureTest.kt
+++ b/relay/src/test/kotlin/io/sequoiawheel/relay/HubFailureTest.kt
@@ -102,7 +102,8 @@
         watched += query.kind
         val isProbe = query.kind == StoreKind.CONFIGURATION
         // The hub sees no change in this test, so that it has nothing to say about the other kind.
-        Thread.sleep(if (isProbe) PROOF_MILLIS else query.waitMillis)
+        val waitMillis = if (isProbe) minOf(PROOF_MILLIS, query.waitMillis) else query.waitMillis
+        Thread.sleep(waitMillis)
         val current = conduct
         when (current) {
             Conduct.SILENT -> Thread.sleep(SILENCE_MILLIS)
@@ -111,7 +112,7 @@
             Conduct.REFUSING -> return exchange.sendResponseHeaders(UNAVAILABLE, -1).also { exchange.close() }
             Conduct.SOUND, Conduct.UNCONFIRMED -> Unit
         }
-        val proofMillis = if (current == Conduct.SOUND) PROOF_MILLIS else -STALE_MILLIS
+        val proofMillis = if (current == Conduct.SOUND) waitMillis else -STALE_MILLIS
         val body =
             StoreProtocol
                 .encodeChanges(
