--- a/review/common-3/rig.py
+++ b/review/common-3/rig.py
@@ -360,6 +360,16 @@
         except (OSError, asyncio.TimeoutError):
             return False
 
+    async def await_listening(self, seconds):
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            try:
+                (await asyncio.open_connection(self.host, self.ports["ready"]))[1].close()
+                return True
+            except OSError:
+                await asyncio.sleep(0.03)
+        return False
+
     async def await_ready(self, seconds):
         end = time.monotonic() + seconds
         while time.monotonic() < end:
