--- a/review/common-3/rig.py
+++ b/review/common-3/rig.py
@@ -429,6 +429,7 @@
     temporary = tempfile.mkdtemp()
     instances = []
     code = 2
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
         verdict = asyncio.run(run(case, record, temporary, instances, seconds))
         code = 1 if verdict else 0
