--- a/review/common-3/rig.py
+++ b/review/common-3/rig.py
@@ -96,6 +96,7 @@
         self.changed = asyncio.Event()
         self.is_down = False
         self.loses = lambda method, kind, is_watch: False
+        self.answers = 0
         self.writers = set()
 
     async def start(self):
@@ -159,6 +160,7 @@
                 status, answer, kind, is_watch = await self.answer(method, target, body)
                 if self.is_down:
                     break
+                self.answers += 1
                 if self.loses(method, kind, is_watch):
                     self.record(f"store: the answer to {method} {target} is lost")
                     # A connection on which a response is lost returns nothing further.
@@ -314,7 +316,7 @@
     """An entry instance: a process with the command of deploy/system.toml."""
 
     def __init__(self, record, store, name, folder, zone="z-a", memory_mb=280, all_zones=("z-a",)):
-        self.record, self.name = record, name
+        self.record, self.name, self.process = record, name, None
         self.host = loopback()
         self.ports = {p: free_port(self.host) for p in ("http", "ready", "control")}
         self.settings = os.path.join(folder, name + ".json")
@@ -435,11 +437,14 @@
         code = 1 if verdict else 0
         record("verdict: " + (f"the rule was broken: {verdict}" if verdict else "the rule held"))
         print(verdict or "the rule held")
-    except (CannotRun, asyncio.TimeoutError) as failure:
+    except Exception as failure:
+        # Only a verdict counts as a broken rule; an error of the script itself must not exit with 1.
         record(f"verdict: the case could not run: {failure!r}")
         print("could not run", repr(failure))
     finally:
         for instance in instances:
+            if instance.process is None:
+                continue
             if instance.process.poll() is None:
                 instance.process.send_signal(signal.SIGCONT)
                 instance.process.kill()
