Log what was being read from the store when a loop fails

The line names the first frames of the failure, and the kind, page, size and entries of each listing in progress.

--- a/relay/src/main/kotlin/io/sequoiawheel/relay/RelayDaemon.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/RelayDaemon.kt
@@ -147,7 +147,7 @@
             longWatchers.forEach(KindWatcher::interrupt)
         }
     private val watchers = longWatchers + configurationWatcher
-    private val loops = LoopSupervisor(scope, monotonic, random, log, metrics)
+    private val loops = LoopSupervisor(scope, monotonic, random, log, metrics) { store.reading }
     private val shutdown = InstanceShutdown(monotonic, log, ::graceMillis)
     private val calls = CallRelay(context)
     private val generations = GenerationRelay(context, scope, shutdown::remainingMillis)
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/control/LoopSupervisor.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/control/LoopSupervisor.kt
@@ -14,6 +14,8 @@
 /**
  * Runs the background loops of an instance and starts a loop that failed again, with backoff, since the instance goes
  * on serving with the state that the loop keeps. Confined to the event loop.
+ *
+ * @param reading what is being read from the store, for the log line of a failure
  */
 internal class LoopSupervisor(
     private val scope: CoroutineScope,
@@ -21,6 +23,7 @@
     private val random: UniformRandomProvider,
     private val log: DecisionLog,
     private val metrics: RelayMetrics,
+    private val reading: () -> Map<String, Any?> = { emptyMap() },
 ) {
     private val backoff = Backoff(INITIAL_BACKOFF_MILLIS, MAXIMUM_BACKOFF_MILLIS)
 
@@ -43,7 +46,12 @@
                     metrics.count("loops.failed", name)
                     log.dependency(
                         "background loop failed, starting again",
-                        mapOf("loop" to name, "failures" to failures, "detail" to failure.toString()),
+                        mapOf(
+                            "loop" to name,
+                            "failures" to failures,
+                            "detail" to failure.toString(),
+                            "at" to failure.stackTrace.take(SHOWN_FRAMES).joinToString(" < "),
+                        ) + reading(),
                     )
                 }
                 delay(backoff.delayMillis(failures, random))
@@ -56,5 +64,6 @@
 
         /** A loop that ran this long before it failed starts again with the shortest backoff. */
         const val STABLE_MILLIS = 10_000L
+        const val SHOWN_FRAMES = 3
     }
 }
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/control/StoreClient.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/control/StoreClient.kt
@@ -64,6 +64,26 @@
     val era: Long?,
 )
 
+/** How far a listing has been read. */
+internal class StoreReading {
+    private var page = 0
+    private var pageCharacters = 0
+    private var entries = 0
+    private var lastEntry: String? = null
+
+    fun beginPage(characters: Int) {
+        page++
+        pageCharacters = characters
+    }
+
+    fun endPage(objects: List<StoreObject>) {
+        entries += objects.size
+        lastEntry = objects.lastOrNull()?.name
+    }
+
+    override fun toString() = "page $page of $pageCharacters characters, $entries entries before, last $lastEntry"
+}
+
 /**
  * Client of the platform's store, and of instances that serve watches in its place. A connection on which a call failed
  * is closed, since its response may be lost or still in flight. A response from an older era than the newest known one
@@ -92,11 +112,25 @@
 
     private val callsByOperation = TreeMap<String, Long>()
 
+    private val readings = TreeMap<String, StoreReading>()
+
+    /** What is being read from the store at the moment, by kind, for the log of a failure. */
+    val reading: Map<String, Any?> get() = readings.mapValues { (_, reading) -> reading.toString() }
+
     /** Number of calls made so far, by verb and kind of object. */
     val calls: Map<String, Long> get() = callsByOperation
 
     /** Returns all objects of [kind]. */
     suspend fun list(kind: StoreKind): Either<StoreFailure, StoreListing> {
+        val reading = StoreReading()
+        readings["list $kind"] = reading
+        return listPages(kind, reading).also { readings.remove("list $kind") }
+    }
+
+    private suspend fun listPages(
+        kind: StoreKind,
+        reading: StoreReading,
+    ): Either<StoreFailure, StoreListing> {
         val objects = ArrayList<StoreObject>()
         var afterName: String? = null
         var first: StorePage? = null
@@ -104,6 +138,7 @@
         while (true) {
             val path = StoreProtocol.listPath(kind, afterName)
             val response = call("list $kind", HttpMethod.GET, path).fold({ return it.left() }, { it })
+            reading.beginPage(response.text.length)
             val result = decode(response.text, StoreProtocol::decodePage).fold({ return it.left() }, { it })
             if (first != null && response.era != era) return StoreFailure.Unavailable("the store era changed").left()
             era = response.era
@@ -111,6 +146,7 @@
             // revision.
             val revision = (first ?: result.also { first = it }).revision
             objects += result.objects
+            reading.endPage(result.objects)
             if (!result.hasMore || result.objects.isEmpty()) return StoreListing(objects, revision, era).right()
             val last = result.objects.last().name
             if (last == afterName) return StoreFailure.Unavailable("a page repeats the previous one").left()
