End an instance whose loops run out of memory again and again

Callers of review/15 got 503 from an instance whose loop started the same reading again every two seconds, for ever.

--- a/core/src/main/kotlin/io/sequoiawheel/core/model/ResultCode.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/model/ResultCode.kt
@@ -78,6 +78,7 @@
     BIND_FAILED(6002, WorkState.NOT_RUN, 500, 101, "A configured address could not be bound."),
     PROMISE_BROKEN(6003, WorkState.UNKNOWN, 500, 102, "A demo or experiment observed a broken promise."),
     INTERNAL_ERROR(6004, WorkState.UNKNOWN, 500, 103, "An unexpected error in this program."),
+    MEMORY_EXHAUSTED(6005, WorkState.UNKNOWN, 500, 104, "The process ran out of memory again and again, and ended."),
     ;
 
     companion object {
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/RelayProcess.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/RelayProcess.kt
@@ -17,8 +17,9 @@
 import java.util.concurrent.TimeUnit
 
 /**
- * Runs one entry instance as a process. SIGTERM and SIGINT shut it down once its requests have finished. The settings
- * file is reloaded on SIGHUP, and also when it changes without a signal.
+ * Runs one entry instance as a process. SIGTERM and SIGINT shut it down once its requests have finished, and so does a
+ * heap that is exhausted again and again; the platform then starts the process anew. The settings file is reloaded on
+ * SIGHUP, and also when it changes without a signal.
  *
  * @param settingsPath the settings file that the platform writes
  * @param metricsPort additional port for metrics, which are also served on the readiness address; or null
@@ -31,6 +32,9 @@
 ) {
     private val stop = CountDownLatch(1)
 
+    @Volatile
+    private var isMemoryExhausted = false
+
     /** Completed once the instance serves. Signals that arrive earlier take effect then. */
     private val started = CompletableFuture<RelayDaemon>()
 
@@ -42,7 +46,11 @@
         Signal.handle(Signal("INT")) { stop.countDown() }
         LogConfiguration.isEnabled = true
         var lastModified = modificationTime()
-        val daemon = RelayDaemon(readSettings(settingsPath), metricsPort, callerLimits = callerLimits)
+        val daemon =
+            RelayDaemon(readSettings(settingsPath), metricsPort, callerLimits = callerLimits) {
+                isMemoryExhausted = true
+                stop.countDown()
+            }
         try {
             runBlocking { daemon.start() }
         } catch (failure: IOException) {
@@ -57,7 +65,7 @@
         }
         runBlocking { daemon.leave() }
         LogConfiguration.flush()
-        return 0
+        return if (isMemoryExhausted) ResultCode.MEMORY_EXHAUSTED.exitCode else 0
     }
 
     /**
--- a/relay/src/test/kotlin/io/sequoiawheel/relay/LoopSupervisorTest.kt
+++ b/relay/src/test/kotlin/io/sequoiawheel/relay/LoopSupervisorTest.kt
@@ -43,6 +43,50 @@
         assertTrue(metrics.scrape().contains("""sequoiawheel_loops_failed_total{reason="planted"} 3.0"""))
     }
 
+    // A loop that ran out of memory started the same reading again for ever, and the instance never became ready.
+    @Test
+    fun `a loop that runs out of memory starts again once, and reports the second time`() {
+        val exhausted = AtomicInteger()
+        val starts = AtomicInteger()
+        val fails =
+            LoopSupervisor(
+                scope,
+                clock,
+                random,
+                DecisionLog(clock),
+                metrics,
+                onExhausted = { exhausted.incrementAndGet() },
+            )
+        val loop =
+            fails.start("planted") {
+                starts.incrementAndGet()
+                throw OutOfMemoryError("planted failure")
+            }
+        RelayFixture.awaitTrue("the loop ended") { loop.isCompleted }
+        assertEquals(2 to 1, starts.get() to exhausted.get())
+        assertTrue(metrics.scrape().contains("""sequoiawheel_loops_ended_total{reason="planted"} 1.0"""))
+    }
+
+    @Test
+    fun `a loop that runs out of memory once goes on`() {
+        val exhausted = AtomicInteger()
+        val starts = AtomicInteger()
+        val recovers =
+            LoopSupervisor(
+                scope,
+                clock,
+                random,
+                DecisionLog(clock),
+                metrics,
+                onExhausted = { exhausted.incrementAndGet() },
+            )
+        recovers.start("planted") {
+            if (starts.incrementAndGet() == 1) throw OutOfMemoryError("planted failure") else awaitCancellation()
+        }
+        RelayFixture.awaitTrue("the loop was started again") { starts.get() == 2 }
+        assertEquals(0, exhausted.get())
+    }
+
     @Test
     fun `a loop that returns or is cancelled is not started again`() {
         val starts = AtomicInteger()
