--- a/core/src/main/kotlin/io/sequoiawheel/core/relay/ReplicaDirectory.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/ReplicaDirectory.kt
@@ -77,6 +77,9 @@
         if (entry.isDraining) replica.leave(LeaveReason.DRAINING)
     }
 
+    /** Whether there is a replica with this id, also one that is kept for a while after its entry was lost. */
+    operator fun contains(id: InstanceId): Boolean = id in replicas
+
     /** Removes one entry, immediately or at the end of the grace period that began with the end of an outage. */
     fun remove(
         id: InstanceId,
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/RelayDaemon.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/RelayDaemon.kt
@@ -145,7 +145,7 @@
         )
     private val configurationWatcher =
         watcher(StoreKind.CONFIGURATION, configurationWaitMillis(), configuration) {
-            longWatchers.forEach(KindWatcher::interrupt)
+            longWatchers.forEach { it.interrupt() }
         }
     private val watchers = longWatchers + configurationWatcher
     private val loops = LoopSupervisor(scope, monotonic, random, log, metrics, { store.reading }, ::endExhausted)
@@ -276,14 +276,14 @@
     private fun onStoreRestored() {
         metrics.count("store.eras", "new")
         log.dependency("store restored from an older copy", mapOf("era" to eras.current))
-        watchers.forEach(KindWatcher::interrupt)
+        watchers.forEach { it.interrupt() }
         register()
     }
 
-    private fun watcher(
+    private fun <T : Any> watcher(
         kind: StoreKind,
         waitMillis: Long,
-        listener: KindListener,
+        listener: KindListener<T>,
         onFailure: () -> Unit,
     ) = KindWatcher(
         sources,
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/control/ChangeHub.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/control/ChangeHub.kt
@@ -6,7 +6,8 @@
 import io.sequoiawheel.core.relay.Freshness
 import io.sequoiawheel.core.relay.HubSelection
 import io.sequoiawheel.platform.EncodedEvent
-import io.sequoiawheel.platform.StoreChanges
+import io.sequoiawheel.platform.StoreChangesEnd
+import io.sequoiawheel.platform.StoreEvent
 import io.sequoiawheel.platform.StoreKind
 import io.sequoiawheel.platform.StoreProtocol
 import io.sequoiawheel.platform.WatchQuery
@@ -16,12 +17,12 @@
 
 /**
  * The changes to one kind of object that this instance read from the store, served to other instances of its zone. They
- * are kept encoded, up to [HISTORY_BYTES] for each kind.
+ * are kept encoded, up to a limit for each kind.
  */
 internal class ChangeFeed(
     val kind: StoreKind,
 ) {
-    private val history = ChangeHistory(HISTORY_BYTES, EncodedEvent::sizeBytes, EncodedEvent::name)
+    private val history = ChangeHistory(historyBytes(kind), EncodedEvent::sizeBytes, EncodedEvent::name)
     private var nextUpdate = CompletableDeferred<Unit>()
 
     /** The era of the store that the revisions belong to. */
@@ -66,16 +67,17 @@
         if (!isServing) restart(revision, asOf, era)
     }
 
-    /** Appends the response to a watch that started at the last recorded revision. */
+    /** Returns [event] in the form in which it is passed to other instances. */
+    fun encode(event: StoreEvent): EncodedEvent = StoreProtocol.encodeEvent(event, kind == StoreKind.ROLLOUTS)
+
+    /** Appends [events], the response to a watch that started at the last recorded revision. */
     fun append(
-        changes: StoreChanges,
+        events: List<EncodedEvent>,
+        changes: StoreChangesEnd,
         asOf: ClockReading,
     ) {
         resume(changes.revision, asOf, changes.era)
-        history.append(
-            changes.revision,
-            changes.events.map { StoreProtocol.encodeEvent(it, kind == StoreKind.ROLLOUTS) },
-        )
+        history.append(changes.revision, events)
         confirmedAt = asOf
         notifyWaiters()
     }
@@ -112,9 +114,15 @@
     private companion object {
         /**
          * Other instances follow within seconds; this is several versions of a configuration of the store's maximum
-         * size, or some ten thousand changes of replicas.
+         * size.
          */
-        const val HISTORY_BYTES = 4_194_304L
+        const val CONFIGURATION_HISTORY_BYTES = 4_194_304L
+
+        /** Thousands of changes of replicas. */
+        const val HISTORY_BYTES = 2_097_152L
+
+        fun historyBytes(kind: StoreKind) =
+            if (kind == StoreKind.CONFIGURATION) CONFIGURATION_HISTORY_BYTES else HISTORY_BYTES
     }
 }
 
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/control/ChangeSources.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/control/ChangeSources.kt
@@ -4,7 +4,8 @@
 import io.sequoiawheel.core.relay.HubSelection
 import io.sequoiawheel.core.relay.Peer
 import io.sequoiawheel.core.relay.StoreEras
-import io.sequoiawheel.platform.StoreChanges
+import io.sequoiawheel.platform.StoreChangesEnd
+import io.sequoiawheel.platform.StoreEvent
 import io.sequoiawheel.platform.StoreKind
 import io.sequoiawheel.relay.backend.Connector
 import io.sequoiawheel.relay.internal.DecisionLog
@@ -74,17 +75,18 @@
         return hub
     }
 
-    /** Returns the changes after [revision] of [era] that [hub] recorded. */
+    /** Passes the changes after [revision] of [era] that [hub] recorded to [onEvent]. */
     suspend fun watch(
         hub: Peer,
         kind: StoreKind,
         revision: Long,
         waitMillis: Long,
         era: Long?,
-    ): Either<StoreFailure, StoreChanges> {
+        onEvent: (StoreEvent) -> Unit,
+    ): Either<StoreFailure, StoreChangesEnd> {
         val client =
             clients[hub] ?: StoreClient(connector) { hub.endpoint }.also { clients = mapOf(hub to it) }
-        return client.watchPeer(kind, revision, waitMillis, era)
+        return client.watchPeer(kind, revision, waitMillis, era, onEvent)
     }
 
     /** Records that [hub] failed or is out of date; this instance then watches the store for a while. */
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/control/ConfigurationController.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/control/ConfigurationController.kt
@@ -6,7 +6,6 @@
 import io.sequoiawheel.core.relay.ListReliability
 import io.sequoiawheel.core.relay.RelayConfiguration
 import io.sequoiawheel.platform.ConfigurationCodec
-import io.sequoiawheel.platform.StoreEvent
 import io.sequoiawheel.platform.StoreKind
 import io.sequoiawheel.platform.StoreObject
 import io.sequoiawheel.platform.StoreProtocol
@@ -19,6 +18,18 @@
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 
+/**
+ * A version of the configuration as it was read from the store.
+ *
+ * @property configuration the configuration, or null if it could not be read
+ * @property unreadable why it could not be read, or null
+ */
+internal class ReadConfiguration(
+    val revision: Long,
+    val configuration: RelayConfiguration?,
+    val unreadable: String? = null,
+)
+
 /**
  * Holds the configuration in force. [ConfigurationOrder] decides whether a version read from the store replaces it.
  * Confined to the event loop.
@@ -29,7 +40,7 @@
     private val order: ConfigurationOrder,
     private val scope: CoroutineScope,
     private val log: DecisionLog,
-) : KindListener {
+) : KindListener<ReadConfiguration> {
     /** The configuration in force, or null until the first one was read. */
     var current: RelayConfiguration? = null
         private set
@@ -44,24 +55,38 @@
     private var refresh: Job? = null
     private var freshnessConfirmed = CompletableDeferred<Unit>()
 
+    override fun decode(target: StoreObject): ReadConfiguration? {
+        if (target.name != StoreProtocol.CONFIGURATION_NAME) return null
+        return try {
+            val spec = target.spec?.takeIf { target.unreadable == null }
+            val reason = target.unreadable ?: "spec is not an object"
+            ReadConfiguration(
+                target.revision,
+                ConfigurationCodec.decode(spec ?: throw UnreadableDocumentException(reason)),
+            )
+        } catch (unreadable: UnreadableDocumentException) {
+            ReadConfiguration(target.revision, configuration = null, unreadable = unreadable.message)
+        }
+    }
+
     override fun onListed(
-        listing: StoreListing,
+        listing: StoreListing<ReadConfiguration>,
         reliability: ListReliability,
     ) {
         era = listing.era
         order.enterEra(era)
-        listing.objects.firstOrNull { it.name == StoreProtocol.CONFIGURATION_NAME }?.let(::apply)
+        listing.objects.firstOrNull()?.let(::apply)
     }
 
     override fun onChanged(
-        event: StoreEvent,
+        change: KindChange<ReadConfiguration>,
         afterOutage: Boolean,
     ) {
-        if (event.target.name != StoreProtocol.CONFIGURATION_NAME) return
-        if (event.isDeleted) {
+        if (change.name != StoreProtocol.CONFIGURATION_NAME) return
+        if (change.isDeleted) {
             log.stateChange("configuration deleted, last version kept in force", mapOf("version" to current?.version))
         } else {
-            apply(event.target)
+            change.content?.let(::apply)
         }
     }
 
@@ -111,27 +136,25 @@
 
     private suspend fun readFromStore() {
         val asOf = freshness.now()
-        store.list(StoreKind.CONFIGURATION).map {
+        store.list(StoreKind.CONFIGURATION, decode = ::decode).map {
             onListed(it, ListReliability.CERTAIN)
             onConfirmed(asOf)
         }
     }
 
-    private fun apply(target: StoreObject) {
-        val decoded =
-            try {
-                ConfigurationCodec.decode(target.spec ?: throw UnreadableDocumentException("spec is not an object"))
-            } catch (unreadable: UnreadableDocumentException) {
-                isReadable = false
-                log.stateChange(
-                    "configuration unreadable, previous version kept in force",
-                    mapOf("revision" to target.revision, "detail" to unreadable.message),
-                )
-                return
-            }
+    private fun apply(read: ReadConfiguration) {
+        val decoded = read.configuration
+        if (decoded == null) {
+            isReadable = false
+            log.stateChange(
+                "configuration unreadable, previous version kept in force",
+                mapOf("revision" to read.revision, "detail" to read.unreadable),
+            )
+            return
+        }
         isReadable = true
         val previous = current
-        if (!order.observe(era, target.revision, decoded.version)) {
+        if (!order.observe(era, read.revision, decoded.version)) {
             if (previous != null && decoded.version < previous.version) {
                 log.stateChange(
                     "store returned an older configuration, newer version kept in force",
@@ -145,7 +168,7 @@
             "configuration in force",
             mapOf(
                 "version" to decoded.version,
-                "revision" to target.revision,
+                "revision" to read.revision,
                 "era" to era,
                 "before" to previous?.version,
             ),
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/control/KindWatcher.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/control/KindWatcher.kt
@@ -10,8 +10,7 @@
 import io.sequoiawheel.core.relay.Peer
 import io.sequoiawheel.core.relay.StoreContact
 import io.sequoiawheel.core.routing.Backoff
-import io.sequoiawheel.platform.StoreChanges
-import io.sequoiawheel.platform.StoreEvent
+import io.sequoiawheel.platform.StoreChangesEnd
 import io.sequoiawheel.platform.StoreKind
 import io.sequoiawheel.relay.internal.DecisionLog
 import kotlinx.coroutines.CancellationException
@@ -23,24 +22,6 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import org.apache.commons.rng.UniformRandomProvider
 
-/** Receives the state of one kind of store object, and its changes, from a [KindWatcher]. */
-internal interface KindListener {
-    /** Called with all objects of the kind. [reliability] says whether entries may be missing or out of date. */
-    fun onListed(
-        listing: StoreListing,
-        reliability: ListReliability,
-    )
-
-    /** Called for each change. [afterOutage] is true if the store was unavailable until a moment ago. */
-    fun onChanged(
-        event: StoreEvent,
-        afterOutage: Boolean,
-    )
-
-    /** Called when the state reported so far is known to have been the current one at [asOf] or later. */
-    fun onConfirmed(asOf: ClockReading) = Unit
-}
-
 /**
  * Tracks one kind of store object: lists it, then watches it from the revision of the listing, at the store or at the
  * hub of the zone. A failed watch is repeated from the last revision; only a truncated history or a new era of the
@@ -52,11 +33,11 @@
  *
  * @param onFailure called after each failed call
  */
-internal class KindWatcher(
+internal class KindWatcher<T : Any>(
     private val sources: ChangeSources,
     private val feed: ChangeFeed,
     private val waitMillis: Long,
-    private val listener: KindListener,
+    private val listener: KindListener<T>,
     private val freshness: Freshness,
     private val timing: HubTiming,
     private val contact: StoreContact,
@@ -87,7 +68,7 @@
     private var era: Long? = null
     private var lastConfirmedAt: ClockReading? = null
     private var hasLostHub = false
-    private var pendingWatch: Deferred<Either<StoreFailure, StoreChanges>>? = null
+    private var pendingWatch: Deferred<Either<StoreFailure, StoreChangesEnd>>? = null
     private var pendingWaitMillis = 0L
     private var isRefreshing = false
 
@@ -111,7 +92,12 @@
     private suspend fun listAndWatch() {
         while (true) {
             val asOf = freshness.now()
-            val listing = sources.store.list(kind).fold({ recordFailure(it).let { null } }, { it })
+            val reading = StoreReading()
+            listener.onListingStarted()
+            val listing =
+                sources.store
+                    .list(kind, reading, listener::decode)
+                    .fold({ recordFailure(it).let { null } }, { it })
             if (listing == null) {
                 stopFeedIfStoreLost()
                 awaitRetry()
@@ -119,6 +105,7 @@
             }
             recordStoreResponse()
             listener.onListed(listing, reliabilityOf(listing.era))
+            logListing(listing, reading)
             unappliedNames.clear()
             isListed = true
             era = listing.era
@@ -130,6 +117,20 @@
         }
     }
 
+    private fun logListing(
+        listing: StoreListing<T>,
+        reading: StoreReading,
+    ) = log.stateChange(
+        "kind listed",
+        mapOf(
+            "kind" to kind.name,
+            "kept" to listing.objects.size,
+            "entries" to reading.entries,
+            "nameless" to reading.nameless.takeIf { it > 0 },
+            "read" to reading.toString(),
+        ),
+    )
+
     /** Cancels the pending watch, which is then repeated on another connection. */
     fun interrupt() {
         pendingWatch?.cancel()
@@ -172,18 +173,20 @@
         val asOf = freshness.now()
         val waitMillis = storeWaitMillis()
         pendingWaitMillis = waitMillis
+        val pending = PendingChanges({ listener.decode(it.target) }, feed::encode)
         val changes =
-            watch { sources.store.watch(kind, revision, waitMillis) }
+            watch(pending) { sources.store.watch(kind, revision, waitMillis, pending::add) }
                 .getOrElse { return recoverFrom(it, revision) }
         isRefreshing = false
         recordStoreResponse()
         if (changes.era != era || sources.era != era) return null
-        mustConfirm = changes.events.isNotEmpty()
+        val events = pending.changes
+        mustConfirm = events.isNotEmpty()
         // A response without events is sent at the end of the wait, so nothing changed until then.
-        val confirmedAt = if (changes.events.isEmpty()) asOf.plus(waitMillis) else asOf
-        apply(changes, confirmedAt)
-        feed.append(changes, confirmedAt)
-        if (changes.events.isNotEmpty()) delay(CHANGE_BATCH_MILLIS)
+        val confirmedAt = if (events.isEmpty()) asOf.plus(waitMillis) else asOf
+        apply(events, confirmedAt)
+        feed.append(pending.encoded, changes, confirmedAt)
+        if (events.isNotEmpty()) delay(CHANGE_BATCH_MILLIS)
         return changes.revision
     }
 
@@ -231,22 +234,24 @@
                 isProbe -> timing.maximumAgeMillis
                 else -> waitMillis
             }
+        val pending = PendingChanges({ listener.decode(it.target) }, encode = { null })
         val changes =
-            watch { withinMaximumAge { sources.watch(hub, kind, revision, waitMillis, era) } }
-                .getOrElse { failure ->
-                    val isHistoryGone = failure is StoreFailure.HistoryGone && !isJustListed
-                    if (isHistoryGone || sources.era != era) return null
-                    sources.reportHubFailure(hub, failure)
-                    onFailure()
-                    hasLostHub = true
-                    return revision
-                }
+            watch(pending) {
+                withinMaximumAge { sources.watch(hub, kind, revision, waitMillis, era, pending::add) }
+            }.getOrElse { failure ->
+                val isHistoryGone = failure is StoreFailure.HistoryGone && !isJustListed
+                if (isHistoryGone || sources.era != era) return null
+                sources.reportHubFailure(hub, failure)
+                onFailure()
+                hasLostHub = true
+                return revision
+            }
         recordResponse()
         // Another call may have observed a newer era while this response was in flight.
         if (sources.era != era) return null
         val confirmedAt = changes.confirmationOffsetMillis?.let { asOf.plus(it) }
         confirmedAt?.let { contact.recordProof(it.monotonicMillis) }
-        apply(changes, confirmedAt)
+        apply(pending.changes, confirmedAt)
         return changes.revision
     }
 
@@ -256,8 +261,8 @@
      * other watchers when the hub fails.
      */
     private suspend fun withinMaximumAge(
-        call: suspend () -> Either<StoreFailure, StoreChanges>,
-    ): Either<StoreFailure, StoreChanges> {
+        call: suspend () -> Either<StoreFailure, StoreChangesEnd>,
+    ): Either<StoreFailure, StoreChangesEnd> {
         if (!isProbe) return call()
         val ageMillis = lastConfirmedAt?.let { freshness.now().monotonicMillis - it.monotonicMillis }
         val remainingMillis = timing.maximumAgeMillis - (ageMillis ?: timing.maximumAgeMillis)
@@ -266,10 +271,10 @@
     }
 
     private fun apply(
-        changes: StoreChanges,
+        changes: List<KindChange<T>>,
         confirmedAt: ClockReading?,
     ) {
-        changes.events.forEach(::applyEvent)
+        changes.forEach(::applyChange)
         val before = lastConfirmedAt
         if (before == null || confirmedAt != null && confirmedAt.monotonicMillis > before.monotonicMillis) {
             lastConfirmedAt = confirmedAt
@@ -278,16 +283,16 @@
     }
 
     /** Applies one change. If the listener fails, the other changes of the response still count. */
-    private fun applyEvent(event: StoreEvent) {
+    private fun applyChange(change: KindChange<T>) {
         try {
-            listener.onChanged(event, contact.isAfterOutage)
-            unappliedNames -= event.target.name
+            listener.onChanged(change, contact.isAfterOutage)
+            unappliedNames -= change.name
         } catch (failure: RuntimeException) {
-            unappliedNames += event.target.name
+            unappliedNames += change.name
             failedObjects++
             log.dependency(
                 "change not applied",
-                mapOf("kind" to kind.name, "name" to event.target.name, "detail" to failure.toString()),
+                mapOf("kind" to kind.name, "name" to change.name, "detail" to failure.toString()),
             )
         }
     }
@@ -306,13 +311,15 @@
         }
 
     private suspend fun watch(
-        call: suspend () -> Either<StoreFailure, StoreChanges>,
-    ): Either<StoreFailure, StoreChanges> =
+        pending: PendingChanges<T>,
+        call: suspend () -> Either<StoreFailure, StoreChangesEnd>,
+    ): Either<StoreFailure, StoreChangesEnd> =
         coroutineScope {
             val running = async { call() }
             pendingWatch = running
             try {
-                running.await()
+                val response = running.await()
+                if (pending.isOverflown) StoreFailure.HistoryGone("too many changes at once").left() else response
             } catch (interrupted: CancellationException) {
                 ensureActive()
                 StoreFailure.Unavailable("interrupted").left()
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/control/PeerController.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/control/PeerController.kt
@@ -79,9 +79,9 @@
                     failure is StoreFailure.Conflict &&
                         store.replace(StoreKind.ENTRY_INSTANCES, self.name, spec).isRight()
                 }, { true })
-            val listing = if (isRegistered) store.list(StoreKind.ENTRY_INSTANCES).fold({ null }, { it }) else null
+            val listing = if (isRegistered) listPeers() else null
             if (listing != null) {
-                exchange.addListedPeers(listing.objects.mapNotNull { PeerEntryCodec.decode(it) })
+                exchange.addListedPeers(listing.objects)
                 log.stateChange("instances listed", mapOf("count" to listing.objects.size))
                 return
             }
@@ -89,6 +89,9 @@
         }
     }
 
+    private suspend fun listPeers() =
+        store.list(StoreKind.ENTRY_INSTANCES, decode = PeerEntryCodec::decode).fold({ null }, { it })
+
     /** Sends load reports until cancelled: soon after the work at a replica changed, and at regular intervals. */
     suspend fun report() {
         while (true) {
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/control/ReplicaController.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/control/ReplicaController.kt
@@ -6,7 +6,6 @@
 import io.sequoiawheel.core.relay.ReplicaDirectory
 import io.sequoiawheel.core.relay.ReplicaEntry
 import io.sequoiawheel.platform.ReplicaEntryCodec
-import io.sequoiawheel.platform.StoreEvent
 import io.sequoiawheel.platform.StoreKind
 import io.sequoiawheel.platform.StoreObject
 import io.sequoiawheel.platform.UnreadableDocumentException
@@ -23,18 +22,19 @@
     private val log: DecisionLog,
     private val metrics: RelayMetrics,
     private val onApplied: () -> Unit,
-) : KindListener {
-    private val unreadable = HashSet<String>()
+) : KindListener<ReplicaEntry> {
+    private val unreadable = UnreadableNames()
 
-    /** Number of listed entries that cannot be read. */
-    val unreadableCount: Int get() = unreadable.size
+    /** Number of listed entries that cannot be read, up to the number of names that are kept. */
+    val unreadableCount: Int get() = unreadable.count
+
+    override fun onListingStarted() = unreadable.clear()
 
     override fun onListed(
-        listing: StoreListing,
+        listing: StoreListing<ReplicaEntry>,
         reliability: ListReliability,
     ) {
-        unreadable.clear()
-        directory.replaceAll(listing.objects.mapNotNull(::decode), reliability)
+        directory.replaceAll(listing.objects, reliability)
         onApplied()
         log.stateChange(
             "replicas listed",
@@ -43,13 +43,15 @@
     }
 
     override fun onChanged(
-        event: StoreEvent,
+        change: KindChange<ReplicaEntry>,
         afterOutage: Boolean,
     ) {
-        unreadable.remove(event.target.name)
-        val entry = if (event.isDeleted) null else decode(event.target)
-        val id = InstanceId(event.target.name)
-        if (entry == null) directory.remove(id, afterOutage && event.isDeleted) else directory.put(entry)
+        if (change.isDeleted) unreadable.remove(change.name)
+        val entry = change.content
+        val id = InstanceId(change.name)
+        // Entries that never named a replica change nothing, however often others write them.
+        if (entry == null && id !in directory) return
+        if (entry == null) directory.remove(id, afterOutage && change.isDeleted) else directory.put(entry)
         onApplied()
         log.stateChange(
             if (entry == null) "replica removed" else "replica changed",
@@ -57,62 +59,84 @@
                 "replica" to id.value,
                 "draining" to entry?.isDraining,
                 "coldMilliseconds" to entry?.coldForMillis,
-                "revision" to event.target.revision,
+                "revision" to change.revision,
                 "afterOutage" to afterOutage,
             ),
         )
     }
 
-    private fun decode(target: StoreObject): ReplicaEntry? =
+    override fun decode(target: StoreObject): ReplicaEntry? =
         try {
-            ReplicaEntryCodec.decode(
-                target.name,
-                target.spec ?: throw UnreadableDocumentException("spec is not an object or nested too deeply"),
-            )
+            ReplicaEntryCodec
+                .decode(
+                    target.name,
+                    target.spec?.takeIf { target.unreadable == null }
+                        ?: throw UnreadableDocumentException(target.unreadable ?: "spec is not an object"),
+                ).also { unreadable.remove(target.name) }
         } catch (failure: UnreadableDocumentException) {
-            unreadable += target.name
-            metrics.count("objects.unreadable", StoreKind.REPLICAS.name)
-            log.stateChange(
-                "replica entry unreadable, replica not used",
-                mapOf(
-                    "kind" to StoreKind.REPLICAS.name,
-                    "replica" to target.name,
-                    "revision" to target.revision,
-                    "detail" to failure.message,
-                ),
-            )
+            reportUnreadable(target, failure)
             null
         }
+
+    /** Logs an entry once, since others may write it again all the time. */
+    private fun reportUnreadable(
+        target: StoreObject,
+        failure: UnreadableDocumentException,
+    ) {
+        metrics.count("objects.unreadable", StoreKind.REPLICAS.name)
+        if (!unreadable.add(target.name)) return
+        log.stateChange(
+            "replica entry unreadable, replica not used",
+            mapOf(
+                "kind" to StoreKind.REPLICAS.name,
+                "replica" to target.name,
+                "revision" to target.revision,
+                "bytes" to target.sizeBytes,
+                "detail" to failure.message,
+            ),
+        )
+    }
 }
 
-/** Tracks the availability zones that operators evacuated. */
+/**
+ * Tracks the availability zones that operators evacuated. Others may name any number of zones, so that a change costs
+ * the same however many there are, and is logged only if it concerns a replica.
+ */
 internal class EvacuationController(
     private val directory: ReplicaDirectory,
     private val log: DecisionLog,
-) : KindListener {
+) : KindListener<ZoneName> {
+    override fun decode(target: StoreObject): ZoneName? = ZoneName(target.name).takeUnless { target.isBeingDeleted }
+
     override fun onListed(
-        listing: StoreListing,
+        listing: StoreListing<ZoneName>,
         reliability: ListReliability,
-    ) = loggingZoneChanges {
-        val zones = listing.objects.filter { !it.isBeingDeleted }.mapTo(HashSet()) { ZoneName(it.name) }
-        directory.evacuations.replaceAll(zones, reliability)
+    ) {
+        val before = directory.evacuations.zones
+        directory.evacuations.replaceAll(listing.objects.toSet(), reliability)
+        val after = directory.evacuations.zones
+        if (before != after) logZones(after)
     }
 
     override fun onChanged(
-        event: StoreEvent,
+        change: KindChange<ZoneName>,
         afterOutage: Boolean,
-    ) = loggingZoneChanges {
-        directory.evacuations.set(
-            ZoneName(event.target.name),
-            isEvacuated = !event.isDeleted && !event.target.isBeingDeleted,
-        )
+    ) {
+        val zone = ZoneName(change.name)
+        val before = zone in directory.evacuations
+        directory.evacuations.set(zone, isEvacuated = change.content != null)
+        if (before == zone in directory.evacuations) return
+        val zones = directory.all().mapTo(LinkedHashSet()) { it.entry.zone }
+        if (zone in zones) logZones(zones.filter { it in directory.evacuations })
     }
 
-    private fun loggingZoneChanges(change: () -> Unit) {
-        val previous = directory.evacuations.zones
-        change()
-        val zones = directory.evacuations.zones
-        if (zones == previous) return
-        log.stateChange("evacuated zones changed", mapOf("zones" to zones.joinToString(",") { it.value }))
+    private fun logZones(zones: Collection<ZoneName>) =
+        log.stateChange(
+            "evacuated zones changed",
+            mapOf("zones" to zones.take(LOGGED_ZONES).joinToString(",") { it.value }, "count" to zones.size),
+        )
+
+    private companion object {
+        const val LOGGED_ZONES = 16
     }
 }
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/control/RolloutController.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/control/RolloutController.kt
@@ -21,11 +21,8 @@
 import io.sequoiawheel.core.rollout.RolloutTarget
 import io.sequoiawheel.core.rollout.ServiceRollout
 import io.sequoiawheel.platform.RolloutCodec
-import io.sequoiawheel.platform.StoreEvent
-import io.sequoiawheel.platform.StoreKind
 import io.sequoiawheel.platform.StoreObject
 import io.sequoiawheel.platform.StoredRollout
-import io.sequoiawheel.platform.UnreadableDocumentException
 import io.sequoiawheel.relay.internal.DecisionLog
 import io.sequoiawheel.relay.internal.RelayMetrics
 
@@ -44,7 +41,7 @@
     private val wallClock: Clock,
     private val log: DecisionLog,
     private val metrics: RelayMetrics,
-) : KindListener {
+) : KindListener<ListedRollout> {
     /** What the store holds for an order, and the write that this instance wants. */
     private class Stored(
         val revision: Long,
@@ -59,7 +56,8 @@
     private val progress = RolloutProgress(gate)
     private val stored = HashMap<ServiceName, Stored>()
     private val wanted = HashMap<ServiceName, Wanted>()
-    private val unreadable = HashMap<String, Long>()
+    private val unreadable = UnreadableNames()
+    private val decoder = RolloutDecoder(gate, unreadable, log, metrics)
     private val evidenceLoggedMillis = HashMap<ServiceName, Long>()
     private var isFirstListing = true
 
@@ -67,13 +65,17 @@
     fun publishGauges() {
         metrics.gauge("rollouts.active") { gate.all.count { !it.stage.isFinal } }
         metrics.gauge("rollouts.bad") { gate.all.count { it.isBad } }
-        metrics.gauge("rollouts.unreadable") { unreadable.size }
+        metrics.gauge("rollouts.unreadable") { unreadable.count }
         metrics.gauge("rollouts.requests.received") { gate.all.sumOf { it.received } }
         metrics.gauge("rollouts.requests.admitted") { gate.all.sumOf { it.admitted } }
     }
 
+    override fun onListingStarted() = unreadable.clear()
+
+    override fun decode(target: StoreObject): ListedRollout? = decoder.decode(target)
+
     override fun onListed(
-        listing: StoreListing,
+        listing: StoreListing<ListedRollout>,
         reliability: ListReliability,
     ) {
         val names = listing.objects.map { it.name }.toSet()
@@ -94,11 +96,15 @@
     }
 
     override fun onChanged(
-        event: StoreEvent,
+        change: KindChange<ListedRollout>,
         afterOutage: Boolean,
     ) {
-        val service = ServiceName(event.target.name)
-        if (event.isDeleted || event.target.isBeingDeleted) withdraw(service) else adopt(event.target, isLate = false)
+        if (change.isDeleted) unreadable.remove(change.name)
+        val content = change.content
+        when {
+            change.isDeleted || content?.isBeingDeleted == true -> withdraw(ServiceName(change.name))
+            content != null -> adopt(content, isLate = false)
+        }
     }
 
     /** Applies what all instances know, and writes the status if it is this instance's turn. Call it every 100 ms. */
@@ -207,16 +213,10 @@
     }
 
     private fun adopt(
-        target: StoreObject,
+        target: ListedRollout,
         isLate: Boolean,
     ) {
-        val order =
-            try {
-                RolloutCodec.decode(target)
-            } catch (failure: UnreadableDocumentException) {
-                return reportUnreadable(target, failure)
-            }
-        unreadable.remove(target.name)
+        val order = target.stored ?: return
         val service = order.order.service
         val known = gate[service]
         stored[service] = Stored(target.revision, order.stage)
@@ -256,9 +256,9 @@
     }
 
     /** Whether a restored store holds an earlier state of what this instance knows. */
-    private fun isOlder(target: StoreObject): Boolean {
+    private fun isOlder(target: ListedRollout): Boolean {
         val known = gate[ServiceName(target.name)] ?: return false
-        val order = runCatching { RolloutCodec.decode(target) }.getOrNull() ?: return true
+        val order = target.stored ?: return true
         val isSame = isSameOrder(known, order) || order.order.version == known.order.version
         if (isSame) {
             stored[known.order.service] = Stored(target.revision, order.stage)
@@ -281,19 +281,6 @@
         log.stateChange("rollout withdrawn", fields(rollout))
     }
 
-    private fun reportUnreadable(
-        target: StoreObject,
-        failure: UnreadableDocumentException,
-    ) {
-        val before = unreadable.put(target.name, target.revision)
-        if (before == target.revision) return
-        metrics.count("objects.unreadable", StoreKind.ROLLOUTS.name)
-        log.stateChange(
-            "rollout unreadable, not carried out",
-            mapOf("name" to target.name, "revision" to target.revision, "detail" to failure.message),
-        )
-    }
-
     private fun logStage(
         rollout: ServiceRollout,
         source: String,
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/control/StoreClient.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/control/StoreClient.kt
@@ -9,20 +9,22 @@
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpHeaderValues
 import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpVersion
 import io.sequoiawheel.core.relay.Endpoint
 import io.sequoiawheel.core.relay.EraOrder
 import io.sequoiawheel.core.relay.StoreEras
 import io.sequoiawheel.platform.Headers
-import io.sequoiawheel.platform.StoreChanges
+import io.sequoiawheel.platform.StoreBodyReader
+import io.sequoiawheel.platform.StoreChangesEnd
+import io.sequoiawheel.platform.StoreEvent
 import io.sequoiawheel.platform.StoreKind
 import io.sequoiawheel.platform.StoreObject
-import io.sequoiawheel.platform.StorePage
+import io.sequoiawheel.platform.StorePageEnd
 import io.sequoiawheel.platform.StoreProtocol
 import io.sequoiawheel.platform.UnreadableDocumentException
 import io.sequoiawheel.relay.backend.BackendConnection
 import io.sequoiawheel.relay.backend.Connector
-import io.sequoiawheel.relay.backend.ResponseTooLargeException
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.serialization.json.JsonElement
 import kotlinx.serialization.json.JsonObject
@@ -57,33 +59,15 @@
 /**
  * A complete listing of one kind. A watch from [revision] returns every change that the listing may lack; changes made
  * between two pages may be returned a second time.
+ *
+ * @property objects what is kept of the objects
  */
-internal data class StoreListing(
-    val objects: List<StoreObject>,
+internal data class StoreListing<out T>(
+    val objects: List<T>,
     val revision: Long,
     val era: Long?,
 )
 
-/** How far a listing has been read. */
-internal class StoreReading {
-    private var page = 0
-    private var pageCharacters = 0
-    private var entries = 0
-    private var lastEntry: String? = null
-
-    fun beginPage(characters: Int) {
-        page++
-        pageCharacters = characters
-    }
-
-    fun endPage(objects: List<StoreObject>) {
-        entries += objects.size
-        lastEntry = objects.lastOrNull()?.name
-    }
-
-    override fun toString() = "page $page of $pageCharacters characters, $entries entries before, last $lastEntry"
-}
-
 /**
  * Client of the platform's store, and of instances that serve watches in its place. A connection on which a call failed
  * is closed, since its response may be lost or still in flight. A response from an older era than the newest known one
@@ -102,88 +86,109 @@
         val connection: BackendConnection,
     )
 
-    private class Response(
-        val status: Int,
-        val text: String,
-        val era: Long?,
-    )
-
     private val idle = ArrayDeque<IdleConnection>()
 
     private val callsByOperation = TreeMap<String, Long>()
 
     private val readings = TreeMap<String, StoreReading>()
 
-    /** What is being read from the store at the moment, by kind, for the log of a failure. */
+    /** What is being read from the store at the moment, by operation and kind, for the log of a failure. */
     val reading: Map<String, Any?> get() = readings.mapValues { (_, reading) -> reading.toString() }
 
     /** Number of calls made so far, by verb and kind of object. */
     val calls: Map<String, Long> get() = callsByOperation
 
-    /** Returns all objects of [kind]. */
-    suspend fun list(kind: StoreKind): Either<StoreFailure, StoreListing> {
-        val reading = StoreReading()
-        readings["list $kind"] = reading
-        return listPages(kind, reading).also { readings.remove("list $kind") }
-    }
-
-    private suspend fun listPages(
+    /** Returns what [decode] keeps of the objects of [kind]. Each object is decoded before the next one is read. */
+    suspend fun <T : Any> list(
         kind: StoreKind,
-        reading: StoreReading,
-    ): Either<StoreFailure, StoreListing> {
-        val objects = ArrayList<StoreObject>()
+        reading: StoreReading = StoreReading(),
+        decode: (StoreObject) -> T?,
+    ): Either<StoreFailure, StoreListing<T>> {
+        val operation = "list $kind"
+        val kept = ArrayList<T>()
         var afterName: String? = null
-        var first: StorePage? = null
+        var first: StorePageEnd? = null
         var era: Long? = null
+        readings[operation] = reading
         while (true) {
-            val path = StoreProtocol.listPath(kind, afterName)
-            val response = call("list $kind", HttpMethod.GET, path).fold({ return it.left() }, { it })
-            reading.beginPage(response.text.length)
-            val result = decode(response.text, StoreProtocol::decodePage).fold({ return it.left() }, { it })
-            if (first != null && response.era != era) return StoreFailure.Unavailable("the store era changed").left()
-            era = response.era
+            reading.beginPage()
+            val reader =
+                StoreProtocol.pageReader(kind, { target ->
+                    reading.recordEntry(target.name)
+                    decode(target)?.let { kept += it }
+                }, reading::recordNameless)
+            val (page, pageEra) =
+                read(operation, StoreProtocol.listPath(kind, afterName), reader, reading)
+                    .onLeft { readings.remove(operation) }
+                    .fold({ return it.left() }, { it })
+            if (first != null && pageEra != era) return failedListing(operation, "the store era changed")
+            era = pageEra
             // Objects on the first page may change while later pages are read, so the watch starts at the first
             // revision.
-            val revision = (first ?: result.also { first = it }).revision
-            objects += result.objects
-            reading.endPage(result.objects)
-            if (!result.hasMore || result.objects.isEmpty()) return StoreListing(objects, revision, era).right()
-            val last = result.objects.last().name
-            if (last == afterName) return StoreFailure.Unavailable("a page repeats the previous one").left()
-            afterName = last
+            val revision = (first ?: page.also { first = it }).revision
+            if (page.nextAfter == afterName && afterName != null) {
+                return failedListing(operation, "a page repeats the previous one")
+            }
+            afterName = page.nextAfter
+            if (afterName == null) {
+                readings.remove(operation)
+                return StoreListing(kept, revision, era).right()
+            }
         }
     }
 
-    /** Returns the changes after [revision], waiting up to [waitMillis] for the first one. */
+    private fun failedListing(
+        operation: String,
+        detail: String,
+    ): Either<StoreFailure, Nothing> {
+        readings.remove(operation)
+        return StoreFailure.Unavailable(detail).left()
+    }
+
+    /**
+     * Passes the changes after [revision] to [onEvent], waiting up to [waitMillis] for the first one. They count only
+     * if the call succeeds.
+     */
     suspend fun watch(
         kind: StoreKind,
         revision: Long,
         waitMillis: Long,
-    ): Either<StoreFailure, StoreChanges> =
-        watchAt(StoreProtocol.watchPath(kind, revision, waitMillis), kind, waitMillis)
-            .map { (response, changes) -> changes.copy(era = response.era) }
+        onEvent: (StoreEvent) -> Unit,
+    ): Either<StoreFailure, StoreChangesEnd> =
+        watchAt(StoreProtocol.watchPath(kind, revision, waitMillis), kind, waitMillis, onEvent)
+            .map { (changes, era) -> changes.copy(era = era) }
 
-    /** Returns the changes after [revision] from another instance, provided that it has the same [era] of the store. */
+    /**
+     * Passes the changes after [revision] from another instance to [onEvent], provided that it has the same [era] of
+     * the store.
+     */
     suspend fun watchPeer(
         kind: StoreKind,
         revision: Long,
         waitMillis: Long,
         era: Long?,
-    ): Either<StoreFailure, StoreChanges> =
-        watchAt(StoreProtocol.peerWatchPath(kind, revision, waitMillis, era), kind, waitMillis).map { it.second }
+        onEvent: (StoreEvent) -> Unit,
+    ): Either<StoreFailure, StoreChangesEnd> =
+        watchAt(StoreProtocol.peerWatchPath(kind, revision, waitMillis, era), kind, waitMillis, onEvent)
+            .map { (changes, _) -> changes }
 
     private suspend fun watchAt(
         path: String,
         kind: StoreKind,
         waitMillis: Long,
-    ): Either<StoreFailure, Pair<Response, StoreChanges>> =
-        call(
-            "watch $kind",
-            HttpMethod.GET,
-            path,
-            timeoutMillis = waitMillis + WATCH_GRACE_MILLIS,
-            limitBytes = WATCH_LIMIT_BYTES,
-        ).flatMap { response -> decode(response.text, StoreProtocol::decodeChanges).map { response to it } }
+        onEvent: (StoreEvent) -> Unit,
+    ): Either<StoreFailure, Pair<StoreChangesEnd, Long?>> {
+        val operation = "watch $kind"
+        val reading = StoreReading().also { it.beginPage() }
+        val reader =
+            StoreProtocol.changesReader(kind, { event ->
+                readings[operation] = reading
+                reading.recordEntry(event.target.name)
+                onEvent(event)
+            }, reading::recordNameless)
+        return read(operation, path, reader, reading, waitMillis + WATCH_GRACE_MILLIS)
+            .also { readings.remove(operation) }
+    }
 
     /** Creates an object, or fails with [StoreFailure.Conflict] if it exists. */
     suspend fun create(
@@ -191,12 +196,12 @@
         name: String,
         spec: JsonElement,
     ): Either<StoreFailure, Unit> =
-        call(
+        write(
             "create $kind",
             HttpMethod.POST,
             StoreProtocol.listPath(kind, null),
             StoreProtocol.objectBody(name, spec),
-        ).map { }
+        )
 
     /** Replaces an object, whatever its current revision. */
     suspend fun replace(
@@ -204,13 +209,12 @@
         name: String,
         spec: JsonElement,
     ): Either<StoreFailure, Unit> =
-        call(
+        write(
             "replace $kind",
             HttpMethod.PUT,
             StoreProtocol.objectPath(kind, name),
             StoreProtocol.objectBody(name, spec),
-        ).map {
-        }
+        )
 
     /** Replaces the status of an object, or fails with [StoreFailure.Conflict] if [revision] is not its revision. */
     suspend fun replaceStatus(
@@ -219,73 +223,105 @@
         status: JsonObject,
         revision: Long,
     ): Either<StoreFailure, Unit> =
-        call(
+        write(
             "status $kind",
             HttpMethod.PUT,
             StoreProtocol.statusPath(kind, name),
             StoreProtocol.statusBody(name, status, revision),
-        ).map { }
+        )
 
     /** Removes an object. */
     suspend fun delete(
         kind: StoreKind,
         name: String,
     ): Either<StoreFailure, Unit> =
-        call("delete $kind", HttpMethod.DELETE, StoreProtocol.objectPath(kind, name)).map { }
+        write("delete $kind", HttpMethod.DELETE, StoreProtocol.objectPath(kind, name), body = null)
+
+    /** Sends a read call. [reader] reads the response while it is received. Returns its result and the store's era. */
+    private suspend fun <T> read(
+        operation: String,
+        path: String,
+        reader: StoreBodyReader<T>,
+        reading: StoreReading,
+        timeoutMillis: Long = CALL_TIMEOUT_MILLIS,
+    ): Either<StoreFailure, Pair<T, Long?>> =
+        call(operation, HttpMethod.GET, path, null, timeoutMillis, StreamedBody(reader, reading))
+            .flatMap { era -> unlessUnreadable { reader.end() to era } }
 
-    private fun <T> decode(
-        text: String,
-        decoder: (String) -> T,
-    ): Either<StoreFailure, T> =
+    private suspend fun write(
+        operation: String,
+        method: HttpMethod,
+        path: String,
+        body: String?,
+    ): Either<StoreFailure, Unit> = call(operation, method, path, body, CALL_TIMEOUT_MILLIS, ShortBody()).map { }
+
+    private inline fun <T> unlessUnreadable(decode: () -> T): Either<StoreFailure, T> =
         try {
-            decoder(text).right()
+            decode().right()
         } catch (unreadable: UnreadableDocumentException) {
             StoreFailure.Unavailable("unreadable response: ${unreadable.message}").left()
         }
 
+    /**
+     * Sends a request and passes the body of a successful response to [body]. Returns the era of the store. The time
+     * allowed applies to the head and the first part of the body, and to each further part.
+     */
     private suspend fun call(
         operation: String,
         method: HttpMethod,
         path: String,
-        body: String? = null,
-        timeoutMillis: Long = CALL_TIMEOUT_MILLIS,
-        limitBytes: Int = BackendConnection.BODY_LIMIT_BYTES,
-    ): Either<StoreFailure, Response> {
+        requestBody: String?,
+        timeoutMillis: Long,
+        body: ResponseBody,
+    ): Either<StoreFailure, Long?> {
         callsByOperation.merge(operation, 1L, Long::plus)
         val target = endpoint()
         var connection: BackendConnection? = null
-        var isResponseComplete = false
+        var isComplete = false
         try {
-            val response =
+            val error = ShortBody()
+            val (head, received) =
                 withTimeoutOrNull(timeoutMillis) {
                     val openConnection = connect(target).also { connection = it }
-                    openConnection.send(request(target, method, path, body))
+                    openConnection.send(request(target, method, path, requestBody))
                     val head = openConnection.receiveHead(requestId = null)
-                    val era = StoreProtocol.decodeEra(head.headers().get(Headers.STORE_ERA))
-                    Response(head.status().code(), String(openConnection.receiveBody(limitBytes)), era)
-                } ?: return StoreFailure.Unavailable("no response within $timeoutMillis ms").left()
-            isResponseComplete = true
-            return interpret(response)
-        } catch (tooLarge: ResponseTooLargeException) {
-            return StoreFailure.HistoryGone(tooLarge.message.orEmpty()).left()
+                    val received = if (head.status().code() in SUCCESS) body else error
+                    isComplete = received.receivePart(openConnection)
+                    head to received
+                } ?: return unanswered(timeoutMillis)
+            while (!isComplete) {
+                isComplete = withTimeoutOrNull(timeoutMillis) { received.receivePart(checkNotNull(connection)) }
+                    ?: return unanswered(timeoutMillis)
+            }
+            return interpret(head, error)
+        } catch (unreadable: UnreadableDocumentException) {
+            return StoreFailure.Unavailable("unreadable response: ${unreadable.message}").left()
         } catch (failure: IOException) {
             return StoreFailure.Unavailable(failure.message ?: failure.javaClass.simpleName).left()
         } finally {
-            connection?.let { if (isResponseComplete) returnToIdle(target, it) else it.abort() }
+            connection?.let { if (isComplete) returnToIdle(target, it) else it.abort() }
         }
     }
 
-    private fun interpret(response: Response): Either<StoreFailure, Response> {
-        when (eras?.observe(response.era)) {
-            EraOrder.OLDER -> return StoreFailure.Unavailable("response from the older era ${response.era}").left()
+    private fun unanswered(timeoutMillis: Long) =
+        StoreFailure.Unavailable("no response within $timeoutMillis ms").left()
+
+    private fun interpret(
+        head: HttpResponse,
+        error: ShortBody,
+    ): Either<StoreFailure, Long?> {
+        val era = StoreProtocol.decodeEra(head.headers().get(Headers.STORE_ERA))
+        when (eras?.observe(era)) {
+            EraOrder.OLDER -> return StoreFailure.Unavailable("response from the older era $era").left()
             EraOrder.NEW -> onNewEra()
             EraOrder.CURRENT, null -> Unit
         }
-        return when (response.status) {
-            in SUCCESS -> Response(response.status, response.text, eras?.current).right()
+        val status = head.status().code()
+        return when (status) {
+            in SUCCESS -> eras?.current.right()
             StoreProtocol.HISTORY_EXPIRED -> StoreFailure.HistoryGone("history truncated").left()
-            CONFLICT -> StoreFailure.Conflict(response.text.take(MAXIMUM_DETAIL_CHARACTERS)).left()
-            else -> StoreFailure.Unavailable("status ${response.status}").left()
+            CONFLICT -> StoreFailure.Conflict(error.text.take(MAXIMUM_DETAIL_CHARACTERS)).left()
+            else -> StoreFailure.Unavailable("status $status").left()
         }
     }
 
@@ -330,9 +366,6 @@
         /** The store responds within 4 ms, and within 300 ms when it is slow. */
         const val CALL_TIMEOUT_MILLIS = 1_500L
 
-        /** The changes of a response, and its other fields. */
-        const val WATCH_LIMIT_BYTES = StoreProtocol.MAXIMUM_CHANGES_BYTES + 4_096
-
         /** Time that a watch may take beyond its wait before the call is given up as unanswered. */
         const val WATCH_GRACE_MILLIS = 800L
 
--- a/relay/src/test/kotlin/io/sequoiawheel/relay/ConfigurationMemoryTest.kt
+++ b/relay/src/test/kotlin/io/sequoiawheel/relay/ConfigurationMemoryTest.kt
@@ -8,8 +8,6 @@
 import org.junit.jupiter.api.io.TempDir
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.CsvSource
-import java.net.Socket
-import java.nio.file.Files
 import java.nio.file.Path
 
 /**
@@ -18,48 +16,14 @@
  */
 class ConfigurationMemoryTest {
     private val fixture = RelayFixture()
-    private val instances = ArrayList<Instance>()
+    private val instances = ArrayList<DeployedInstance>()
 
     @TempDir
     private lateinit var directory: Path
 
-    private inner class Instance(
-        name: String,
-    ) {
-        val readiness = FreePorts.allocate()
-        private val callers = FreePorts.allocate()
-        private val folder = Files.createDirectory(directory.resolve(name))
-        private val collections = folder.resolve("collections")
-        val process =
-            RelayChildProcess.start(
-                folder,
-                RelayChildProcess.settings(fixture, name, callers, readiness),
-                RelayChildProcess.DEPLOYED_OPTIONS + "-Xlog:gc:file=$collections",
-            )
-
-        fun status(path: String): String =
-            Socket("127.0.0.1", callers).use { socket ->
-                socket.soTimeout = CALL_MILLIS
-                socket.getOutputStream().write(fixture.request(path).toByteArray())
-                runCatching { String(socket.getInputStream().readBytes()).split(' ')[1] }.getOrElse { it.toString() }
-            }
-
-        /** Returns the heap that was in use after each full collection, in MiB. */
-        fun heapAfterFullCollections(): List<Int> =
-            Files.readAllLines(collections).mapNotNull { line ->
-                FULL_COLLECTION
-                    .find(line)
-                    ?.groupValues
-                    ?.get(1)
-                    ?.toInt()
-            }
-
-        fun errors(): String = Files.readString(folder.resolve("err"))
-    }
-
     @AfterEach
     fun close() {
-        instances.forEach { it.process.destroyForcibly().waitFor() }
+        instances.forEach { it.kill() }
         fixture.close()
     }
 
@@ -92,8 +56,8 @@
         val routes = routes(routeCount)
         val workspaces = workspaces(workspaceCount)
         fixture.configureLarge(1, routes, workspaces)
-        for (name in listOf("entry-1", "entry-2")) instances += Instance(name)
-        RelayFixture.awaitTrue("both are ready") { instances.all { RelayChildProcess.readiness(it.readiness) == 200 } }
+        for (name in listOf("entry-1", "entry-2")) instances += DeployedInstance(fixture, directory, name)
+        RelayFixture.awaitTrue("both are ready") { instances.all { it.isReady } }
         for (version in 2..VERSIONS) {
             fixture.configureLarge(version, routes, workspaces)
             Thread.sleep(VERSION_INTERVAL_MILLIS)
@@ -104,7 +68,11 @@
         for (instance in instances) {
             val heap = instance.heapAfterFullCollections()
             println("$routeCount routes, $workspaceCount workspaces: MiB after full collections $heap")
-            assertTrue(heap.all { it <= HEAP_LIMIT_MEBIBYTES }) { "the heap held $heap MiB after full collections" }
+            assertTrue(
+                heap.all {
+                    it <= DeployedInstance.HEAP_LIMIT_MEBIBYTES
+                },
+            ) { "the heap held $heap MiB after full collections" }
             assertEquals("", instance.errors())
         }
     }
@@ -113,10 +81,5 @@
         const val VERSIONS = 300
         const val VERSION_INTERVAL_MILLIS = 30L
         const val CALL_INTERVAL = 50
-        const val CALL_MILLIS = 3_000
-
-        /** Two thirds of the heap. */
-        const val HEAP_LIMIT_MEBIBYTES = 64
-        val FULL_COLLECTION = Regex("""Pause Full .*->(\d+)M\(""")
     }
 }
--- a/relay/src/test/kotlin/io/sequoiawheel/relay/HubFailureTest.kt
+++ b/relay/src/test/kotlin/io/sequoiawheel/relay/HubFailureTest.kt
@@ -15,12 +15,13 @@
 import io.sequoiawheel.core.relay.Peer
 import io.sequoiawheel.core.relay.StoreContact
 import io.sequoiawheel.core.relay.StoreEras
-import io.sequoiawheel.platform.StoreEvent
 import io.sequoiawheel.platform.StoreKind
+import io.sequoiawheel.platform.StoreObject
 import io.sequoiawheel.platform.StoreProtocol
 import io.sequoiawheel.relay.backend.Connector
 import io.sequoiawheel.relay.control.ChangeFeed
 import io.sequoiawheel.relay.control.ChangeSources
+import io.sequoiawheel.relay.control.KindChange
 import io.sequoiawheel.relay.control.KindListener
 import io.sequoiawheel.relay.control.KindWatcher
 import io.sequoiawheel.relay.control.StoreClient
@@ -151,17 +152,19 @@
         sources,
         ChangeFeed(kind),
         waitMillis,
-        object : KindListener {
+        object : KindListener<String> {
+            override fun decode(target: StoreObject) = target.name
+
             override fun onListed(
-                listing: StoreListing,
+                listing: StoreListing<String>,
                 reliability: ListReliability,
             ) = Unit
 
             override fun onChanged(
-                event: StoreEvent,
+                change: KindChange<String>,
                 afterOutage: Boolean,
             ) {
-                applied += event.target.name
+                applied += change.name
             }
 
             override fun onConfirmed(asOf: ClockReading) {
--- a/relay/src/test/kotlin/io/sequoiawheel/relay/KindWatcherTest.kt
+++ b/relay/src/test/kotlin/io/sequoiawheel/relay/KindWatcherTest.kt
@@ -12,11 +12,12 @@
 import io.sequoiawheel.core.relay.ListReliability
 import io.sequoiawheel.core.relay.StoreContact
 import io.sequoiawheel.core.relay.StoreEras
-import io.sequoiawheel.platform.StoreEvent
 import io.sequoiawheel.platform.StoreKind
+import io.sequoiawheel.platform.StoreObject
 import io.sequoiawheel.relay.backend.Connector
 import io.sequoiawheel.relay.control.ChangeFeed
 import io.sequoiawheel.relay.control.ChangeSources
+import io.sequoiawheel.relay.control.KindChange
 import io.sequoiawheel.relay.control.KindListener
 import io.sequoiawheel.relay.control.KindWatcher
 import io.sequoiawheel.relay.control.StoreClient
@@ -56,7 +57,7 @@
         store.close()
     }
 
-    private fun watch(listener: KindListener) {
+    private fun watch(listener: KindListener<String>) {
         val eras = StoreEras(clock)
         val connector = Connector(eventLoop, clock)
         val client = StoreClient(connector, eras) { Endpoint("127.0.0.1", store.port) }
@@ -77,20 +78,22 @@
     @Test
     fun `a change that cannot be applied does not lose the other changes of the same response`() {
         watch(
-            object : KindListener {
+            object : KindListener<String> {
+                override fun decode(target: StoreObject) = target.name
+
                 override fun onListed(
-                    listing: StoreListing,
+                    listing: StoreListing<String>,
                     reliability: ListReliability,
                 ) {
                     applied += "listed"
                 }
 
                 override fun onChanged(
-                    event: StoreEvent,
+                    change: KindChange<String>,
                     afterOutage: Boolean,
                 ) {
-                    check(!event.target.name.startsWith("odd")) { "planted failure" }
-                    applied += event.target.name
+                    check(!change.name.startsWith("odd")) { "planted failure" }
+                    applied += change.name
                 }
             },
         )
@@ -105,20 +108,22 @@
     @Test
     fun `a state that lacks a change which cannot be applied is not confirmed`() {
         watch(
-            object : KindListener {
+            object : KindListener<String> {
+                override fun decode(target: StoreObject) = target.name
+
                 override fun onListed(
-                    listing: StoreListing,
+                    listing: StoreListing<String>,
                     reliability: ListReliability,
                 ) {
                     applied += "listed"
                 }
 
                 override fun onChanged(
-                    event: StoreEvent,
+                    change: KindChange<String>,
                     afterOutage: Boolean,
                 ) {
-                    check(event.target.name != "odd" || isReadable) { "planted failure" }
-                    applied += event.target.name
+                    check(change.name != "odd" || isReadable) { "planted failure" }
+                    applied += change.name
                 }
 
                 override fun onConfirmed(asOf: ClockReading) {
