--- a/relay/src/main/kotlin/io/sequoiawheel/relay/control/StoreClient.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/control/StoreClient.kt
@@ -105,11 +105,21 @@
         decode: (StoreObject) -> T?,
     ): Either<StoreFailure, StoreListing<T>> {
         val operation = "list $kind"
+        readings[operation] = reading
+        // The entry remains after an exception, for the log of the failure.
+        return listPages(operation, kind, reading, decode).also { readings.remove(operation) }
+    }
+
+    private suspend fun <T : Any> listPages(
+        operation: String,
+        kind: StoreKind,
+        reading: StoreReading,
+        decode: (StoreObject) -> T?,
+    ): Either<StoreFailure, StoreListing<T>> {
         val kept = ArrayList<T>()
         var afterName: String? = null
         var first: StorePageEnd? = null
         var era: Long? = null
-        readings[operation] = reading
         while (true) {
             reading.beginPage()
             val reader =
@@ -119,32 +129,18 @@
                 }, reading::recordNameless)
             val (page, pageEra) =
                 read(operation, StoreProtocol.listPath(kind, afterName), reader, reading)
-                    .onLeft { readings.remove(operation) }
                     .fold({ return it.left() }, { it })
-            if (first != null && pageEra != era) return failedListing(operation, "the store era changed")
+            if (first != null && pageEra != era) return StoreFailure.Unavailable("the store era changed").left()
             era = pageEra
             // Objects on the first page may change while later pages are read, so the watch starts at the first
             // revision.
             val revision = (first ?: page.also { first = it }).revision
-            if (page.nextAfter == afterName && afterName != null) {
-                return failedListing(operation, "a page repeats the previous one")
-            }
-            afterName = page.nextAfter
-            if (afterName == null) {
-                readings.remove(operation)
-                return StoreListing(kept, revision, era).right()
-            }
+            val nextAfter = page.nextAfter ?: return StoreListing(kept, revision, era).right()
+            if (nextAfter == afterName) return StoreFailure.Unavailable("a page repeats the previous one").left()
+            afterName = nextAfter
         }
     }
 
-    private fun failedListing(
-        operation: String,
-        detail: String,
-    ): Either<StoreFailure, Nothing> {
-        readings.remove(operation)
-        return StoreFailure.Unavailable(detail).left()
-    }
-
     /**
      * Passes the changes after [revision] to [onEvent], waiting up to [waitMillis] for the first one. They count only
      * if the call succeeds.
@@ -246,7 +242,13 @@
         timeoutMillis: Long = CALL_TIMEOUT_MILLIS,
     ): Either<StoreFailure, Pair<T, Long?>> =
         call(operation, HttpMethod.GET, path, null, timeoutMillis, StreamedBody(reader, reading))
-            .flatMap { era -> unlessUnreadable { reader.end() to era } }
+            .flatMap { era ->
+                try {
+                    (reader.end() to era).right()
+                } catch (failure: UnreadableDocumentException) {
+                    unreadable(failure).left()
+                }
+            }
 
     private suspend fun write(
         operation: String,
@@ -255,13 +257,6 @@
         body: String?,
     ): Either<StoreFailure, Unit> = call(operation, method, path, body, CALL_TIMEOUT_MILLIS, ShortBody()).map { }
 
-    private inline fun <T> unlessUnreadable(decode: () -> T): Either<StoreFailure, T> =
-        try {
-            decode().right()
-        } catch (unreadable: UnreadableDocumentException) {
-            StoreFailure.Unavailable("unreadable response: ${unreadable.message}").left()
-        }
-
     /**
      * Sends a request and passes the body of a successful response to [body]. Returns the era of the store. The time
      * allowed applies to the head and the first part of the body, and to each further part.
@@ -294,8 +289,8 @@
                     ?: return unanswered(timeoutMillis)
             }
             return interpret(head, error)
-        } catch (unreadable: UnreadableDocumentException) {
-            return StoreFailure.Unavailable("unreadable response: ${unreadable.message}").left()
+        } catch (failure: UnreadableDocumentException) {
+            return unreadable(failure).left()
         } catch (failure: IOException) {
             return StoreFailure.Unavailable(failure.message ?: failure.javaClass.simpleName).left()
         } finally {
@@ -306,6 +301,9 @@
     private fun unanswered(timeoutMillis: Long) =
         StoreFailure.Unavailable("no response within $timeoutMillis ms").left()
 
+    private fun unreadable(failure: UnreadableDocumentException) =
+        StoreFailure.Unavailable("unreadable response: ${failure.message}")
+
     private fun interpret(
         head: HttpResponse,
         error: ShortBody,
