Test a listing over a slow link, and a response with too many changes

A response that changes more objects than are held was not covered; the test passes.

The stand-in of the store can limit the rate of its responses.

--- a/relay/src/test/kotlin/io/sequoiawheel/relay/KindWatcherTest.kt
+++ b/relay/src/test/kotlin/io/sequoiawheel/relay/KindWatcherTest.kt
@@ -104,6 +104,37 @@
         RelayFixture.awaitTrue("later changes are applied") { "r-3" in applied }
     }
 
+    // All changes of a response were held until it was complete, whatever their number.
+    @Test
+    fun `a response that changes more objects than are held is replaced by a listing`() {
+        watch(
+            object : KindListener<String> {
+                override fun decode(target: StoreObject) = target.name
+
+                override fun onListed(
+                    listing: StoreListing<String>,
+                    reliability: ListReliability,
+                ) {
+                    applied += "listed ${listing.objects.size}"
+                }
+
+                override fun onChanged(
+                    change: KindChange<String>,
+                    afterOutage: Boolean,
+                ) {
+                    applied += change.name
+                }
+            },
+        )
+        RelayFixture.awaitTrue("the kind is watched") { "listed 0" in applied && store.isWatchedToEnd("servers") }
+        store.isDown = true
+        repeat(MANY_CHANGES) { put("r-$it") }
+        store.isDown = false
+        RelayFixture.awaitTrue("the objects are listed") { "listed $MANY_CHANGES" in applied }
+        put("later")
+        RelayFixture.awaitTrue("later changes are applied") { "later" in applied }
+    }
+
     // The state was confirmed as current without the change, so a revoked key could have been accepted for ever.
     @Test
     fun `a state that lacks a change which cannot be applied is not confirmed`() {
@@ -146,6 +177,8 @@
     }
 
     private companion object {
+        /** More than are held of one response. */
+        const val MANY_CHANGES = 5_000
         const val SEED = 30L
         const val FRESH_MILLIS = 5_000L
         const val WAIT_MILLIS = 2_000L
--- a/relay/src/test/kotlin/io/sequoiawheel/relay/LoopSupervisorTest.kt
+++ b/relay/src/test/kotlin/io/sequoiawheel/relay/LoopSupervisorTest.kt
@@ -22,7 +22,9 @@
     private val clock = Clock { System.nanoTime() / 1_000_000 }
     private val metrics = RelayMetrics()
     private val random = RandomSource.XO_RO_SHI_RO_128_PP.create(SEED)
-    private val loops = LoopSupervisor(scope, clock, random, DecisionLog(clock), metrics)
+    private val exhausted = AtomicInteger()
+    private val loops =
+        LoopSupervisor(scope, clock, random, DecisionLog(clock), metrics, onExhausted = { exhausted.incrementAndGet() })
 
     @AfterEach
     fun close() = scope.cancel()
@@ -46,19 +48,9 @@
     // A loop that ran out of memory started the same reading again for ever, and the instance never became ready.
     @Test
     fun `a loop that runs out of memory starts again once, and reports the second time`() {
-        val exhausted = AtomicInteger()
         val starts = AtomicInteger()
-        val fails =
-            LoopSupervisor(
-                scope,
-                clock,
-                random,
-                DecisionLog(clock),
-                metrics,
-                onExhausted = { exhausted.incrementAndGet() },
-            )
         val loop =
-            fails.start("planted") {
+            loops.start("planted") {
                 starts.incrementAndGet()
                 throw OutOfMemoryError("planted failure")
             }
@@ -69,18 +61,8 @@
 
     @Test
     fun `a loop that runs out of memory once goes on`() {
-        val exhausted = AtomicInteger()
         val starts = AtomicInteger()
-        val recovers =
-            LoopSupervisor(
-                scope,
-                clock,
-                random,
-                DecisionLog(clock),
-                metrics,
-                onExhausted = { exhausted.incrementAndGet() },
-            )
-        recovers.start("planted") {
+        loops.start("planted") {
             if (starts.incrementAndGet() == 1) throw OutOfMemoryError("planted failure") else awaitCancellation()
         }
         RelayFixture.awaitTrue("the loop was started again") { starts.get() == 2 }
--- a/relay/src/test/kotlin/io/sequoiawheel/relay/StoreListingTest.kt
+++ b/relay/src/test/kotlin/io/sequoiawheel/relay/StoreListingTest.kt
@@ -1,5 +1,6 @@
 package io.sequoiawheel.relay
 
+import kotlinx.serialization.json.JsonPrimitive
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Test
@@ -27,7 +28,24 @@
         assertEquals(setOf("from the ready replica"), bodies.toSet())
     }
 
+    // A page of a megabyte did not arrive within the time of a call over a slow link, however often it was read.
+    @Test
+    fun `an instance starts beside large entries although the link to the store is slow`() {
+        fixture.replica("r-1") { request, answer -> answer.sendComplete(request, "world") }
+        val text = "x".repeat(LARGE_BYTES)
+        for (name in listOf("a-1", "z-1")) fixture.store.put("servers", name, JsonPrimitive(text))
+        fixture.configure()
+        fixture.store.bytesPerSecond = SLOW_BYTES_PER_SECOND
+        fixture.start()
+        assertEquals("world", fixture.send(fixture.request("/safe/a")).substringAfterLast("\r\n"))
+    }
+
     private companion object {
+        const val LARGE_BYTES = 1_047_000
+
+        /** As the slowest links of a deployment; the two entries then take 2.4 s. */
+        const val SLOW_BYTES_PER_SECOND = 875_000
+
         const val CALLS = 20
 
         /** Time for the first watch response to arrive. */
--- a/standin/src/main/kotlin/io/sequoiawheel/standin/platform/PlatformStoreStandIn.kt
+++ b/standin/src/main/kotlin/io/sequoiawheel/standin/platform/PlatformStoreStandIn.kt
@@ -16,6 +16,7 @@
 import kotlinx.serialization.json.buildJsonObject
 import kotlinx.serialization.json.jsonObject
 import kotlinx.serialization.json.jsonPrimitive
+import java.io.OutputStream
 import java.net.InetSocketAddress
 import java.util.concurrent.Executors
 import java.util.concurrent.TimeUnit
@@ -97,6 +98,10 @@
     @Volatile
     var statusConflicts = 0
 
+    /** Bytes of the body of a response that are sent in a second, or null if there is no limit. */
+    @Volatile
+    var bytesPerSecond: Int? = null
+
     /** Number of calls received so far. */
     @Volatile
     var calls = 0
@@ -234,7 +239,18 @@
         exchange.responseHeaders.set("Content-Type", "application/json")
         exchange.responseHeaders.set("Store-Era", eraOverride ?: era.toString())
         exchange.sendResponseHeaders(status, bytes.size.toLong())
-        exchange.responseBody.use { it.write(bytes) }
+        exchange.responseBody.use { send(bytes, it) }
+    }
+
+    private fun send(
+        bytes: ByteArray,
+        body: OutputStream,
+    ) {
+        for (start in bytes.indices step PART_BYTES) {
+            body.write(bytes, start, minOf(PART_BYTES, bytes.size - start))
+            body.flush()
+            bytesPerSecond?.let { Thread.sleep(PART_BYTES * MILLIS_PER_SECOND / it) }
+        }
     }
 
     private fun list(
@@ -391,5 +407,7 @@
         const val STATUS = "status"
         const val UNAVAILABLE = 503
         const val UNRESPONSIVE_POLL_MILLIS = 20L
+        const val PART_BYTES = 16_384
+        const val MILLIS_PER_SECOND = 1_000L
     }
 }
