Confirm the state as of the call after a change that is not kept

A response to a watch whose only change belongs to an object without a readable name was taken for one at the end of the wait, so that the state counted as confirmed up to its receipt: with a slow response, up to a second and a half too late for a revoked key. The number of entries of the response decides now, not of those that are kept.

--- a/relay/src/main/kotlin/io/sequoiawheel/relay/control/KindWatcher.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/control/KindWatcher.kt
@@ -180,13 +180,13 @@
         isRefreshing = false
         recordStoreResponse()
         if (changes.era != era || sources.era != era) return null
-        val events = pending.changes
-        mustConfirm = events.isNotEmpty()
+        val hasEvents = changes.entries > 0
+        mustConfirm = hasEvents
         // A response without events is sent at the end of the wait, so nothing changed until then.
-        val confirmedAt = if (events.isEmpty()) asOf.plus(waitMillis) else asOf
-        apply(events, confirmedAt)
+        val confirmedAt = if (hasEvents) asOf else asOf.plus(waitMillis)
+        apply(pending.changes, confirmedAt)
         feed.append(pending.encoded, changes, confirmedAt)
-        if (events.isNotEmpty()) delay(CHANGE_BATCH_MILLIS)
+        if (hasEvents) delay(CHANGE_BATCH_MILLIS)
         return changes.revision
     }
 
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/control/StoreReading.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/control/StoreReading.kt
@@ -4,10 +4,6 @@
 
 /** How far a listing, or the response to a watch, has been read, for the log. */
 internal class StoreReading {
-    /** Number of pages begun so far. */
-    var pages = 0
-        private set
-
     /** Number of entries read so far. */
     var entries = 0L
         private set
@@ -16,6 +12,7 @@
     var nameless = 0L
         private set
 
+    private var pages = 0
     private var bytes = 0L
     private var lastEntry: String? = null
 
--- a/relay/src/test/kotlin/io/sequoiawheel/relay/KindWatcherTest.kt
+++ b/relay/src/test/kotlin/io/sequoiawheel/relay/KindWatcherTest.kt
@@ -33,6 +33,7 @@
 import org.apache.commons.rng.simple.RandomSource
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Assertions.assertFalse
+import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
 import java.util.concurrent.ConcurrentLinkedQueue
 
@@ -135,6 +136,40 @@
         RelayFixture.awaitTrue("later changes are applied") { "later" in applied }
     }
 
+    // A response whose only change is not kept looked like one at the end of the wait, which confirms a later state.
+    @Test
+    fun `a change to an object without a readable name confirms the state as of the call`() {
+        val confirmed = ConcurrentLinkedQueue<Long>()
+        watch(
+            object : KindListener<String> {
+                override fun decode(target: StoreObject) = target.name
+
+                override fun onListed(
+                    listing: StoreListing<String>,
+                    reliability: ListReliability,
+                ) = Unit
+
+                override fun onChanged(
+                    change: KindChange<String>,
+                    afterOutage: Boolean,
+                ) {
+                    applied += change.name
+                }
+
+                override fun onConfirmed(asOf: ClockReading) {
+                    confirmed += asOf.monotonicMillis
+                }
+            },
+        )
+        RelayFixture.awaitTrue("the kind is watched") { confirmed.size == 1 && store.isWatchedToEnd("servers") }
+        Thread.sleep(SETTLE_MILLIS)
+        val changedAt = clock.nowMillis()
+        put("x".repeat(LONG_NAME))
+        RelayFixture.awaitTrue("the response is applied") { confirmed.size == 2 }
+        assertTrue(confirmed.last() < changedAt) { "confirmed ${confirmed.last() - changedAt} ms after the change" }
+        assertTrue(applied.isEmpty())
+    }
+
     // The state was confirmed as current without the change, so a revoked key could have been accepted for ever.
     @Test
     fun `a state that lacks a change which cannot be applied is not confirmed`() {
@@ -177,6 +212,8 @@
     }
 
     private companion object {
+        const val LONG_NAME = 1_000
+
         /** More than are held of one response. */
         const val MANY_CHANGES = 5_000
         const val SEED = 30L
