--- a/relay/src/main/kotlin/io/sequoiawheel/relay/control/ResponseBody.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/control/ResponseBody.kt
@@ -34,12 +34,17 @@
     }
 }
 
-/** A body that [reader] reads while it is received. */
+/** A body of at most [limitBytes] that [reader] reads while it is received. */
 internal class StreamedBody(
     private val reader: StoreBodyReader<*>,
     private val reading: StoreReading,
+    private val limitBytes: Int,
 ) : ResponseBody() {
+    private var size = 0L
+
     override fun receive(part: ByteBuf) {
+        size += part.readableBytes()
+        if (size > limitBytes) throw ResponseTooLargeException(limitBytes)
         reading.recordPart(part.readableBytes())
         if (part.hasArray()) {
             reader.feed(part.array(), part.arrayOffset() + part.readerIndex(), part.readableBytes())
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/control/StoreClient.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/control/StoreClient.kt
@@ -25,6 +25,7 @@
 import io.sequoiawheel.platform.UnreadableDocumentException
 import io.sequoiawheel.relay.backend.BackendConnection
 import io.sequoiawheel.relay.backend.Connector
+import io.sequoiawheel.relay.backend.ResponseTooLargeException
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.serialization.json.JsonElement
 import kotlinx.serialization.json.JsonObject
@@ -182,7 +183,7 @@
                 reading.recordEntry(event.target.name)
                 onEvent(event)
             }, reading::recordNameless)
-        return read(operation, path, reader, reading, waitMillis + WATCH_GRACE_MILLIS)
+        return read(operation, path, reader, reading, waitMillis + WATCH_GRACE_MILLIS, WATCH_LIMIT_BYTES)
             .also { readings.remove(operation) }
     }
 
@@ -240,8 +241,9 @@
         reader: StoreBodyReader<T>,
         reading: StoreReading,
         timeoutMillis: Long = CALL_TIMEOUT_MILLIS,
+        limitBytes: Int = Int.MAX_VALUE,
     ): Either<StoreFailure, Pair<T, Long?>> =
-        call(operation, HttpMethod.GET, path, null, timeoutMillis, StreamedBody(reader, reading))
+        call(operation, HttpMethod.GET, path, null, timeoutMillis, StreamedBody(reader, reading, limitBytes))
             .flatMap { era ->
                 try {
                     (reader.end() to era).right()
@@ -291,6 +293,8 @@
             return interpret(head, error)
         } catch (failure: UnreadableDocumentException) {
             return unreadable(failure).left()
+        } catch (tooLarge: ResponseTooLargeException) {
+            return StoreFailure.HistoryGone(tooLarge.message.orEmpty()).left()
         } catch (failure: IOException) {
             return StoreFailure.Unavailable(failure.message ?: failure.javaClass.simpleName).left()
         } finally {
@@ -364,6 +368,9 @@
         /** The store responds within 4 ms, and within 300 ms when it is slow. */
         const val CALL_TIMEOUT_MILLIS = 1_500L
 
+        /** A reader that is further behind lists the objects, of which there is one version each. */
+        const val WATCH_LIMIT_BYTES = StoreProtocol.MAXIMUM_CHANGES_BYTES + 4_096
+
         /** Time that a watch may take beyond its wait before the call is given up as unanswered. */
         const val WATCH_GRACE_MILLIS = 800L
 
