Receive short responses of the store with the connection's own reader

ShortBody received a body a second time beside BackendConnection.receiveBody, and without its check for a body that was broken off and filled up. Responses to writes and errors use that again, as on; only those to listings and watches are streamed.

--- a/relay/src/main/kotlin/io/sequoiawheel/relay/control/StoreClient.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/control/StoreClient.kt
@@ -257,11 +257,11 @@
         method: HttpMethod,
         path: String,
         body: String?,
-    ): Either<StoreFailure, Unit> = call(operation, method, path, body, CALL_TIMEOUT_MILLIS, ShortBody()).map { }
+    ): Either<StoreFailure, Unit> = call(operation, method, path, body, CALL_TIMEOUT_MILLIS, body = null).map { }
 
     /**
-     * Sends a request and passes the body of a successful response to [body]. Returns the era of the store. The time
-     * allowed applies to the head and the first part of the body, and to each further part.
+     * Sends a request and passes the body of a successful response to [body], if it is not null. Returns the era of the
+     * store. The time allowed applies to the head and the first part of the body, and to each further part.
      */
     private suspend fun call(
         operation: String,
@@ -269,28 +269,32 @@
         path: String,
         requestBody: String?,
         timeoutMillis: Long,
-        body: ResponseBody,
+        body: StreamedBody?,
     ): Either<StoreFailure, Long?> {
         callsByOperation.merge(operation, 1L, Long::plus)
         val target = endpoint()
         var connection: BackendConnection? = null
         var isComplete = false
+        var text = ""
         try {
-            val error = ShortBody()
-            val (head, received) =
+            val head =
                 withTimeoutOrNull(timeoutMillis) {
                     val openConnection = connect(target).also { connection = it }
                     openConnection.send(request(target, method, path, requestBody))
                     val head = openConnection.receiveHead(requestId = null)
-                    val received = if (head.status().code() in SUCCESS) body else error
-                    isComplete = received.receivePart(openConnection)
-                    head to received
+                    if (body != null && head.status().code() in SUCCESS) {
+                        isComplete = body.receivePart(openConnection)
+                    } else {
+                        text = String(openConnection.receiveBody())
+                        isComplete = true
+                    }
+                    head
                 } ?: return unanswered(timeoutMillis)
             while (!isComplete) {
-                isComplete = withTimeoutOrNull(timeoutMillis) { received.receivePart(checkNotNull(connection)) }
+                isComplete = withTimeoutOrNull(timeoutMillis) { body?.receivePart(checkNotNull(connection)) }
                     ?: return unanswered(timeoutMillis)
             }
-            return interpret(head, error)
+            return interpret(head, text)
         } catch (failure: UnreadableDocumentException) {
             return unreadable(failure).left()
         } catch (tooLarge: ResponseTooLargeException) {
@@ -310,7 +314,7 @@
 
     private fun interpret(
         head: HttpResponse,
-        error: ShortBody,
+        text: String,
     ): Either<StoreFailure, Long?> {
         val era = StoreProtocol.decodeEra(head.headers().get(Headers.STORE_ERA))
         when (eras?.observe(era)) {
@@ -322,7 +326,7 @@
         return when (status) {
             in SUCCESS -> eras?.current.right()
             StoreProtocol.HISTORY_EXPIRED -> StoreFailure.HistoryGone("history truncated").left()
-            CONFLICT -> StoreFailure.Conflict(error.text.take(MAXIMUM_DETAIL_CHARACTERS)).left()
+            CONFLICT -> StoreFailure.Conflict(text.take(MAXIMUM_DETAIL_CHARACTERS)).left()
             else -> StoreFailure.Unavailable("status $status").left()
         }
     }
