Decide in one place whether the content of an object is readable

Three controllers and a codec each chose between the reason of the reader and their own. No behaviour changes: NumberRangeTest, DecoderFuzzTest, StoreProtocolTest and the tests of the controllers pass (35 of 35).

--- a/relay/src/main/kotlin/io/sequoiawheel/relay/control/ConfigurationController.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/control/ConfigurationController.kt
@@ -58,12 +58,7 @@
     override fun decode(target: StoreObject): ReadConfiguration? {
         if (target.name != StoreProtocol.CONFIGURATION_NAME) return null
         return try {
-            val spec = target.spec?.takeIf { target.unreadable == null }
-            val reason = target.unreadable ?: "spec is not an object"
-            ReadConfiguration(
-                target.revision,
-                ConfigurationCodec.decode(spec ?: throw UnreadableDocumentException(reason)),
-            )
+            ReadConfiguration(target.revision, ConfigurationCodec.decode(target.readableSpec()))
         } catch (unreadable: UnreadableDocumentException) {
             ReadConfiguration(target.revision, configuration = null, unreadable = unreadable.message)
         }
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/control/ReplicaController.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/control/ReplicaController.kt
@@ -67,12 +67,7 @@
 
     override fun decode(target: StoreObject): ReplicaEntry? =
         try {
-            ReplicaEntryCodec
-                .decode(
-                    target.name,
-                    target.spec?.takeIf { target.unreadable == null }
-                        ?: throw UnreadableDocumentException(target.unreadable ?: "spec is not an object"),
-                ).also { unreadable.remove(target.name) }
+            ReplicaEntryCodec.decode(target.name, target.readableSpec()).also { unreadable.remove(target.name) }
         } catch (failure: UnreadableDocumentException) {
             reportUnreadable(target, failure)
             null
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/control/RolloutDecoder.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/control/RolloutDecoder.kt
@@ -28,7 +28,6 @@
     /** Returns the rollout in [target], or null if it cannot be read and belongs to no known rollout. */
     fun decode(target: StoreObject): ListedRollout? =
         try {
-            if (target.unreadable != null) throw UnreadableDocumentException(target.unreadable.orEmpty())
             listed(target, RolloutCodec.decode(target)).also { unreadable.remove(target.name) }
         } catch (failure: UnreadableDocumentException) {
             report(target, failure)
