Share the listener and the waits of the tests of the watches

Five tests had a listener of their own that recorded the same, and ForeignEntryTest waited in three loops beside awaitTrue, which takes the limit now. The assertions and the bounds are the same.

--- a/relay/src/test/kotlin/io/sequoiawheel/relay/ForeignEntryTest.kt
+++ b/relay/src/test/kotlin/io/sequoiawheel/relay/ForeignEntryTest.kt
@@ -105,10 +105,11 @@
         expected: Set<String>,
         limitMillis: Long,
     ) {
-        val end = System.nanoTime() + limitMillis * NANOS_PER_MILLI
         val pending = instances.toMutableSet()
-        while (pending.isNotEmpty() && System.nanoTime() < end) pending.removeIf { answering(it) == expected }
-        assertTrue(pending.isEmpty()) { "$what: ${pending.map(::answering)}, not $expected, after $limitMillis ms" }
+        RelayFixture.awaitTrue("$what: $expected", limitMillis) {
+            pending.removeIf { answering(it) == expected }
+            pending.isEmpty()
+        }
     }
 
     // Four large entries filled the heap while they were listed, so that no instance became ready again.
@@ -142,14 +143,11 @@
         fixture.store.put("evacuations", "a", JsonObject(emptyMap()))
         awaitAnswers("evacuation", setOf("z-2"), EVACUATE_MILLIS)
         fixture.configure(version = 2, keys = """["key-1","key-2"]""")
-        val end = System.nanoTime() + CONFIGURATION_MILLIS * NANOS_PER_MILLI
-        while (System.nanoTime() < end && !instances.all { hasSecondKey(it) }) Thread.sleep(POLL_MILLIS)
-        assertTrue(instances.all { hasSecondKey(it) }, "configuration")
+        RelayFixture.awaitTrue("configuration", CONFIGURATION_MILLIS) { instances.all { hasSecondKey(it) } }
 
         instances.forEach { it.kill() }
         instances.forEach { it.start() }
-        val recovered = System.nanoTime() + RECOVERY_MILLIS * NANOS_PER_MILLI
-        while (System.nanoTime() < recovered && !instances.all { it.isReady }) Thread.sleep(POLL_MILLIS)
+        RelayFixture.awaitTrue("all are ready again", RECOVERY_MILLIS) { instances.all { it.isReady } }
         awaitAnswers("start of all", setOf("z-2"), DRAIN_MILLIS)
         for (instance in instances) {
             assertTrue("background loop failed" !in instance.output()) { instance.output() }
@@ -175,8 +173,6 @@
 
         /** For all kinds together, as many writes a second as the store of a deployment takes. */
         const val REWRITTEN_ENTRIES = 240
-        const val POLL_MILLIS = 20L
-        const val NANOS_PER_MILLI = 1_000_000L
 
         /** The bounds in the settings, and those of the deployments for what the settings do not state. */
         const val DRAIN_MILLIS = 2_000L
--- a/relay/src/test/kotlin/io/sequoiawheel/relay/HubFailureTest.kt
+++ b/relay/src/test/kotlin/io/sequoiawheel/relay/HubFailureTest.kt
@@ -6,26 +6,20 @@
 import io.netty.channel.nio.NioIoHandler
 import io.sequoiawheel.core.model.Clock
 import io.sequoiawheel.core.model.ZoneName
-import io.sequoiawheel.core.relay.ClockReading
 import io.sequoiawheel.core.relay.Endpoint
 import io.sequoiawheel.core.relay.Freshness
 import io.sequoiawheel.core.relay.HubSelection
 import io.sequoiawheel.core.relay.HubTiming
-import io.sequoiawheel.core.relay.ListReliability
 import io.sequoiawheel.core.relay.Peer
 import io.sequoiawheel.core.relay.StoreContact
 import io.sequoiawheel.core.relay.StoreEras
 import io.sequoiawheel.platform.StoreKind
-import io.sequoiawheel.platform.StoreObject
 import io.sequoiawheel.platform.StoreProtocol
 import io.sequoiawheel.relay.backend.Connector
 import io.sequoiawheel.relay.control.ChangeFeed
 import io.sequoiawheel.relay.control.ChangeSources
-import io.sequoiawheel.relay.control.KindChange
-import io.sequoiawheel.relay.control.KindListener
 import io.sequoiawheel.relay.control.KindWatcher
 import io.sequoiawheel.relay.control.StoreClient
-import io.sequoiawheel.relay.control.StoreListing
 import io.sequoiawheel.relay.internal.DecisionLog
 import io.sequoiawheel.standin.platform.LinkState
 import io.sequoiawheel.standin.platform.PlatformStoreStandIn
@@ -152,25 +146,10 @@
         sources,
         ChangeFeed(kind),
         waitMillis,
-        object : KindListener<String> {
-            override fun decode(target: StoreObject) = target.name
-
-            override fun onListed(
-                listing: StoreListing<String>,
-                reliability: ListReliability,
-            ) = Unit
-
-            override fun onChanged(
-                change: KindChange<String>,
-                afterOutage: Boolean,
-            ) {
-                applied += change.name
-            }
-
-            override fun onConfirmed(asOf: ClockReading) {
-                if (kind == StoreKind.CONFIGURATION) confirmations.incrementAndGet()
-            }
-        },
+        RecordingListener(
+            applied,
+            confirmed = { if (kind == StoreKind.CONFIGURATION) confirmations.incrementAndGet() },
+        ),
         freshness,
         HubTiming(PROOF_MILLIS, AGE_MILLIS),
         contact,
--- a/relay/src/test/kotlin/io/sequoiawheel/relay/KindWatcherTest.kt
+++ b/relay/src/test/kotlin/io/sequoiawheel/relay/KindWatcherTest.kt
@@ -4,24 +4,19 @@
 import io.netty.channel.nio.NioIoHandler
 import io.sequoiawheel.core.model.Clock
 import io.sequoiawheel.core.model.ZoneName
-import io.sequoiawheel.core.relay.ClockReading
 import io.sequoiawheel.core.relay.Endpoint
 import io.sequoiawheel.core.relay.Freshness
 import io.sequoiawheel.core.relay.HubSelection
 import io.sequoiawheel.core.relay.HubTiming
-import io.sequoiawheel.core.relay.ListReliability
 import io.sequoiawheel.core.relay.StoreContact
 import io.sequoiawheel.core.relay.StoreEras
 import io.sequoiawheel.platform.StoreKind
-import io.sequoiawheel.platform.StoreObject
 import io.sequoiawheel.relay.backend.Connector
 import io.sequoiawheel.relay.control.ChangeFeed
 import io.sequoiawheel.relay.control.ChangeSources
-import io.sequoiawheel.relay.control.KindChange
 import io.sequoiawheel.relay.control.KindListener
 import io.sequoiawheel.relay.control.KindWatcher
 import io.sequoiawheel.relay.control.StoreClient
-import io.sequoiawheel.relay.control.StoreListing
 import io.sequoiawheel.relay.internal.DecisionLog
 import io.sequoiawheel.standin.platform.PlatformStoreStandIn
 import kotlinx.coroutines.CoroutineScope
@@ -78,26 +73,7 @@
     // The first object that failed ended the watcher, and the objects behind it were lost with it.
     @Test
     fun `a change that cannot be applied does not lose the other changes of the same response`() {
-        watch(
-            object : KindListener<String> {
-                override fun decode(target: StoreObject) = target.name
-
-                override fun onListed(
-                    listing: StoreListing<String>,
-                    reliability: ListReliability,
-                ) {
-                    applied += "listed"
-                }
-
-                override fun onChanged(
-                    change: KindChange<String>,
-                    afterOutage: Boolean,
-                ) {
-                    check(!change.name.startsWith("odd")) { "planted failure" }
-                    applied += change.name
-                }
-            },
-        )
+        watch(RecordingListener(applied, fails = { it.startsWith("odd") }, listed = { applied += "listed" }))
         RelayFixture.awaitTrue("the kind is watched") { "listed" in applied && store.isWatchedToEnd("servers") }
         for (name in listOf("odd-1", "r-1", "odd-2", "r-2")) put(name)
         RelayFixture.awaitTrue("the other changes are applied") { applied.containsAll(listOf("r-1", "r-2")) }
@@ -108,25 +84,7 @@
     // All changes of a response were held until it was complete, whatever their number.
     @Test
     fun `a response that changes more objects than are held is replaced by a listing`() {
-        watch(
-            object : KindListener<String> {
-                override fun decode(target: StoreObject) = target.name
-
-                override fun onListed(
-                    listing: StoreListing<String>,
-                    reliability: ListReliability,
-                ) {
-                    applied += "listed ${listing.objects.size}"
-                }
-
-                override fun onChanged(
-                    change: KindChange<String>,
-                    afterOutage: Boolean,
-                ) {
-                    applied += change.name
-                }
-            },
-        )
+        watch(RecordingListener(applied, listed = { applied += "listed $it" }))
         RelayFixture.awaitTrue("the kind is watched") { "listed 0" in applied && store.isWatchedToEnd("servers") }
         store.isDown = true
         repeat(MANY_CHANGES) { put("r-$it") }
@@ -140,27 +98,7 @@
     @Test
     fun `a change to an object without a readable name confirms the state as of the call`() {
         val confirmed = ConcurrentLinkedQueue<Long>()
-        watch(
-            object : KindListener<String> {
-                override fun decode(target: StoreObject) = target.name
-
-                override fun onListed(
-                    listing: StoreListing<String>,
-                    reliability: ListReliability,
-                ) = Unit
-
-                override fun onChanged(
-                    change: KindChange<String>,
-                    afterOutage: Boolean,
-                ) {
-                    applied += change.name
-                }
-
-                override fun onConfirmed(asOf: ClockReading) {
-                    confirmed += asOf.monotonicMillis
-                }
-            },
-        )
+        watch(RecordingListener(applied, confirmed = { confirmed += it.monotonicMillis }))
         RelayFixture.awaitTrue("the kind is watched") { confirmed.size == 1 && store.isWatchedToEnd("servers") }
         Thread.sleep(SETTLE_MILLIS)
         val changedAt = clock.nowMillis()
@@ -174,28 +112,12 @@
     @Test
     fun `a state that lacks a change which cannot be applied is not confirmed`() {
         watch(
-            object : KindListener<String> {
-                override fun decode(target: StoreObject) = target.name
-
-                override fun onListed(
-                    listing: StoreListing<String>,
-                    reliability: ListReliability,
-                ) {
-                    applied += "listed"
-                }
-
-                override fun onChanged(
-                    change: KindChange<String>,
-                    afterOutage: Boolean,
-                ) {
-                    check(change.name != "odd" || isReadable) { "planted failure" }
-                    applied += change.name
-                }
-
-                override fun onConfirmed(asOf: ClockReading) {
-                    applied += "confirmed"
-                }
-            },
+            RecordingListener(
+                applied,
+                fails = { it == "odd" && !isReadable },
+                listed = { applied += "listed" },
+                confirmed = { applied += "confirmed" },
+            ),
         )
         RelayFixture.awaitTrue("the kind is watched") { "listed" in applied && store.isWatchedToEnd("servers") }
         put("odd")
--- a/relay/src/test/kotlin/io/sequoiawheel/relay/RelayFixture.kt
+++ b/relay/src/test/kotlin/io/sequoiawheel/relay/RelayFixture.kt
@@ -234,12 +234,13 @@
         private const val AWAIT_MILLIS = 10_000L
         private const val POLL_MILLIS = 5L
 
-        /** Waits until [condition] holds, or fails with the message [what]. */
+        /** Waits until [condition] holds, or fails with the message [what] after [limitMillis]. */
         fun awaitTrue(
             what: String,
+            limitMillis: Long = AWAIT_MILLIS,
             condition: () -> Boolean,
         ) {
-            val end = System.nanoTime() + AWAIT_MILLIS * 1_000_000
+            val end = System.nanoTime() + limitMillis * 1_000_000
             while (!condition() && System.nanoTime() < end) Thread.sleep(POLL_MILLIS)
             assertTrue(condition(), what)
         }
--- a/relay/src/test/kotlin/io/sequoiawheel/relay/StoreListingTest.kt
+++ b/relay/src/test/kotlin/io/sequoiawheel/relay/StoreListingTest.kt
@@ -35,7 +35,7 @@
         val text = "x".repeat(LARGE_BYTES)
         for (name in listOf("a-1", "z-1")) fixture.store.put("servers", name, JsonPrimitive(text))
         fixture.configure()
-        fixture.store.bytesPerSecond = SLOW_BYTES_PER_SECOND
+        fixture.store.link.bytesPerSecond = SLOW_BYTES_PER_SECOND
         fixture.start()
         assertEquals("world", fixture.send(fixture.request("/safe/a")).substringAfterLast("\r\n"))
     }
--- a/standin/src/main/kotlin/io/sequoiawheel/standin/platform/PlatformStoreStandIn.kt
+++ b/standin/src/main/kotlin/io/sequoiawheel/standin/platform/PlatformStoreStandIn.kt
@@ -16,7 +16,6 @@
 import kotlinx.serialization.json.buildJsonObject
 import kotlinx.serialization.json.jsonObject
 import kotlinx.serialization.json.jsonPrimitive
-import java.io.OutputStream
 import java.net.InetSocketAddress
 import java.util.concurrent.Executors
 import java.util.concurrent.TimeUnit
@@ -98,9 +97,8 @@
     @Volatile
     var statusConflicts = 0
 
-    /** Bytes of the body of a response that are sent in a second, or null if there is no limit. */
-    @Volatile
-    var bytesPerSecond: Int? = null
+    /** The rate at which bodies of responses are sent. */
+    val link = StoreLinkRate()
 
     /** Number of calls received so far. */
     @Volatile
@@ -239,18 +237,7 @@
         exchange.responseHeaders.set("Content-Type", "application/json")
         exchange.responseHeaders.set("Store-Era", eraOverride ?: era.toString())
         exchange.sendResponseHeaders(status, bytes.size.toLong())
-        exchange.responseBody.use { send(bytes, it) }
-    }
-
-    private fun send(
-        bytes: ByteArray,
-        body: OutputStream,
-    ) {
-        for (start in bytes.indices step PART_BYTES) {
-            body.write(bytes, start, minOf(PART_BYTES, bytes.size - start))
-            body.flush()
-            bytesPerSecond?.let { Thread.sleep(PART_BYTES * MILLIS_PER_SECOND / it) }
-        }
+        exchange.responseBody.use { link.send(bytes, it) }
     }
 
     private fun list(
@@ -407,7 +394,5 @@
         const val STATUS = "status"
         const val UNAVAILABLE = 503
         const val UNRESPONSIVE_POLL_MILLIS = 20L
-        const val PART_BYTES = 16_384
-        const val MILLIS_PER_SECOND = 1_000L
     }
 }
