Let each loop start again once after it ran out of memory

Callers of an instance whose loops ran out of memory in the same moment, by a burst, lost it at once: the second loop to fail was taken for the same loop failing again.

LoopSupervisorTest: the new case failed before, 5 of 5 pass now.

--- a/relay/src/main/kotlin/io/sequoiawheel/relay/RelayDaemon.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/RelayDaemon.kt
@@ -85,7 +85,7 @@
     private val monotonic: Clock = Clock { System.nanoTime() / NANOS_PER_MILLI },
     wall: Clock = Clock { System.currentTimeMillis() },
     callerLimits: CallerLimitSettings = CallerLimitSettings(),
-    private val onMemoryExhausted: () -> Unit = {},
+    onMemoryExhausted: () -> Unit = {},
 ) {
     private val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
     private val eventLoop: EventLoop = group.next()
@@ -148,7 +148,7 @@
             longWatchers.forEach { it.interrupt() }
         }
     private val watchers = longWatchers + configurationWatcher
-    private val loops = LoopSupervisor(scope, monotonic, random, log, metrics, { store.reading }, ::endExhausted)
+    private val loops = LoopSupervisor(scope, monotonic, random, log, metrics, { store.reading }, onMemoryExhausted)
     private val shutdown = InstanceShutdown(monotonic, log, ::graceMillis)
     private val calls = CallRelay(context)
     private val generations = GenerationRelay(context, scope, shutdown::remainingMillis)
@@ -165,7 +165,6 @@
             ::relay,
         )
     private var registration: Job? = null
-    private var isExhausted = false
     private val requests = RequestService(monotonic, filters, shutdown, log, metrics) { configuration.current }
     private val responseMemory =
         ResponseMemory(
@@ -187,7 +186,7 @@
 
     /** Whether the instance reports to the load balancer that it is ready. */
     val isReady: Boolean
-        get() = !shutdown.isLeaving && !isExhausted && isInitialized && isConfigurationRecent()
+        get() = !shutdown.isLeaving && !loops.isExhausted && isInitialized && isConfigurationRecent()
 
     /** Number of live instances, including this one. Must not be read on the event loop. */
     internal val liveInstances: Int get() = onEventLoop { loads.liveCount() }
@@ -267,12 +266,6 @@
             }
     }
 
-    private fun endExhausted() {
-        isExhausted = true
-        log.lifecycle("memory exhausted, instance ends", mapOf("instance" to settings.name))
-        onMemoryExhausted()
-    }
-
     private fun onStoreRestored() {
         metrics.count("store.eras", "new")
         log.dependency("store restored from an older copy", mapOf("era" to eras.current))
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/control/LoopSupervisor.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/control/LoopSupervisor.kt
@@ -31,9 +31,12 @@
     private val reading: () -> Map<String, Any?> = { emptyMap() },
     private val onExhausted: () -> Unit = {},
 ) {
-    private var exhaustedAtMillis: Long? = null
     private val backoff = Backoff(INITIAL_BACKOFF_MILLIS, MAXIMUM_BACKOFF_MILLIS)
 
+    /** Whether a loop stays ended since it ran out of memory again and again. */
+    var isExhausted = false
+        private set
+
     /** Runs [body] until it returns or the job is cancelled. [name] is one of few, as a label of metrics. */
     fun start(
         name: String,
@@ -41,6 +44,7 @@
     ): Job =
         scope.launch {
             var failures = 0
+            var exhaustedAtMillis: Long? = null
             while (true) {
                 val startedAtMillis = clock.nowMillis()
                 try {
@@ -48,10 +52,11 @@
                 } catch (exhausted: OutOfMemoryError) {
                     ensureActive()
                     record(name, ++failures, exhausted)
-                    if (isExhaustedAgain()) {
-                        metrics.count("loops.ended", name)
-                        return@launch onExhausted()
+                    val nowMillis = clock.nowMillis()
+                    if (exhaustedAtMillis?.let { nowMillis - it < EXHAUSTION_WINDOW_MILLIS } == true) {
+                        return@launch end(name)
                     }
+                    exhaustedAtMillis = nowMillis
                     failures = maxOf(failures, FAILURES_OF_LONGEST_BACKOFF)
                 } catch (failure: Throwable) {
                     // A cancellation that does not come from this job, such as that of a call, is a failure too.
@@ -80,11 +85,11 @@
         )
     }
 
-    private fun isExhaustedAgain(): Boolean {
-        val nowMillis = clock.nowMillis()
-        val before = exhaustedAtMillis
-        exhaustedAtMillis = nowMillis
-        return before != null && nowMillis - before < EXHAUSTION_WINDOW_MILLIS
+    private fun end(name: String) {
+        isExhausted = true
+        metrics.count("loops.ended", name)
+        log.lifecycle("memory exhausted, instance ends", mapOf("loop" to name))
+        onExhausted()
     }
 
     private companion object {
--- a/relay/src/test/kotlin/io/sequoiawheel/relay/LoopSupervisorTest.kt
+++ b/relay/src/test/kotlin/io/sequoiawheel/relay/LoopSupervisorTest.kt
@@ -69,6 +69,19 @@
         assertEquals(0, exhausted.get())
     }
 
+    // Several loops that ran out of memory in the same moment ended the process without another attempt.
+    @Test
+    fun `loops that run out of memory once each go on`() {
+        val starts = List(LOOPS) { AtomicInteger() }
+        starts.forEachIndexed { number, own ->
+            loops.start("planted $number") {
+                if (own.incrementAndGet() == 1) throw OutOfMemoryError("planted failure") else awaitCancellation()
+            }
+        }
+        RelayFixture.awaitTrue("all were started again") { starts.all { it.get() == 2 } }
+        assertEquals(0, exhausted.get())
+    }
+
     @Test
     fun `a loop that returns or is cancelled is not started again`() {
         val starts = AtomicInteger()
@@ -87,6 +100,7 @@
 
     private companion object {
         const val SEED = 30L
+        const val LOOPS = 3
 
         /** Longer than the first backoff. */
         const val SETTLE_MILLIS = 300L
