List the objects instead of a response that repeats them, not of a large one

Without that limit a reader behind many versions of a large configuration never caught up, since the response with all of them took longer than its call and grew.

What makes a listing smaller than the response are the changes that it repeats. 2 MiB of these, or 4,096 objects, end the response, while it is received; large objects that are written once are read whole. The overflow is an exception of the receiver now, so that the watcher does not ask for it.

--- a/relay/src/main/kotlin/io/sequoiawheel/relay/control/KindWatcher.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/control/KindWatcher.kt
@@ -175,7 +175,7 @@
         pendingWaitMillis = waitMillis
         val pending = PendingChanges({ listener.decode(it.target) }, feed::encode)
         val changes =
-            watch(pending) { sources.store.watch(kind, revision, waitMillis, pending::add) }
+            watch { sources.store.watch(kind, revision, waitMillis, pending::add) }
                 .getOrElse { return recoverFrom(it, revision) }
         isRefreshing = false
         recordStoreResponse()
@@ -202,7 +202,10 @@
             // The call was interrupted because another response, or its own, stated a new era.
             sources.era != era -> null
             failure is StoreFailure.HistoryGone -> {
-                log.stateChange("store history truncated", mapOf("kind" to kind.name, "revision" to revision))
+                log.stateChange(
+                    "store history truncated",
+                    mapOf("kind" to kind.name, "revision" to revision, "detail" to failure.detail),
+                )
                 null
             }
             else -> {
@@ -236,7 +239,7 @@
             }
         val pending = PendingChanges({ listener.decode(it.target) }, encode = { null })
         val changes =
-            watch(pending) {
+            watch {
                 withinMaximumAge { sources.watch(hub, kind, revision, waitMillis, era, pending::add) }
             }.getOrElse { failure ->
                 val isHistoryGone = failure is StoreFailure.HistoryGone && !isJustListed
@@ -311,15 +314,13 @@
         }
 
     private suspend fun watch(
-        pending: PendingChanges<T>,
         call: suspend () -> Either<StoreFailure, StoreChangesEnd>,
     ): Either<StoreFailure, StoreChangesEnd> =
         coroutineScope {
             val running = async { call() }
             pendingWatch = running
             try {
-                val response = running.await()
-                if (pending.isOverflown) StoreFailure.HistoryGone("too many changes at once").left() else response
+                running.await()
             } catch (interrupted: CancellationException) {
                 ensureActive()
                 StoreFailure.Unavailable("interrupted").left()
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/control/PendingChanges.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/control/PendingChanges.kt
@@ -2,6 +2,12 @@
 
 import io.sequoiawheel.platform.EncodedEvent
 import io.sequoiawheel.platform.StoreEvent
+import java.io.IOException
+
+/** The response to a watch has more changes than are held, or repeats objects so often that a listing is smaller. */
+internal class TooManyChangesException(
+    message: String,
+) : IOException(message)
 
 /**
  * The changes in a response that is being received: the last one of each object, in the order of their arrival. They
@@ -21,19 +27,21 @@
 
     private val pending = LinkedHashMap<String, Pending<T>>()
 
-    /** Whether the response changes more objects than are kept here, so that they have to be listed instead. */
-    var isOverflown = false
-        private set
+    private var repeatedBytes = 0L
 
     val changes: List<KindChange<T>> get() = pending.values.map { it.change }
 
     val encoded: List<EncodedEvent> get() = pending.values.mapNotNull { it.encoded }
 
+    /** Adds [event], or throws [TooManyChangesException] if the objects are to be listed instead. */
     fun add(event: StoreEvent) {
         val target = event.target
-        pending.remove(target.name)
-        if (pending.size >= MAXIMUM) isOverflown = true
-        if (isOverflown) return pending.clear()
+        val isRepeated = pending.remove(target.name) != null
+        if (isRepeated) repeatedBytes += target.sizeBytes
+        if (repeatedBytes > MAXIMUM_REPEATED_BYTES) {
+            throw TooManyChangesException("more than $MAXIMUM_REPEATED_BYTES bytes of repeated changes")
+        }
+        if (pending.size >= MAXIMUM) throw TooManyChangesException("more than $MAXIMUM changed objects")
         val content = if (event.isDeleted) null else decode(event)
         val change = KindChange(target.name, target.revision, event.isDeleted, content)
         pending[target.name] = Pending(change, encode(event))
@@ -42,5 +50,8 @@
     private companion object {
         /** Several times the replicas and instances of the largest deployment. */
         const val MAXIMUM = 4_096
+
+        /** Two versions of an object of the store's maximum size. */
+        const val MAXIMUM_REPEATED_BYTES = 2_097_152L
     }
 }
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/control/StoreClient.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/control/StoreClient.kt
@@ -25,7 +25,6 @@
 import io.sequoiawheel.platform.UnreadableDocumentException
 import io.sequoiawheel.relay.backend.BackendConnection
 import io.sequoiawheel.relay.backend.Connector
-import io.sequoiawheel.relay.backend.ResponseTooLargeException
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.serialization.json.JsonElement
 import kotlinx.serialization.json.JsonObject
@@ -44,8 +43,8 @@
     ) : StoreFailure
 
     /**
-     * The watch starts at a revision older than the history that the store keeps, or so old that the response is too
-     * large.
+     * The watch starts at a revision older than the history that the store keeps, or so old that a listing is smaller
+     * than the response.
      */
     data class HistoryGone(
         override val detail: String,
@@ -144,7 +143,7 @@
 
     /**
      * Passes the changes after [revision] to [onEvent], waiting up to [waitMillis] for the first one. They count only
-     * if the call succeeds.
+     * if the call succeeds. A [TooManyChangesException] of [onEvent] ends it as [StoreFailure.HistoryGone].
      */
     suspend fun watch(
         kind: StoreKind,
@@ -183,7 +182,7 @@
                 reading.recordEntry(event.target.name)
                 onEvent(event)
             }, reading::recordNameless)
-        return read(operation, path, reader, reading, waitMillis + WATCH_GRACE_MILLIS, WATCH_LIMIT_BYTES)
+        return read(operation, path, reader, reading, waitMillis + WATCH_GRACE_MILLIS)
             .also { readings.remove(operation) }
     }
 
@@ -241,9 +240,8 @@
         reader: StoreBodyReader<T>,
         reading: StoreReading,
         timeoutMillis: Long = CALL_TIMEOUT_MILLIS,
-        limitBytes: Int = Int.MAX_VALUE,
     ): Either<StoreFailure, Pair<T, Long?>> =
-        call(operation, HttpMethod.GET, path, null, timeoutMillis, StreamedBody(reader, reading, limitBytes))
+        call(operation, HttpMethod.GET, path, null, timeoutMillis, StreamedBody(reader, reading))
             .flatMap { era ->
                 try {
                     (reader.end() to era).right()
@@ -297,8 +295,8 @@
             return interpret(head, text)
         } catch (failure: UnreadableDocumentException) {
             return unreadable(failure).left()
-        } catch (tooLarge: ResponseTooLargeException) {
-            return StoreFailure.HistoryGone(tooLarge.message.orEmpty()).left()
+        } catch (tooMany: TooManyChangesException) {
+            return StoreFailure.HistoryGone(tooMany.message.orEmpty()).left()
         } catch (failure: IOException) {
             return StoreFailure.Unavailable(failure.message ?: failure.javaClass.simpleName).left()
         } finally {
@@ -372,9 +370,6 @@
         /** The store responds within 4 ms, and within 300 ms when it is slow. */
         const val CALL_TIMEOUT_MILLIS = 1_500L
 
-        /** A reader that is further behind lists the objects, of which there is one version each. */
-        const val WATCH_LIMIT_BYTES = StoreProtocol.MAXIMUM_CHANGES_BYTES + 4_096
-
         /** Time that a watch may take beyond its wait before the call is given up as unanswered. */
         const val WATCH_GRACE_MILLIS = 800L
 
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/control/StreamedBody.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/control/StreamedBody.kt
@@ -5,22 +5,19 @@
 import io.netty.handler.codec.http.LastHttpContent
 import io.sequoiawheel.platform.StoreBodyReader
 import io.sequoiawheel.relay.backend.BackendConnection
-import io.sequoiawheel.relay.backend.ResponseTooLargeException
 
-/** The body of a response of the store, at most [limitBytes], that [reader] reads while it is received. */
+/** The body of a response of the store, of any size, that [reader] reads while it is received. */
 internal class StreamedBody(
     private val reader: StoreBodyReader<*>,
     private val reading: StoreReading,
-    private val limitBytes: Int,
 ) {
-    private var size = 0L
-
     /** Receives about [PART_BYTES], and returns whether these were the last ones. */
     suspend fun receivePart(connection: BackendConnection): Boolean {
-        val end = size + PART_BYTES
-        while (size < end) {
+        var received = 0
+        while (received < PART_BYTES) {
             val content = connection.receiveContent()
             try {
+                received += content.content().readableBytes()
                 read(content.content())
             } finally {
                 content.release()
@@ -32,8 +29,6 @@
 
     private fun read(part: ByteBuf) {
         val bytes = part.readableBytes()
-        size += bytes
-        if (size > limitBytes) throw ResponseTooLargeException(limitBytes)
         reading.recordPart(bytes)
         if (part.hasArray()) {
             reader.feed(part.array(), part.arrayOffset() + part.readerIndex(), bytes)
--- a/relay/src/test/kotlin/io/sequoiawheel/relay/KindWatcherTest.kt
+++ b/relay/src/test/kotlin/io/sequoiawheel/relay/KindWatcherTest.kt
@@ -25,8 +25,10 @@
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.launch
 import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonPrimitive
 import org.apache.commons.rng.simple.RandomSource
 import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertFalse
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
@@ -94,6 +96,32 @@
         RelayFixture.awaitTrue("later changes are applied") { "later" in applied }
     }
 
+    // A response with all versions of a large object took longer than a call, and grew until it was never read.
+    @Test
+    fun `a response that repeats large objects is replaced by a listing`() {
+        watch(RecordingListener(applied, listed = { applied += "listed $it" }))
+        RelayFixture.awaitTrue("the kind is watched") { "listed 0" in applied && store.isWatchedToEnd("servers") }
+        store.isDown = true
+        repeat(VERSIONS) { store.put("servers", "large", JsonPrimitive("$it".repeat(VERSION_BYTES))) }
+        store.isDown = false
+        RelayFixture.awaitTrue("the object is listed") { "listed 1" in applied }
+        assertFalse("large" in applied)
+        put("later")
+        RelayFixture.awaitTrue("later changes are applied") { "later" in applied }
+    }
+
+    // Large objects that are not repeated are no smaller in a listing, which every instance would read again and again.
+    @Test
+    fun `a response with large objects is read whole`() {
+        watch(RecordingListener(applied, listed = { applied += "listed $it" }))
+        RelayFixture.awaitTrue("the kind is watched") { "listed 0" in applied && store.isWatchedToEnd("servers") }
+        store.isDown = true
+        repeat(VERSIONS) { store.put("servers", "large-$it", JsonPrimitive("x".repeat(VERSION_BYTES))) }
+        store.isDown = false
+        RelayFixture.awaitTrue("all are applied") { applied.count { it.startsWith("large") } == VERSIONS }
+        assertEquals(listOf("listed 0"), applied.filter { it.startsWith("listed") })
+    }
+
     // A response whose only change is not kept looked like one at the end of the wait, which confirms a later state.
     @Test
     fun `a change to an object without a readable name confirms the state as of the call`() {
@@ -136,6 +164,9 @@
     private companion object {
         const val LONG_NAME = 1_000
 
+        const val VERSIONS = 8
+        const val VERSION_BYTES = 500_000
+
         /** More than are held of one response. */
         const val MANY_CHANGES = 5_000
         const val SEED = 30L
