Reject bodies that another response has filled up

A stream with a length, or with none, delivered the head of the second response as fields of an event. A refusal that was filled up by a success was taken as the proof that the call had not run, and the call was sent again.

Cause: a body with a length takes the next bytes of the connection. Only a whole status line inside the body was looked for, and only if further bytes had followed, so that 1 to 11 missing bytes were never seen, and neither was a second response of which nothing lay behind the body yet.

ResponseEnd now decides in one place, by the first bytes behind the body, which are kept: they continue a head, or they do not. EmbeddedHead finds heads in bodies and in events.

--- a/relay/src/main/kotlin/io/sequoiawheel/relay/backend/BackendConnection.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/backend/BackendConnection.kt
@@ -55,14 +55,20 @@
     var unreadRequests = UnreadRequests(clock)
 
     private val matcher = ResponseMatcher()
+    private val end = ResponseEnd()
+
+    /** Whether the response that is being decoded answers the request in progress. */
+    private var isOwnResponse = false
     private var sentAtMillis: Long? = null
 
     /** Whether the request in progress, or the last one, received several responses that state different results. */
-    val isContradicted: Boolean get() = matcher.isContradicted
+    val isContradicted: Boolean get() = matcher.isContradicted || end.foreignStatus.let { it != null && it != status }
+
+    private var framing = Framing.CLOSE
+    private var status: Int? = null
 
     /** Whether the response has a length or chunks; without, it ends with the connection. */
-    var isFramed = false
-        private set
+    val isFramed: Boolean get() = framing != Framing.CLOSE
 
     /** Whether at least one exchange was completed before. */
     var isReused = false
@@ -79,7 +85,11 @@
     override fun handlerAdded(context: ChannelHandlerContext) {
         inbound.attach(context.channel())
         decoder.answersHead = matcher::answersHead
-        decoder.onBytes = trace::received
+        decoder.onBytes = { bytes ->
+            trace.received(bytes)
+            end.append(bytes)
+        }
+        decoder.onEnd = { rest -> if (isOwnResponse) end.reach(rest) }
     }
 
     override fun channelRead(
@@ -90,11 +100,13 @@
             ReferenceCountUtil.release(message)
             return
         }
+        if (message is HttpResponse) isOwnResponse = false
         if (message is HttpResponse && message.decoderResult().isSuccess) {
             val unmatched = if (isExchanging) matcher.unmatchedReason(message) else UnmatchedReason.NO_REQUEST
             if (isExchanging && unmatched != null) trace.send?.skip(message, unmatched)
             onHead(ResponseHead(message, sentAtMillis.takeIf { unmatched == null }, unmatched, trace))
             matcher.record(message, unmatched)
+            isOwnResponse = unmatched == null && message.status().codeClass() != HttpStatusClass.INFORMATIONAL
         }
         if (!isExchanging) {
             // Data received outside an exchange belongs to no request.
@@ -137,6 +149,7 @@
     override fun channelInactive(context: ChannelHandlerContext) {
         cancelHeadTimeout()
         inbound.close()
+        end.close()
     }
 
     override fun exceptionCaught(
@@ -145,6 +158,7 @@
     ) {
         isFailed = true
         inbound.close(cause)
+        end.close()
         context.close()
     }
 
@@ -171,6 +185,7 @@
         isExchanging = true
         inbound.charge(account)
         limits.restart()
+        end.restart()
         matcher.begin(request)
         val nowMillis = clock.nowMillis().also { sentAtMillis = it }
         trace.begin(matcher.requestId, nowMillis)
@@ -223,32 +238,30 @@
     }
 
     /**
-     * Reads the rest of the body. Throws if it exceeds [limitBytes] or the memory budget of all responses, or holds a
-     * part of another response. The caller releases [reservation] when the body is no longer needed.
+     * Reads the rest of the body. Throws if it exceeds [limitBytes] or the memory budget of all responses, or if it was
+     * filled up by another response. The caller releases [reservation] when the body is no longer needed.
+     *
+     * @param deadlineMillis when the body is of no use any more; what decides whether it is whole is awaited for half
+     *   of the time until then at most
      */
     suspend fun receiveBody(
         reservation: ResponseReservation,
         limitBytes: Int = BODY_LIMIT_BYTES,
+        deadlineMillis: Long = Long.MAX_VALUE,
     ): ByteArray {
-        val body = ByteArrayOutputStream()
+        val received = ByteArrayOutputStream()
         while (true) {
             val content = receiveContent()
             val isLast = content is LastHttpContent
-            val previousBytes = body.size()
-            content.content().readBytes(body, content.content().readableBytes())
+            val previousBytes = received.size()
+            content.content().readBytes(received, content.content().readableBytes())
             content.release()
-            reservation.grow(memoryBudget, previousBytes, body.size())
-            if (body.size() > limitBytes) throw ResponseTooLargeException(limitBytes)
-            if (isLast) return body.toByteArray().also(::rejectFilledUp)
+            reservation.grow(memoryBudget, previousBytes, received.size())
+            if (received.size() > limitBytes) throw ResponseTooLargeException(limitBytes)
+            if (isLast) break
         }
-    }
-
-    /**
-     * Throws if [body] was broken off and filled up with the beginning of another response, of which the remainder has
-     * followed. By itself, a status line may be a part of a body.
-     */
-    private fun rejectFilledUp(body: ByteArray) {
-        if (hasReceivedAll() || !StatusLine.isWithin(body.toString(Charsets.ISO_8859_1))) return
+        val body = received.toByteArray()
+        if (end.isWhole(body, framing, (deadlineMillis - clock.nowMillis()) / 2)) return body
         throw InvalidResponseException("another response within the body")
     }
 
@@ -334,7 +347,13 @@
 
     private fun updateKeepAlive(head: HttpResponse) {
         val headers = head.headers()
-        isFramed = HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head)
+        status = head.status().code()
+        framing =
+            when {
+                HttpUtil.isTransferEncodingChunked(head) -> Framing.CHUNKS
+                HttpUtil.isContentLengthSet(head) -> Framing.LENGTH
+                else -> Framing.CLOSE
+            }
         isPersistent = isPersistent && isFramed && HttpUtil.isKeepAlive(head)
         val seconds =
             headers
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/backend/ResponseDecoder.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/backend/ResponseDecoder.kt
@@ -24,6 +24,9 @@
     /** Called with the bytes of each read before they are decoded. */
     var onBytes: (ByteBuf) -> Unit = {}
 
+    /** Called at the end of each response with the bytes that were received behind it, before they are decoded. */
+    var onEnd: (ByteBuf) -> Unit = {}
+
     override fun channelRead(
         context: ChannelHandlerContext,
         message: Any,
@@ -53,6 +56,7 @@
         val last = if (out.size > first) out[out.size - 1] else null
         isBetweenResponses =
             if (last is LastHttpContent) !buffer.isReadable else isBetweenResponses && available == 0
+        if (last is LastHttpContent) onEnd(buffer)
     }
 
     /**
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/CallRelay.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/CallRelay.kt
@@ -221,8 +221,17 @@
                 is AttemptResult.Unknown -> result.detail
             }
 
+        private val isFinalAttempt: Boolean get() = !route.isRepeatable || runs + 1 >= route.maximumAttempts
+
+        /** Returns when the attempt that began at [startedMillis] is given up. */
+        private fun attemptEndMillis(startedMillis: Long): Long =
+            if (isFinalAttempt) {
+                exchange.deadlineMillis
+            } else {
+                minOf(exchange.deadlineMillis, startedMillis + RETRYABLE_ATTEMPT_TIMEOUT_MILLIS)
+            }
+
         private suspend fun attempt(replica: Replica): AttemptResult {
-            val isFinalAttempt = !route.isRepeatable || runs + 1 >= route.maximumAttempts
             if (isFinalAttempt) return send(replica)
             return withTimeoutOrNull(RETRYABLE_ATTEMPT_TIMEOUT_MILLIS) { send(replica) }
                 ?: AttemptResult.Unknown("no response from $replica within $RETRYABLE_ATTEMPT_TIMEOUT_MILLIS ms").also {
@@ -256,7 +265,7 @@
                     val head = connection.receiveHead(exchange.requestId)
                     if (head.isMisdirected) replica.leave(LeaveReason.REPLACED)
                     if (head.isNotRun) return@use handleRefusal(replica, head, lease)
-                    val body = connection.receiveBody(reservation)
+                    val body = connection.receiveBody(reservation, deadlineMillis = attemptEndMillis(startedMillis))
                     lease.complete()
                     recordCompletion(replica, head, startedMillis, connection.isFramed)
                     classifyResponse(replica, head, body, startedMillis).also { observation.record(it, head) }
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationAttempt.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationAttempt.kt
@@ -16,6 +16,8 @@
 import io.sequoiawheel.relay.backend.BackendConnection
 import io.sequoiawheel.relay.backend.ConnectFailedException
 import io.sequoiawheel.relay.backend.ConnectionEndedException
+import io.sequoiawheel.relay.backend.EmbeddedHead
+import io.sequoiawheel.relay.backend.InvalidResponseException
 import io.sequoiawheel.relay.filter.Exchange
 import io.sequoiawheel.relay.filter.SendRecord
 import io.sequoiawheel.relay.internal.launchAndRelease
@@ -322,7 +324,9 @@
             content.release()
             staleBytes += bytes.size
             if (staleBytes > MAXIMUM_STALE_BYTES) throw IOException("$staleBytes bytes received without the next event")
-            val events = splitter.append(bytes)
+            val received = splitter.append(bytes)
+            // An event that was broken off within a line takes the head of another response for further fields.
+            val events = received.takeWhile { event -> EmbeddedHead.allIn(event.bytes).none { it.namesRequest } }
             if (events.isNotEmpty()) {
                 hasEvents = true
                 observation?.recordEvents(events.size)
@@ -332,6 +336,7 @@
                 handled.await()
                 pace.recordDelivery()
             }
+            if (events.size < received.size) throw InvalidResponseException("another response within an event")
             if (!isLast) continue
             requireWhole(opened, splitter, hasEvents)
             isExchangeComplete = true
