Name the replica in copies, stops and releases

Cause: copies, stops and releases named no replica, so that whichever had the address carried them out.

They now carry the id of the replica that they are meant for. A 421 to a stop on an unused connection proves the end of the run (StopAnswer.REPLACED), since the process that ran it has no address any more; a 421 marks the replica as replaced, as one to a request does. The destination of a copy is still named by its address alone, as the protocol has it: a copy that reaches a successor there is not used, since the request that would use it names the replica that was meant. The replica stand-in answers these requests with 421 if they name another replica.

--- a/core/src/main/kotlin/io/sequoiawheel/core/relay/RunStopPlan.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/RunStopPlan.kt
@@ -8,6 +8,9 @@
     /** The replica runs no such run now. */
     NO_SUCH_RUN,
 
+    /** Another replica serves the address, so the one that was asked has ended. */
+    REPLACED,
+
     /** The replica refused the request, or was busy with another one for the same run. */
     REFUSED,
 
@@ -46,7 +49,7 @@
         nowMillis: Long,
     ): Boolean =
         when (answer) {
-            StopAnswer.STOPPED -> true
+            StopAnswer.STOPPED, StopAnswer.REPLACED -> true
             StopAnswer.NO_SUCH_RUN -> hasStarted || nowMillis - startMillis >= WAITING_MILLIS
             StopAnswer.UNREACHABLE -> !isListed && nowMillis - startMillis >= UNLISTED_MILLIS
             StopAnswer.REFUSED, StopAnswer.NO_RESPONSE, StopAnswer.HELD_BACK -> false
--- a/core/src/test/kotlin/io/sequoiawheel/core/relay/RunPlacesTest.kt
+++ b/core/src/test/kotlin/io/sequoiawheel/core/relay/RunPlacesTest.kt
@@ -131,7 +131,8 @@
 
         private fun afterBreak(answer: StopAnswer?) =
             when (answer) {
-                StopAnswer.STOPPED, StopAnswer.NO_SUCH_RUN, StopAnswer.UNREACHABLE, null -> always(RunDecision.GO_ON)
+                StopAnswer.STOPPED, StopAnswer.NO_SUCH_RUN, StopAnswer.REPLACED, StopAnswer.UNREACHABLE, null ->
+                    always(RunDecision.GO_ON)
                 StopAnswer.REFUSED, StopAnswer.NO_RESPONSE -> RunDecision.WAIT to RunDecision.GO_ON
                 StopAnswer.HELD_BACK -> RunDecision.WAIT to RunDecision.STOP
             }
--- a/core/src/test/kotlin/io/sequoiawheel/core/relay/RunStopPlanTest.kt
+++ b/core/src/test/kotlin/io/sequoiawheel/core/relay/RunStopPlanTest.kt
@@ -43,6 +43,13 @@
         assertFalse(plan.isEnd(StopAnswer.HELD_BACK, isListed = false, START_MILLIS + 3_000))
     }
 
+    // The address of a replica that has ended may be in use again.
+    @Test
+    fun `a replica whose address another one serves runs nothing`() {
+        val waiting = RunStopPlan(START_MILLIS, DEADLINE_MILLIS, hasStarted = false)
+        assertTrue(waiting.isEnd(StopAnswer.REPLACED, isListed = true, START_MILLIS))
+    }
+
     @Test
     fun `requests become rarer and end with the run`() {
         assertEquals(20, plan.delayMillis(START_MILLIS))
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/EngineCalls.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/EngineCalls.kt
@@ -7,9 +7,11 @@
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpVersion
 import io.sequoiawheel.core.relay.Endpoint
+import io.sequoiawheel.core.relay.LeaveReason
 import io.sequoiawheel.core.relay.Replica
 import io.sequoiawheel.core.relay.StopPermit
 import io.sequoiawheel.platform.EngineProtocol
+import io.sequoiawheel.platform.Headers
 import io.sequoiawheel.relay.backend.ConnectFailedException
 import kotlinx.coroutines.withTimeoutOrNull
 import java.io.IOException
@@ -122,6 +124,7 @@
             }
             lease.connection.send(request)
             val head = lease.connection.receiveHead(requestId = null)
+            if (head.isMisdirected && !isUsed) replica.leave(LeaveReason.REPLACED)
             val text = String(lease.connection.receiveBody(BODY_LIMIT_BYTES))
             lease.complete()
             EngineResult.Response(head.status().code(), text, isUsed)
@@ -136,6 +139,8 @@
         val content = Unpooled.wrappedBuffer(body.orEmpty().toByteArray())
         val request = DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, path, content)
         request.headers().set(HttpHeaderNames.HOST, replica.entry.address)
+        // The address of a replica that ended may be in use again, by one that runs the same request.
+        request.headers().set(Headers.EXPECTED_REPLICA, replica.entry.id.value)
         request.headers().set(HttpHeaderNames.CONTENT_LENGTH, content.readableBytes())
         if (body != null) request.headers().set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON)
         return request
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/RunStopper.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/RunStopper.kt
@@ -187,7 +187,7 @@
             val result = calls.stopRun(run.requestId, source, destination, run.permit, mayUseKept, TIMEOUT_MILLIS)
             // A source that could not copy the run has stopped it nevertheless if it names a handle.
             val handle =
-                (result as? EngineResult.Response)?.takeIf { it.status != NOT_FOUND }?.let { handleOf(it.text) }
+                (result as? EngineResult.Response)?.takeIf { it.status !in RUN_ABSENT }?.let { handleOf(it.text) }
             results.trySend(interpret(result, handle))
             if (handle != null && releasesCopy) {
                 // The source may want no further request; the copy occupies memory at the destination.
@@ -211,8 +211,9 @@
                 val answer =
                     when {
                         // On a used connection, only a handle proves that the response is the one to this request.
-                        result.status == NOT_FOUND && result.isOnUsedConnection -> StopAnswer.REFUSED
+                        result.status in RUN_ABSENT && result.isOnUsedConnection -> StopAnswer.REFUSED
                         result.status == NOT_FOUND -> StopAnswer.NO_SUCH_RUN
+                        result.status == MISDIRECTED -> StopAnswer.REPLACED
                         handle != null || result.status == OK && !result.isOnUsedConnection -> StopAnswer.STOPPED
                         else -> StopAnswer.REFUSED
                     }
@@ -257,6 +258,10 @@
         val CONNECTION_FAILURES = setOf(StopAnswer.UNREACHABLE, StopAnswer.NO_RESPONSE)
         const val OK = 200
         const val NOT_FOUND = 404
+        const val MISDIRECTED = 421
+
+        /** The named replica does not run it, or is not at its address any more. */
+        val RUN_ABSENT = setOf(NOT_FOUND, MISDIRECTED)
 
         /**
          * The close of a connection takes a few milliseconds to reach a replica, most of which then stop the run by
--- a/relay/src/test/kotlin/io/sequoiawheel/relay/StubbornEngines.kt
+++ b/relay/src/test/kotlin/io/sequoiawheel/relay/StubbornEngines.kt
@@ -274,6 +274,12 @@
     /** Lets [engine] refuse new connections for as long as its runs last. */
     fun refuseConnections(engine: String) = engines.getValue(engine).refuseConnections(CROWD_MILLIS)
 
+    /** Returns the requests about runs, other than generations, with the engine that they reached. */
+    fun runRequests(): List<Pair<String, ReceivedRequest>> =
+        engines.flatMap { (id, engine) ->
+            engine.requests.filter { it.target.startsWith("/v1/") }.map { id to it }
+        }
+
     /** Number of requests that reached [engine] in the part of its pause in which the users' rules count them. */
     fun requestsInPause(engine: String): Int {
         val counted = pausedMillis.get() + TRANSIT_MILLIS..pausedMillis.get() + PAUSE_SECONDS * MILLIS_PER_SECOND
--- a/standin/src/main/kotlin/io/sequoiawheel/standin/platform/WorkingReplicaStandIn.kt
+++ b/standin/src/main/kotlin/io/sequoiawheel/standin/platform/WorkingReplicaStandIn.kt
@@ -79,14 +79,18 @@
         request: ReceivedRequest,
         answer: ReplicaAnswer,
     ) {
-        if (request.target.startsWith("/v1/")) return engineRuns.answer(request, answer)
         val requestId = request.header("X-Request-Id").orEmpty()
         val expected = request.header("X-Expect-Instance")
+        val isMisdirected = expected != null && expected != id
+        if (request.target.startsWith("/v1/")) {
+            if (isMisdirected) answer.writeStatus(MISDIRECTED, "") else engineRuns.answer(request, answer)
+            return
+        }
         val copy = request.header("Kv-From")
         when {
-            expected != null && expected != id -> {
+            isMisdirected -> {
                 observer.onRefused(requestId)
-                answer.write(refusal(requestId, "421 Misdirected Request"))
+                answer.write(refusal(requestId, MISDIRECTED))
             }
             conduct.refusesFirst && refused.add(requestId) -> refuse(requestId, answer)
             copy == null && random.isDue(conduct.refusalPercent) -> refuse(requestId, answer)
@@ -232,6 +236,7 @@
         const val EVENTS = 12
         private const val EVENTS_PER_BACKUP = 4
         private const val OK = 200
+        private const val MISDIRECTED = "421 Misdirected Request"
         private const val SERVER_ERROR = 500
         private const val CHUNKED_PERCENT = 30
         private const val HEX = 16
