Keep the end of a stream beside a later stop of its run in the soak's record

A run records how and when its stream ended, beside the end of the work on it. The check for excused losses is the same and reads what ended first. It is stricter where the instance closed the stream before the replica's planned break.

RecorderTest has both orders of events, HistoryCheckerTest the check.

--- a/soak/src/main/kotlin/io/sequoiawheel/soak/history/History.kt
+++ b/soak/src/main/kotlin/io/sequoiawheel/soak/history/History.kt
@@ -70,6 +70,8 @@
  * @property resumedAfter the event after which a stream goes on, or null if it starts
  * @property isContinuation whether a stream goes on from a copy of the memory of a run before
  * @property notes what else happened to the run
+ * @property streamEnd how its stream ended before it was whole, or null if the run ended with it
+ * @property streamEndMillis when its stream ended, if [streamEnd] is not null
  */
 @Serializable
 data class Run(
@@ -84,7 +86,12 @@
     val resumedAfter: Int? = null,
     val isContinuation: Boolean = false,
     val notes: List<String> = emptyList(),
+    val streamEnd: RunEnd? = null,
+    val streamEndMillis: Long? = null,
 ) {
+    /** What ended first: the stream, or the work on the run with its stream. */
+    val firstEnd: RunEnd get() = streamEnd ?: end
+
     val hasRun: Boolean get() = end != RunEnd.REFUSED
 }
 
--- a/soak/src/main/kotlin/io/sequoiawheel/soak/history/LossExcuses.kt
+++ b/soak/src/main/kotlin/io/sequoiawheel/soak/history/LossExcuses.kt
@@ -33,7 +33,7 @@
         runs: List<Run>,
     ): String? =
         when {
-            runs.any { it.end == RunEnd.BROKEN_OFF } -> "the replica broke off"
+            runs.any { it.firstEnd == RunEnd.BROKEN_OFF } -> "the replica broke off"
             runs.any { run -> isDisturbed(call, run.replica, REPLICA_FAULTS) } -> "the replica's path was disturbed"
             isDisturbed(call, call.instance, setOf(DisturbanceKind.KILL)) -> "the instance was killed"
             isDisturbed(call, call.instance, setOf(DisturbanceKind.PAUSE)) -> "the instance was paused"
--- a/soak/src/main/kotlin/io/sequoiawheel/soak/rig/Recorder.kt
+++ b/soak/src/main/kotlin/io/sequoiawheel/soak/rig/Recorder.kt
@@ -80,6 +80,14 @@
                 entry.updateAndGet { it.copy(notes = it.notes + "$text at $now") }
             }
 
+            override fun endStream(result: RunResult) {
+                val now = nowMillis()
+                entry.updateAndGet {
+                    val isFirst = it.endMillis == null && it.streamEnd == null
+                    if (isFirst) it.copy(streamEnd = RunEnd.valueOf(result.name), streamEndMillis = now) else it
+                }
+            }
+
             override fun end(result: RunResult) {
                 val now = nowMillis()
                 entry.updateAndGet {
--- a/soak/src/test/kotlin/io/sequoiawheel/soak/history/HistoryCheckerTest.kt
+++ b/soak/src/test/kotlin/io/sequoiawheel/soak/history/HistoryCheckerTest.kt
@@ -117,6 +117,17 @@
         listOf(brokenOff, left, timedOut).forEach { assertEquals(emptyList<Promise>(), broken(it)) }
     }
 
+    // A stream that its replica reset was recorded as stopped, so that its loss was not excused.
+    @Test
+    fun `a stop excuses no loss, unless the replica had broken the stream off before`() {
+        val stopped = closed(CallKind.STREAM).withRun(CallKind.STREAM) { it.copy(end = RunEnd.STOPPED) }
+        val first = stopped.withRun(CallKind.STREAM) { it.copy(streamEnd = RunEnd.BROKEN_OFF, streamEndMillis = 1) }
+        val left = stopped.withRun(CallKind.STREAM) { it.copy(streamEnd = RunEnd.CONNECTION_LOST, streamEndMillis = 1) }
+        assertEquals(listOf(Promise.LOST), broken(stopped))
+        assertEquals(listOf(Promise.LOST), broken(left))
+        assertEquals(emptyList<Promise>(), broken(first))
+    }
+
     @Test
     fun `a call that may not be repeated and ran twice is found`() {
         for (kind in CallKind.entries) {
--- a/standin/src/main/kotlin/io/sequoiawheel/standin/platform/ReplicaConduct.kt
+++ b/standin/src/main/kotlin/io/sequoiawheel/standin/platform/ReplicaConduct.kt
@@ -62,6 +62,9 @@
     /** Adds a remark on what happened to the run. */
     fun note(text: String)
 
+    /** The stream ended before it was whole, while the replica may work on. Only the first call counts. */
+    fun endStream(result: RunResult)
+
     /** The replica works on the run no longer. Only the first call counts. */
     fun end(result: RunResult)
 }
--- a/standin/src/main/kotlin/io/sequoiawheel/standin/platform/WorkingReplicaStandIn.kt
+++ b/standin/src/main/kotlin/io/sequoiawheel/standin/platform/WorkingReplicaStandIn.kt
@@ -177,7 +177,10 @@
         val run = engineRuns.begin(requestId, record)
         try {
             Thread.sleep(conduct.workMillis)
-            val events = EventWriter(answer) { conduct.isStubborn }
+            val events =
+                EventWriter(answer, { conduct.isStubborn }) { isOwn ->
+                    record.endStream(if (isOwn) RunResult.BROKEN_OFF else lostResult())
+                }
             return answer.whole { writeEvents(request, run, events, head) }
         } finally {
             engineRuns.end(run)
@@ -256,10 +259,15 @@
     }
 }
 
-/** Writes the events of one stream. A stubborn replica goes on without a connection once a write failed. */
+/**
+ * Writes the events of one stream. A stubborn replica goes on without a connection once a write failed.
+ *
+ * @param onEnd called when the connection of a stream that is not whole ends, with whether the replica ended it
+ */
 private class EventWriter(
     private val answer: ReplicaAnswer,
     private val isStubborn: () -> Boolean,
+    private val onEnd: (Boolean) -> Unit,
 ) {
     var isRead = true
         private set
@@ -270,6 +278,7 @@
             answer.body()
         } catch (lost: IOException) {
             isRead = false
+            onEnd(false)
             if (!isStubborn()) throw lost
         }
     }
@@ -277,6 +286,7 @@
     /** Writes [text] and resets the connection. */
     fun breakOff(text: String) {
         write { sendChunk(text) }
+        if (isRead) onEnd(true)
         answer.reset()
         isRead = false
     }
