Search bodies for status lines without allocating

Each body is searched for status lines since, every few bytes of it, and each look allocated a range and its iterator on the compiler that the deploy file selects. A loop does the same.

--- a/relay/src/main/kotlin/io/sequoiawheel/relay/backend/StatusLine.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/backend/StatusLine.kt
@@ -79,7 +79,12 @@
         bytes: ByteArray,
         index: Int,
         length: Int,
-    ): Boolean = (0 until length).all { fits(it, (bytes[index + it].toInt() and BYTE_MASK).toChar()) }
+    ): Boolean {
+        // Called for every few bytes of each body, so it allocates nothing.
+        var offset = 0
+        while (offset < length && fits(offset, (bytes[index + offset].toInt() and BYTE_MASK).toChar())) offset++
+        return offset == length
+    }
 
     private fun fits(
         index: Int,
