--- a/relay/src/main/kotlin/io/sequoiawheel/relay/backend/StatusLine.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/backend/StatusLine.kt
@@ -8,6 +8,8 @@
     private const val VERSION = "HTTP/1."
     private const val PATTERN = "HTTP/1.# ###"
     private const val STATUS_INDEX = 9
+    private const val VERSION_END = VERSION.length - 1
+    private const val END_OF_VERSION = '.'.code.toByte()
     private const val BYTE_VALUES = 256
     private const val BYTE_MASK = 0xff
     private val VERSIONS = setOf(HttpVersion.HTTP_1_0, HttpVersion.HTTP_1_1)
@@ -15,7 +17,7 @@
 
     /** How far the version may begin behind a byte that is not its last one, by that byte. */
     private val SKIPS =
-        IntArray(BYTE_VALUES) { value -> VERSION.length - 1 - VERSION.dropLast(1).lastIndexOf(value.toChar()) }
+        IntArray(BYTE_VALUES) { value -> VERSION_END - VERSION.dropLast(1).lastIndexOf(value.toChar()) }
 
     /** Length of the beginning of a status line by which it is recognized. */
     const val RECOGNIZED_CHARACTERS = PATTERN.length
@@ -32,9 +34,11 @@
     ): Int? {
         var index = from
         val last = minOf(limit - 1, bytes.size - RECOGNIZED_CHARACTERS)
+        val skips = SKIPS
         while (index <= last) {
-            if (isAt(bytes, index, RECOGNIZED_CHARACTERS)) return index
-            index += SKIPS[bytes[index + VERSION.length - 1].toInt() and BYTE_MASK]
+            val end = bytes[index + VERSION_END]
+            if (end == END_OF_VERSION && isAt(bytes, index, RECOGNIZED_CHARACTERS)) return index
+            index += skips[end.toInt() and BYTE_MASK]
         }
         return null
     }
