--- a/soak/src/main/kotlin/io/sequoiawheel/soak/history/HistoryChecker.kt
+++ b/soak/src/main/kotlin/io/sequoiawheel/soak/history/HistoryChecker.kt
@@ -180,7 +180,8 @@
             val status = if (run.hasRun && run.status !in SUCCESS_STATUSES) " with ${run.status}" else ""
             val copy = if (run.isContinuation) " from a copy" else ""
             val notes = run.notes.joinToString("") { ", $it" }
-            val stream = run.streamEnd?.let { " after its stream, $it at ${run.streamEndMillis}," }.orEmpty()
-            "${run.end}$stream$status ${run.replica}$copy at ${run.startMillis} until ${run.endMillis ?: "the end"}$notes"
+            val stream = run.streamEnd?.let { ", stream $it at ${run.streamEndMillis}" }.orEmpty()
+            val time = "at ${run.startMillis} until ${run.endMillis ?: "the end"}"
+            "${run.end}$status ${run.replica}$copy $time$stream$notes"
         }
     }
