--- a/relay/src/main/kotlin/io/sequoiawheel/relay/backend/StatusLine.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/backend/StatusLine.kt
@@ -84,7 +84,7 @@
         index: Int,
         length: Int,
     ): Boolean {
-        // Called for every few bytes of each body, so it allocates nothing.
+        // Part of the search through each body, so it allocates nothing.
         var offset = 0
         while (offset < length && fits(offset, (bytes[index + offset].toInt() and BYTE_MASK).toChar())) offset++
         return offset == length
