Send an id again only over an unused connection

Cause: an id was sent once over a connection, but not once to a replica. On a connection that carried other requests, the replica may still send a response to the earlier send, which nothing tells from the response to the later one.

The pool keeps the ids that were last sent to each replica (1,024, 4 KiB at most). A request whose id is among them is treated like one without an id: it needs an unused connection. Calls, repeated sends of the instance and of the caller, and generations all take their connections there. An earlier send of another instance is not known here.

--- a/relay/src/main/kotlin/io/sequoiawheel/relay/backend/BackendPool.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/backend/BackendPool.kt
@@ -14,7 +14,14 @@
     private val onHead: (Replica, ResponseHead) -> Unit,
     private val onUnexpectedBytes: (Replica, UnexpectedBytes) -> Unit = { _, _ -> },
 ) {
-    private val idle = HashMap<Replica, ArrayDeque<BackendConnection>>()
+    private class ReplicaConnections {
+        val idle = ArrayDeque<BackendConnection>()
+
+        /** Ids that were sent to the replica, over any connection. */
+        val sentIds = SentRequestIds(MAXIMUM_IDS)
+    }
+
+    private val connections = HashMap<Replica, ReplicaConnections>()
 
     /** Number of connections opened so far. */
     var opened = 0L
@@ -25,8 +32,9 @@
         private set
 
     /**
-     * Returns an idle or a new connection to [replica]. An id is sent at most once over a connection, so that a late
-     * copy of the response to an earlier send is not taken for the response to a later one.
+     * Returns an idle or a new connection to [replica]. An id that was sent to the replica before needs an unused
+     * connection: on any other one, the replica may still send a response to the earlier send, which would be taken for
+     * the response to this one.
      *
      * @param requestId id of the request that is to be sent, or null if it has none
      * @param mustBeRecent whether to avoid idle connections that the peer may be about to close
@@ -39,7 +47,10 @@
         mustBeRecent: Boolean,
         mayBeUsed: Boolean = false,
     ): BackendConnection {
-        takeIdle(replica, requestId, mustBeRecent, mayBeUsed)?.let { return it }
+        val sentIds = connections.getOrPut(replica) { ReplicaConnections() }.sentIds
+        val isResend = requestId != null && requestId in sentIds
+        if (requestId != null && !isResend) sentIds.add(requestId)
+        takeIdle(replica, requestId.takeUnless { isResend }, mustBeRecent, mayBeUsed)?.let { return it }
         opened++
         val connection = connector.connect(Endpoint(replica.entry.host, replica.entry.port))
         connection.unreadRequests = replica.unreadRequests
@@ -48,21 +59,22 @@
         return connection
     }
 
+    /** @param requestId id by which a response is told from late ones, or null if there is none */
     private fun takeIdle(
         replica: Replica,
         requestId: String?,
         mustBeRecent: Boolean,
         mayBeUsed: Boolean,
     ): BackendConnection? {
-        val connections = idle[replica] ?: return null
-        for (index in connections.indices.reversed()) {
-            val connection = connections[index]
+        val idle = connections.getValue(replica).idle
+        for (index in idle.indices.reversed()) {
+            val connection = idle[index]
             val isUsable = isUsable(connection, mustBeRecent)
             if (isUsable && !mayBeUsed && !connection.mayCarry(requestId)) {
                 passedOver++
                 continue
             }
-            connections.removeAt(index)
+            idle.removeAt(index)
             if (isUsable) return connection
             connection.close()
         }
@@ -98,20 +110,23 @@
             connection.close()
             return
         }
-        val idleConnections = idle.getOrPut(replica) { ArrayDeque() }
-        idleConnections.addLast(connection)
-        if (idleConnections.size > MAXIMUM_IDLE_CONNECTIONS) idleConnections.removeFirst().close()
+        val idle = connections.getOrPut(replica) { ReplicaConnections() }.idle
+        idle.addLast(connection)
+        if (idle.size > MAXIMUM_IDLE_CONNECTIONS) idle.removeFirst().close()
     }
 
     /** Closes connections that have been idle too long, and all connections to replicas that are not in [known]. */
     fun evictIdle(known: Set<Replica>) {
-        idle.entries.removeIf { (replica, connections) ->
-            connections.removeIf { connection ->
-                val expired = replica !in known || !isUsable(connection, mustBeRecent = false)
+        connections.values.forEach { ofReplica ->
+            ofReplica.idle.removeIf { connection ->
+                val expired = !isUsable(connection, mustBeRecent = false)
                 if (expired) connection.close()
                 expired
             }
-            connections.isEmpty()
+        }
+        connections.entries.removeIf { (replica, ofReplica) ->
+            if (replica !in known) ofReplica.idle.forEach { it.close() }
+            replica !in known
         }
     }
 
@@ -127,5 +142,8 @@
     private companion object {
         /** Maximum number of idle connections per replica. */
         const val MAXIMUM_IDLE_CONNECTIONS = 16
+
+        /** Bounds the ids of a replica to 4 KiB. */
+        const val MAXIMUM_IDS = 1_024
     }
 }
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/backend/ResponseMatcher.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/backend/ResponseMatcher.kt
@@ -9,8 +9,8 @@
 
 /** Tells which request of a connection a response belongs to, by the id that it names. */
 internal class ResponseMatcher {
-    private val sentIds = SentRequestIds()
-    private val headIds by lazy(LazyThreadSafetyMode.NONE) { SentRequestIds() }
+    private val sentIds = SentRequestIds(MAXIMUM_IDS)
+    private val headIds by lazy(LazyThreadSafetyMode.NONE) { SentRequestIds(MAXIMUM_IDS) }
     private var isHead = false
 
     /** What the first final response to the request in progress states, or null if none was received. */
@@ -79,4 +79,9 @@
         val isSigned: Boolean,
         val isNotRun: Boolean,
     )
+
+    private companion object {
+        /** Bounds the ids of a connection to 1 KiB. */
+        const val MAXIMUM_IDS = 256
+    }
 }
