Count short events by their cost, and search none for heads twice

Cause: a stream was ended after 256 KiB without a new event, which is 131,072 empty events, and their handling kept the event loop busy. Since each event was also copied to a second list and searched through four allocated objects.

An event counts for at least 64 bytes now, so that a stream of stale events ends after 4,096 of them; a restarted run resends a few hundred. The search allocates nothing where no status line is found.

--- a/relay/src/main/kotlin/io/sequoiawheel/relay/backend/EmbeddedHead.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/backend/EmbeddedHead.kt
@@ -116,8 +116,10 @@
         private val BODILESS = setOf(HttpResponseStatus.NO_CONTENT.code(), HttpResponseStatus.NOT_MODIFIED.code())
 
         /** Returns the heads in [bytes], in their order, each of which begins with a status line. */
-        fun allIn(bytes: ByteArray): Sequence<EmbeddedHead> =
-            generateSequence(StatusLine.find(bytes, from = 0)) { StatusLine.find(bytes, it + 1) }
-                .map { Reader(bytes, it).read() }
+        fun allIn(bytes: ByteArray): Sequence<EmbeddedHead> {
+            // Most bodies and events hold none.
+            val first = StatusLine.find(bytes, from = 0) ?: return emptySequence()
+            return generateSequence(first) { StatusLine.find(bytes, it + 1) }.map { Reader(bytes, it).read() }
+        }
     }
 }
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationAttempt.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationAttempt.kt
@@ -170,7 +170,7 @@
     /** Whether the attempt has ended, successfully or not. */
     val isFinished: Boolean get() = job?.isCompleted ?: false
 
-    /** Bytes received since the last event that advanced the delivered stream. */
+    /** Bytes received since the last event that advanced the delivered stream; a short event counts for more. */
     private var staleBytes = 0
 
     /** When the last event that advanced the delivered stream arrived, or the response stream or attempt started. */
@@ -322,11 +322,12 @@
             val bytes = ByteArray(content.content().readableBytes())
             content.content().readBytes(bytes)
             content.release()
-            staleBytes += bytes.size
-            if (staleBytes > MAXIMUM_STALE_BYTES) throw IOException("$staleBytes bytes received without the next event")
             val received = splitter.append(bytes)
+            staleBytes += maxOf(bytes.size, received.size * MINIMUM_EVENT_BYTES)
+            if (staleBytes > MAXIMUM_STALE_BYTES) throw IOException("$staleBytes bytes received without the next event")
             // An event that was broken off within a line takes the head of another response for further fields.
-            val events = received.takeWhile { event -> EmbeddedHead.allIn(event.bytes).none { it.namesRequest } }
+            val foreign = received.indexOfFirst { event -> EmbeddedHead.allIn(event.bytes).any { it.namesRequest } }
+            val events = if (foreign < 0) received else received.subList(0, foreign)
             if (events.isNotEmpty()) {
                 hasEvents = true
                 observation?.recordEvents(events.size)
@@ -336,7 +337,7 @@
                 handled.await()
                 pace.recordDelivery()
             }
-            if (events.size < received.size) throw InvalidResponseException("another response within an event")
+            if (foreign >= 0) throw InvalidResponseException("another response within an event")
             if (!isLast) continue
             requireWhole(opened, splitter, hasEvents)
             isExchangeComplete = true
@@ -372,5 +373,8 @@
 
         /** A few hundred events: a restarted run may resend that many before the first new one. */
         const val MAXIMUM_STALE_BYTES = 262_144
+
+        /** What the handling of an event costs, however short it is, as a number of bytes. */
+        const val MINIMUM_EVENT_BYTES = 64
     }
 }
