--- a/relay/src/test/kotlin/io/sequoiawheel/relay/FilledUpAnswerTest.kt
+++ b/relay/src/test/kotlin/io/sequoiawheel/relay/FilledUpAnswerTest.kt
@@ -2,6 +2,9 @@
 
 import io.sequoiawheel.standin.platform.ReceivedRequest
 import io.sequoiawheel.standin.platform.ReplicaAnswer
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.jsonObject
+import kotlinx.serialization.json.jsonPrimitive
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertTrue
@@ -9,8 +12,7 @@
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.CsvSource
 import org.junit.jupiter.params.provider.EnumSource
-import java.io.ByteArrayOutputStream
-import java.net.SocketException
+import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicInteger
 
 /** Replicas that break a response off on a connection that stays open, and send another response on it. */
@@ -55,22 +57,6 @@
         id: String,
     ): ReceivedStream = ReceivedStream(fixture.send(fixture.request(path, id)), isReset = false)
 
-    /** Sends [request] and returns what was received until the connection ended or was reset. */
-    private fun receive(request: String): ReceivedStream =
-        fixture.connect().use { socket ->
-            socket.soTimeout = READ_TIMEOUT_MILLIS
-            socket.getOutputStream().write(request.toByteArray())
-            val received = ByteArrayOutputStream()
-            val isReset =
-                try {
-                    socket.getInputStream().transferTo(received)
-                    false
-                } catch (reset: SocketException) {
-                    true
-                }
-            ReceivedStream(received.toString(Charsets.ISO_8859_1), isReset)
-        }
-
     // Callers received successes whose last bytes were the beginning of the next status line (review/11).
     @ParameterizedTest
     @EnumSource
@@ -130,7 +116,7 @@
         val length = if (hasLength) "Content-Length: ${events.length}\r\n" else ""
         val missingBytes = AtomicInteger()
         start(RelayFixture.ENGINE) { request, answer ->
-            if (request.target == STOP_PATH) return@start answer.sendComplete(request, "{}", "404 Not Found")
+            if (request.target == COPY_PATH) return@start answer.sendComplete(request, "{}", "404 Not Found")
             val last = request.header("Last-Event-Id")
             if (last == null) {
                 val whole = response(request, "200 OK", "Content-Type: text/event-stream\r\n$length", events)
@@ -148,12 +134,81 @@
         for (missing in 1 until events.length) {
             missingBytes.set(missing)
             val extra = "X-Token-Usage: 300,90\r\n"
-            val received = receive(fixture.request("/resumable/a", "stream-$missing", extra = extra))
+            val received = fixture.receive(fixture.request("/resumable/a", "stream-$missing", extra = extra))
             assertTrue("HTTP/1." !in received.body && "Signature" !in received.body, "$missing: ${received.text}")
             if (received.isComplete) assertEquals(events, received.body, "$missing bytes missing")
         }
     }
 
+    // An answer that proved nothing was taken for the proof that the run had ended.
+    @ParameterizedTest
+    @EnumSource
+    fun `a stop whose answer was filled up is asked again`(moment: Moment) {
+        val absent = """{"error":"no such run"}"""
+        val stops = ConcurrentHashMap<String, AtomicInteger>()
+        start(RelayFixture.ENGINE) { request, answer ->
+            val last = request.header("Last-Event-Id")
+            when {
+                request.target == COPY_PATH -> {
+                    val fields = Json.parseToJsonElement(request.body).jsonObject
+                    val run = fields.getValue("id").jsonPrimitive.content
+                    val missing = run.substringAfter('-').toInt()
+                    val isFirst = stops.computeIfAbsent(run) { AtomicInteger() }.incrementAndGet() == 1
+                    if (isFirst) {
+                        answer.writeFilledUp("404 Not Found", absent, missing, moment)
+                    } else {
+                        answer.writeStatus("404 Not Found", absent)
+                    }
+                }
+
+                last == null -> StreamFixture.brokenOff(request, answer)
+                else -> StreamFixture.complete(request, answer)
+            }
+        }
+        RelayFixture.awaitTrue("the share of the retry budget is known") { fixture.daemon.knowsInstances }
+        val ids = STOPS_FILLED_UP_BYTES.map { "stop-$it" }
+        for (id in ids) fixture.receive(fixture.request("/resumable/a", id, extra = "X-Token-Usage: 300,90\r\n"))
+        RelayFixture.awaitTrue("all stops are asked again: $stops") { ids.all { stops.getValue(it).get() > 1 } }
+    }
+
+    @ParameterizedTest
+    @EnumSource
+    fun `a copy whose answer was filled up is not used`(moment: Moment) {
+        for (missing in 1..FILLED_UP_BYTES) {
+            StreamFixture().use { streams ->
+                val script: StreamScript = { request, answer ->
+                    answer.startStream(request)
+                    val next = (request.header("Last-Event-Id")?.toInt() ?: 0) + 1
+                    StreamFixture.sendEvents(answer, next..2)
+                    if (next == 1) streams.drainSource()
+                    StreamFixture.sendEvents(answer, maxOf(next, 3)..LONG_STREAM)
+                    answer.endStream()
+                }
+                streams.answerCopy = { _, answer ->
+                    answer.writeFilledUp("200 OK", StreamFixture.COPY, missing, moment)
+                }
+                streams.start(script)
+                val received = streams.send(StreamFixture.RESUMABLE)
+                assertEquals(StreamFixture.events(1..LONG_STREAM), received.body)
+                assertEquals(emptyList<String>(), streams.continued.toList(), "$missing bytes missing")
+            }
+        }
+    }
+
+    /** Writes a response that lacks [missing] bytes, and then the whole one. */
+    private fun ReplicaAnswer.writeFilledUp(
+        status: String,
+        body: String,
+        missing: Int,
+        moment: Moment,
+    ) {
+        val whole = "HTTP/1.1 $status\r\nContent-Length: ${body.length}\r\n\r\n$body"
+        if (moment == Moment.AT_ONCE) return write(whole.dropLast(missing) + whole)
+        write(whole.dropLast(missing))
+        Thread.sleep(moment.pauseMillis)
+        write(whole)
+    }
+
     // A refusal that another response contradicts was taken as the proof that the call had not run.
     @Test
     fun `a call is not sent again after a refusal that a response of another status filled up`() {
@@ -176,7 +231,11 @@
         const val LAST_EVENT = 8
         const val MISSING_BYTES = 7
         const val SPLIT = "split"
-        const val READ_TIMEOUT_MILLIS = 8_000
-        const val STOP_PATH = "/v1/kv-move"
+        const val COPY_PATH = "/v1/kv-move"
+        const val FILLED_UP_BYTES = 13
+        const val LONG_STREAM = 26
+
+        /** Half as many as the fixture allows retries, since a stop is asked again only if its stream goes on. */
+        val STOPS_FILLED_UP_BYTES = listOf(1, 4, 11)
     }
 }
--- a/relay/src/test/kotlin/io/sequoiawheel/relay/StreamFixture.kt
+++ b/relay/src/test/kotlin/io/sequoiawheel/relay/StreamFixture.kt
@@ -70,6 +70,10 @@
     @Volatile
     var copyStatus = "200 OK"
 
+    /** Answers requests to copy a run. */
+    @Volatile
+    var answerCopy: StreamScript = { request, answer -> answer.sendComplete(request, COPY, copyStatus) }
+
     /** Starts the relay and its engines. The last of [scripts] also answers all further attempts. */
     fun start(
         vararg scripts: StreamScript,
@@ -80,7 +84,7 @@
                 relay.replica(id, RelayFixture.ENGINE) { request, answer ->
                     if (request.target == "/v1/kv-move") {
                         onCopy()
-                        answer.sendComplete(request, """{"session":"h-1","created":1}""", copyStatus)
+                        answerCopy(request, answer)
                     } else if (request.method == "DELETE") {
                         answer.sendComplete(request, "")
                     } else {
@@ -131,6 +135,7 @@
         val ENGINES = listOf("e-1", "e-2", "e-3")
         const val RESUMABLE = "/resumable/a"
         const val NOT_RESUMABLE = "/stream/a"
+        const val COPY = """{"session":"h-1","created":1}"""
 
         /** Number of the last event of a complete stream. */
         const val LAST_EVENT = 6
--- a/relay/src/test/kotlin/io/sequoiawheel/relay/backend/FilledUpResponseTest.kt
+++ b/relay/src/test/kotlin/io/sequoiawheel/relay/backend/FilledUpResponseTest.kt
@@ -126,9 +126,15 @@
         }
     }
 
-    /** Places at which a response of [length] bytes is cut: all, or those near its head and its end. */
-    private fun cuts(length: Int) =
-        if (length <= 2 * NEAR_BYTES) (1..length).toList() else (1..NEAR_BYTES) + (length - NEAR_BYTES..length)
+    /**
+     * Places at which a response of [length] bytes is cut: all, or those near its head, its end and one chunk's end,
+     * and others between them.
+     */
+    private fun cuts(length: Int): Iterable<Int> {
+        if (length <= 2 * NEAR_BYTES) return 1..length
+        val middle = NEAR_BYTES..length - NEAR_BYTES step MIDDLE_STEP
+        return (1..NEAR_BYTES) + middle + (CHUNK..CHUNK + NEAR_BYTES) + (length - NEAR_BYTES..length)
+    }
 
     private fun isKnowable(
         form: Form,
@@ -253,6 +259,7 @@
         const val FIRST_BYTES = 5
         const val STATUS_LINE_BYTES = 12
         const val NEAR_BYTES = 600
+        const val MIDDLE_STEP = 499
         const val LARGE_BYTES = 120_000
         const val FAULT_CHARACTERS = 400
         const val REPEATS = 100
