Offer a begun stream to the replicas again after refusals

A refusal says that nothing was done. A request that has not run is refused at once as before, so that its caller can return.

--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationRun.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/GenerationRun.kt
@@ -88,6 +88,11 @@
     private var quarantinedPart: PromptPart? = null
     private var retryAfterMillis = ReplicaPlacement.FULL_GENERATIONS_MILLIS
 
+    private val pendingOffer = PendingOffer(context.clock, exchange, delivery)
+
+    /** Time after which a replica may accept the generation, or null if it is not to be sent again. */
+    private val offerDelayMillis get() = retryAfterMillis.takeIf { quarantinedPart == null }
+
     /** Handles the request until it ends. */
     suspend fun run() {
         if (!startAttempt(emptySet())) {
@@ -100,6 +105,7 @@
             val signal = signals.receiveWithin(if (mayOverlap) OVERLAP_CHECK_MILLIS else STALL_CHECK_MILLIS)
             if (signal == null) checkForStall() else handle(signal)
             checkForOverlap()
+            if (!isFinished) pendingOffer.takeDue()?.let { startOrWait(retries.mayOfferAgain(), it) }
         }
     }
 
@@ -135,7 +141,10 @@
     private suspend fun handleCurrent(signal: GenerationSignal) {
         when (signal) {
             is GenerationSignal.Completed -> if (signal.attempt === current) complete(signal.attempt)
-            is GenerationSignal.ReplicaLeaving -> handleReplicaLeaving(signal)
+            is GenerationSignal.ReplicaLeaving -> {
+                exchange.logFields["left"] = signal.reason.name
+                moveFrom(signal.attempt)
+            }
             is GenerationSignal.CopyReady -> {
                 val mayLeave = signal.attempt !== current || moveGate.mayContinueFromCopy(signal.attempt)
                 if (successor == null && mayLeave) continueFrom(signal.copy)
@@ -253,9 +262,8 @@
         }
         current = null
         when {
-            exchange.response.isStarted -> fail(ResultCode.STREAM_INTERRUPTED, signal.detail)
-            runs > 0 -> fail(ResultCode.OUTCOME_UNKNOWN, signal.detail)
-            else -> refuse(signal.proof, ResultCode.BACKEND_REFUSED, signal.detail)
+            runs == 0 -> refuse(signal.proof, ResultCode.BACKEND_REFUSED, signal.detail)
+            !pendingOffer.schedule(offerDelayMillis, signal.detail) -> failInterrupted(signal.detail)
         }
     }
 
@@ -292,19 +300,21 @@
     }
 
     /** Sends the request again without a copy if the route allows it, or else fails it with [detail]. */
-    private suspend fun retryWithoutCopy(detail: String) {
-        if (route.isRepeatable && retries.mayRunAgain(runs) && startAttempt(abandoned)) return
-        failInterrupted(detail)
+    private suspend fun retryWithoutCopy(detail: String) =
+        startOrWait(route.isRepeatable && retries.mayRunAgain(runs), detail)
+
+    /** Sends the request again if [isAllowed], waits for a replica that accepts it, or else fails it with [detail]. */
+    private suspend fun startOrWait(
+        isAllowed: Boolean,
+        detail: String,
+    ) {
+        if (isAllowed && startAttempt(abandoned)) return
+        if (!isAllowed || !pendingOffer.schedule(offerDelayMillis, detail)) failInterrupted(detail)
     }
 
     private suspend fun failInterrupted(detail: String) =
         fail(if (exchange.response.isStarted) ResultCode.STREAM_INTERRUPTED else ResultCode.OUTCOME_UNKNOWN, detail)
 
-    private fun handleReplicaLeaving(signal: GenerationSignal.ReplicaLeaving) {
-        exchange.logFields["left"] = signal.reason.name
-        moveFrom(signal.attempt)
-    }
-
     private fun moveFrom(source: GenerationAttempt) {
         if (successor != null) return
         when (moveGate.tryLeave(source, LeaveCause.NOTICE)) {
@@ -380,6 +390,7 @@
         retryAfterMillis =
             (placement as? Placement.Deferred)?.retryAfterMillis ?: ReplicaPlacement.FULL_GENERATIONS_MILLIS
         val replica = (placement as? Placement.Assigned)?.replica ?: return false
+        retries.recordAttempt()
         current =
             attempts.create(replica, abandoned, purpose).also {
                 it.start(scope)
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/RetryAllowance.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/RetryAllowance.kt
@@ -14,6 +14,9 @@
     private var refusals = 0
     private val unsentAttempts = UnsentAttempts(context.clock)
 
+    /** Whether a retry was taken from the budget for which no replica was found. */
+    private var hasUnusedRetry = false
+
     /** Whether a replica has refused the generation. */
     val hasRefusals: Boolean get() = refusals > 0
 
@@ -31,6 +34,17 @@
             else -> refusals++ < MAXIMUM_REFUSED_RETRIES && context.retryBudget(service.name).tryRetry()
         }
 
+    /** Whether the generation may be offered to the replicas again, after none of them accepted it. */
+    fun mayOfferAgain(): Boolean {
+        if (!hasUnusedRetry) hasUnusedRetry = context.retryBudget(service.name).tryRetry()
+        return hasUnusedRetry
+    }
+
+    /** Records that an attempt was started. */
+    fun recordAttempt() {
+        hasUnusedRetry = false
+    }
+
     private companion object {
         /** Refusals after which the request is retried; the next refusal is reported to the caller. */
         const val MAXIMUM_REFUSED_RETRIES = 2
