RepeatedSendTest records an answer before it sends it

The thread that sends a response was suspended behind the send, so that the caller had the response before it was recorded, and the test counted one response instead of two (line 94: "expected: <2> but was: <1>"). Nothing that the test asserts has changed.

The response is recorded first.

--- a/relay/src/test/kotlin/io/sequoiawheel/relay/RepeatedSendTest.kt
+++ b/relay/src/test/kotlin/io/sequoiawheel/relay/RepeatedSendTest.kt
@@ -34,8 +34,9 @@
         when {
             request.header("X-Request-Id") != REPEATED -> {
                 bothOpen.await(BARRIER_SECONDS, TimeUnit.SECONDS)
-                sendSuccess(request, answer)
+                // The caller may have the response before the thread that sends it goes on.
                 earlierAnswers += answer
+                sendSuccess(request, answer)
             }
 
             runs.incrementAndGet() == 1 -> {
