Wait for a replica that accepts a stop and does not answer

Cause: a stop without an answer for 150 ms counted as no sign of the replica, so that the generation went on at once, while an answered refusal was waited out for up to 3 s. A replica that accepts the connection and stays silent is reached, as one that refuses is, and may work on.

The stop now keeps whether the replica has accepted a connection since the last one that failed. If so, silence counts as a request without a response, and the generation waits, for 3 s at most as before. A machine that cannot be reached accepts no connection, so that the generation still goes on after 150 ms.

RunStopTest, engines that are silent for 700 ms: 5 of 5 ways red on (531 or 532 ms at two engines), 55 of 55 cases pass. HeldBackStopTest, CopyQueueTest, CrowdedEngineStopTest, StreamContinuationTest, StreamMoveTest, RefusedStreamTest: 58 of 58; RunEndTest passes.

--- a/core/src/main/kotlin/io/sequoiawheel/core/relay/RunPlaces.kt
+++ b/core/src/main/kotlin/io/sequoiawheel/core/relay/RunPlaces.kt
@@ -115,7 +115,7 @@
      * Decides whether the generation goes on elsewhere.
      *
      * @param answer the answer to the stop of the run; [StopAnswer.HELD_BACK] also if the stop could not be reserved,
-     *   null if the replica was not asked yet, or does not answer
+     *   null if the replica was not asked yet, or accepts no connection
      * @param waitedMillis how long the generation has waited for the end of the run
      */
     fun decide(
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/EngineCalls.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/EngineCalls.kt
@@ -66,6 +66,7 @@
      * Asks [source] to stop the run of [requestId] and then to copy it to [destination].
      *
      * @param mayUseKept whether to use an idle connection that carried other requests, if there is one
+     * @param onConnected called before the request is sent on a new connection
      */
     suspend fun stopRun(
         requestId: String,
@@ -74,9 +75,11 @@
         permit: StopPermit,
         mayUseKept: Boolean,
         timeoutMillis: Long,
+        onConnected: () -> Unit,
     ): EngineResult {
         val body = EngineProtocol.copyRunBody(requestId, endpoint(destination), stop = true)
         return call(source, HttpMethod.POST, EngineProtocol.COPY_RUN_PATH, body, timeoutMillis, mayUseKept) {
+            if (!mayUseKept) onConnected()
             context.tryAdmitStop(source, permit)
         }
     }
--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/RunStopper.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/RunStopper.kt
@@ -150,18 +150,21 @@
                 trace.tries++
                 // A late answer still names the copy to be freed, so the request outlives the wait for it.
                 val isOnKept = mayUseKept
-                scope.launch { ask(run, destination, releasesCopy, isOnKept, results.sender) }
+                scope.launch { ask(run, destination, releasesCopy, isOnKept, trace, results.sender) }
             }
             val result = results.receiveWithin(ANSWER_MILLIS)
             if (result != null) {
                 unanswered--
                 trace.lastAnswer = result.detail
+                if (result.answer == StopAnswer.UNREACHABLE) trace.isReached = false
                 // A crowded replica resets new connections while those that it has serve on.
                 mayUseKept = !mayUseKept && result.answer in CONNECTION_FAILURES
                 val isListed = context.directory.all().any { it === run.replica }
                 if (plan.isEnd(result.answer, isListed, nowMillis())) return outcome(result.answer)
             }
-            if (givesUp(result?.answer)) return StopOutcome.NOT_STOPPED
+            // A replica that accepts connections may work on, even if it does not answer.
+            val answer = result?.answer ?: StopAnswer.NO_RESPONSE.takeIf { trace.isReached }
+            if (givesUp(answer)) return StopOutcome.NOT_STOPPED
             delay(plan.delayMillis(nowMillis()) ?: return StopOutcome.NOT_STOPPED)
         }
     }
@@ -179,12 +182,16 @@
         destination: Replica,
         releasesCopy: Boolean,
         mayUseKept: Boolean,
+        trace: StopTrace,
         results: SendChannel<StopResult>,
     ) {
         val source = run.replica
         pending++
         try {
-            val result = calls.stopRun(run.requestId, source, destination, run.permit, mayUseKept, TIMEOUT_MILLIS)
+            val result =
+                calls.stopRun(run.requestId, source, destination, run.permit, mayUseKept, TIMEOUT_MILLIS) {
+                    trace.isReached = true
+                }
             // A source that could not copy the run has stopped it nevertheless if it names a handle.
             val handle =
                 (result as? EngineResult.Response)?.takeIf { it.status !in RUN_ABSENT }?.let { handleOf(it.text) }
@@ -235,10 +242,15 @@
         val detail: String,
     )
 
-    /** What a stop has tried, for the log. */
+    /**
+     * What a stop has tried.
+     *
+     * @property isReached whether the replica has accepted a connection since the last one that failed
+     */
     private class StopTrace {
         var tries = 0
         var lastAnswer: String? = null
+        var isReached = false
     }
 
     /** The result of a stop; [label] is the value in metrics and logs. */
--- a/relay/src/test/kotlin/io/sequoiawheel/relay/StubbornEngines.kt
+++ b/relay/src/test/kotlin/io/sequoiawheel/relay/StubbornEngines.kt
@@ -31,6 +31,9 @@
     REFUSED_FOR_LONG,
     RESET_FOR_LONG,
     UNANSWERED_FIRST,
+
+    /** Neither stops nor answers at first, and then does both. */
+    SILENT_FOR_LONG,
     UNREACHABLE_FIRST,
     ANSWERED_TWICE,
 }
@@ -181,6 +184,9 @@
         firstStopMillis.compareAndSet(0, nowMillis())
         val isFirst = refusals.getAndIncrement() == 0
         val isEarly = nowMillis() - firstStopMillis.get() < REFUSAL_MILLIS
+        if (conduct == StopConduct.SILENT_FOR_LONG && isEarly) {
+            Thread.sleep((firstStopMillis.get() + REFUSAL_MILLIS - nowMillis()).coerceAtLeast(0))
+        }
         val refuse: (() -> Unit)? =
             when (conduct) {
                 StopConduct.BUSY_FIRST, StopConduct.BUSY_FOR_LONG -> {
@@ -363,7 +369,12 @@
 
         /** Refusals that last longer than two runs may work beside each other. */
         val LONG_REFUSALS =
-            setOf(StopConduct.BUSY_FOR_LONG, StopConduct.REFUSED_FOR_LONG, StopConduct.RESET_FOR_LONG)
+            setOf(
+                StopConduct.BUSY_FOR_LONG,
+                StopConduct.REFUSED_FOR_LONG,
+                StopConduct.RESET_FOR_LONG,
+                StopConduct.SILENT_FOR_LONG,
+            )
 
         /** The time for which an engine refuses to stop a run. */
         const val REFUSAL_MILLIS = 700L
