Soak: planned refusals do not count against a crashing part

Cause: in the check. While the plan lets all replicas refuse each request once, no stream begins at the first attempt, and the history did not say when this was.

The refusals are recorded as a disturbance, and the check of a part leaves out the streams that were under way meanwhile. The bound stays.

HistoryCheckerTest: refused streams that are not within planned refusals still break it.

--- a/soak/src/main/kotlin/io/sequoiawheel/soak/history/History.kt
+++ b/soak/src/main/kotlin/io/sequoiawheel/soak/history/History.kt
@@ -119,6 +119,9 @@
     STORE,
     REPLICA_CRASH,
     ODD_ENTRY,
+
+    /** All replicas refused each request once. */
+    REFUSALS,
 }
 
 /** The store acknowledged at [acknowledgedMillis] that [replica] is leaving. */
--- a/soak/src/test/kotlin/io/sequoiawheel/soak/history/HistoryCheckerTest.kt
+++ b/soak/src/test/kotlin/io/sequoiawheel/soak/history/HistoryCheckerTest.kt
@@ -356,6 +356,24 @@
         assertEquals(listOf(Promise.LOST), broken(part + before + sound(fromMillis = 9_000, isServed = false)))
     }
 
+    // Streams that replicas refused by plan were counted against a crashing part that came meanwhile.
+    @Test
+    fun `only sound streams during planned refusals are not counted while a crashing part comes`() {
+        val before = sound(fromMillis = -5_000, isServed = true)
+        val refused = sound(fromMillis = 9_000, isServed = false)
+
+        fun brokenWith(refusals: Disturbance) = broken(crashing(14, 3, listOf(refusals)) + before + refused)
+        assertEquals(emptyList<Promise>(), brokenWith(Disturbance(DisturbanceKind.REFUSALS, "replicas", 8_990, 9_040)))
+        assertEquals(
+            listOf(Promise.LOST),
+            brokenWith(Disturbance(DisturbanceKind.REFUSALS, "replicas", 7_000, 8_990)),
+        )
+        assertEquals(
+            listOf(Promise.LOST),
+            brokenWith(Disturbance(DisturbanceKind.REPLICA_CRASH, "r-1", 8_990, 9_040)),
+        )
+    }
+
     private companion object {
         const val SECOND = 1_000L
         const val SOUND_CALLS = 30
