Say when a stop reports its connection

The parameter's comment named the moment before the request is sent, but the call comes before the request is admitted, and not at all if an idle connection may be used. Comment only; the module compiles, its lint and RepeatedSendTest pass.

--- a/relay/src/main/kotlin/io/sequoiawheel/relay/serving/EngineCalls.kt
+++ b/relay/src/main/kotlin/io/sequoiawheel/relay/serving/EngineCalls.kt
@@ -66,7 +66,7 @@
      * Asks [source] to stop the run of [requestId] and then to copy it to [destination].
      *
      * @param mayUseKept whether to use an idle connection that carried other requests, if there is one
-     * @param onConnected called before the request is sent on a new connection
+     * @param onConnected called once a new connection is open, before the request is admitted; not with [mayUseKept]
      */
     suspend fun stopRun(
         requestId: String,
